--- /dev/null
+++ b/crates/coord/src/hash.rs
@@ -0,0 +1,25 @@
+//! Stable hashes and rendezvous scores.
+//!
+//! All VMs must compute the same value in every version, so the functions here never change.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
+
+/// Returns the 64-bit hash of `bytes`.
+#[must_use]
+pub fn hash64(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
+/// Returns the 128-bit hash of `bytes`.
+#[must_use]
+pub fn hash128(bytes: &[u8]) -> u128 {
+    xxh3_128(bytes)
+}
+
+/// Returns the score of `node` for `key` in rendezvous (highest random weight) hashing.
+///
+/// The node with the highest score owns the key, so removing another node moves no key.
+#[must_use]
+pub fn rendezvous_score(key: u64, node: &str) -> u64 {
+    xxh3_64_with_seed(node.as_bytes(), key)
+}
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,9 @@
+//! Coordination parts for routers whose nodes act together without shared writes.
+//!
+//! Every part is a state machine without I/O, clock or randomness of its own, so that each
+//! failure can be reproduced in virtual time. See `docs/design.md`.
+
+pub mod hash;
+pub mod name;
+pub mod sched;
+pub mod time;
--- /dev/null
+++ b/crates/cumindoor/src/main.rs
@@ -0,0 +1,3 @@
+//! The `cumindoor` command.
+
+fn main() {}
