Add the request path: callers, cells, engine client, plain calls

Cause: cumindoor had no way from a caller to an engine. Change: a hyper listener with limits on heads, bodies and connections; a task for each model request that obeys the orders of a cell; a client of engines with deadlines, probes over fresh connections and cancels that are tried until acknowledged; plain services are passed through.

--- /dev/null
+++ b/crates/cumindoor/src/serve/caller/handler.rs
@@ -0,0 +1,105 @@
+//! From a caller's request to the answer.
+
+use std::time::Duration;
+
+use coord::name::{Organisation, Service};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, StatusCode};
+
+use super::answer::{self, Answer};
+use super::parse::{self, Form};
+use super::{Shared, body};
+use crate::serve::plain;
+use crate::serve::refusal::Refusal;
+use crate::serve::route::{self, Ask};
+use crate::serve::spec::{ServiceKind, ServiceSpec};
+
+/// The header that names the organisation.
+const ORGANISATION: &str = "x-organisation";
+/// After what time an organisation that has too many open requests may try again.
+const OPEN_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers one request.
+pub(super) async fn handle(shared: &Shared, request: Request<Incoming>) -> Answer {
+    let answered = match request.uri().path() {
+        "/v1/chat/completions" => model(shared, Form::Chat, request).await,
+        "/v1/completions" => model(shared, Form::Completion, request).await,
+        _ => pass(shared, request).await,
+    };
+    answered.unwrap_or_else(|refusal| answer::refuse(&refusal))
+}
+
+async fn model(shared: &Shared, form: Form, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    if request.method() != Method::POST {
+        return Err(Refusal::not_run(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "method",
+            "only POST is allowed here",
+        ));
+    }
+    let organisation = organisation(request.headers())?;
+    let trace = text_header(request.headers(), "traceparent");
+    let context = &shared.context;
+    let bytes = body::read(request.into_body(), &context.options.limits).await?;
+    let mut parsed = parse::parse(form, &bytes)?;
+    drop(bytes);
+
+    let spec = context
+        .table
+        .service(&organisation, &Service::from(parsed.model.as_str()))
+        .filter(|spec| spec.kind == ServiceKind::Model)
+        .ok_or_else(|| no_service(&organisation, &parsed.model))?;
+    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    let ask = Ask {
+        prompt: std::mem::take(&mut parsed.prompt),
+        max_tokens: parsed.max_tokens,
+        trace,
+    };
+    let events = route::start(context, spec, ask, guard);
+    Ok(answer::respond(&parsed, events).await)
+}
+
+async fn pass(shared: &Shared, request: Request<Incoming>) -> Result<Answer, Refusal> {
+    let organisation = organisation(request.headers())?;
+    let path = request.uri().path();
+    let name = path.trim_start_matches('/').split('/').next();
+    let name = name.unwrap_or_default().to_owned();
+    let context = &shared.context;
+    let spec = context
+        .table
+        .service(&organisation, &Service::from(name.as_str()))
+        .filter(|spec| spec.kind == ServiceKind::Plain)
+        .ok_or_else(|| no_service(&organisation, &name))?;
+    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    plain::call(context, &spec, request, guard).await
+}
+
+fn organisation(headers: &HeaderMap) -> Result<Organisation, Refusal> {
+    let name = text_header(headers, ORGANISATION).ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "organisation",
+            "the header X-Organisation is missing",
+        )
+    })?;
+    Ok(Organisation::from(name))
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?.trim();
+    (!value.is_empty()).then(|| value.to_owned())
+}
+
+fn no_service(organisation: &Organisation, name: &str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::NOT_FOUND,
+        "no-service",
+        format!("the organisation {organisation} has no such service: {name:?}"),
+    )
+}
+
+fn open_limit(spec: &ServiceSpec) -> Refusal {
+    let message = format!("more than {} open requests", spec.open_limit);
+    Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "open-limit", message).retry_in(OPEN_RETRY)
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/caller/parse.rs
@@ -0,0 +1,162 @@
+//! Chat and completion requests in the common format.
+
+use serde::Deserialize;
+
+use super::body::malformed;
+use crate::serve::refusal::Refusal;
+
+/// Output tokens of a request that names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+
+/// The form of a request and its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Form {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Completion,
+}
+
+/// A valid request to a model.
+#[derive(Debug)]
+pub(super) struct Parsed {
+    pub form: Form,
+    pub model: String,
+    pub prompt: String,
+    pub max_tokens: u32,
+    pub stream: bool,
+    /// True if the figures at the end have an event of their own.
+    pub usage_event: bool,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    messages: Option<Vec<Message>>,
+    prompt: Option<Prompt>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: Option<bool>,
+    stream_options: Option<StreamOptions>,
+    n: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+/// One message of a chat.
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: Option<Content>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Deserialize)]
+struct Part {
+    text: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    Text(String),
+    List(Vec<String>),
+}
+
+/// Parses the body of a request.
+pub(super) fn parse(form: Form, body: &[u8]) -> Result<Parsed, Refusal> {
+    let parsed: Result<Body, _> = serde_json::from_slice(body);
+    let body = parsed.map_err(|error| malformed(format!("the body is not valid: {error}")))?;
+    if body.n.is_some_and(|n| n != 1) {
+        return Err(malformed("`n` must be 1"));
+    }
+    let max_tokens = body.max_completion_tokens.or(body.max_tokens);
+    let max_tokens = max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 {
+        return Err(malformed("`max_tokens` must be at least 1"));
+    }
+    let prompt = match form {
+        Form::Chat => messages_prompt(body.messages)?,
+        Form::Completion => completion_prompt(body.prompt)?,
+    };
+    Ok(Parsed {
+        form,
+        model: body.model,
+        prompt,
+        max_tokens,
+        stream: body.stream.unwrap_or(false),
+        usage_event: body.stream_options.is_some_and(|o| o.include_usage),
+    })
+}
+
+fn messages_prompt(messages: Option<Vec<Message>>) -> Result<String, Refusal> {
+    let messages = messages.ok_or_else(|| malformed("`messages` is missing"))?;
+    if messages.is_empty() {
+        return Err(malformed("`messages` is empty"));
+    }
+    let mut texts = Vec::with_capacity(messages.len());
+    for (number, message) in messages.into_iter().enumerate() {
+        texts.push((message.role, text(number, message.content)?));
+    }
+    let pairs = texts
+        .iter()
+        .map(|(role, text)| (role.as_str(), text.as_str()));
+    Ok(chat_prompt(pairs))
+}
+
+fn text(number: usize, content: Option<Content>) -> Result<String, Refusal> {
+    match content {
+        None => Ok(String::new()),
+        Some(Content::Text(text)) => Ok(text),
+        Some(Content::Parts(parts)) => {
+            let mut joined = String::new();
+            for part in parts {
+                let text = part.text.ok_or_else(|| {
+                    malformed(format!("`messages[{number}]` has a part that is not text"))
+                })?;
+                joined.push_str(&text);
+            }
+            Ok(joined)
+        }
+    }
+}
+
+/// Returns the prompt of a chat: one line for each message, then the start of the answer.
+///
+/// # Example
+///
+/// ```
+/// let prompt = cumindoor::serve::caller::chat_prompt([("user", "Good morning")]);
+/// assert_eq!(prompt, "user: Good morning\nassistant:");
+/// ```
+pub fn chat_prompt<'a>(messages: impl IntoIterator<Item = (&'a str, &'a str)>) -> String {
+    let mut prompt = String::new();
+    for (role, text) in messages {
+        prompt.push_str(role);
+        prompt.push_str(": ");
+        prompt.push_str(text);
+        prompt.push('\n');
+    }
+    prompt.push_str("assistant:");
+    prompt
+}
+
+fn completion_prompt(prompt: Option<Prompt>) -> Result<String, Refusal> {
+    match prompt {
+        None => Err(malformed("`prompt` is missing")),
+        Some(Prompt::Text(text)) => Ok(text),
+        Some(Prompt::List(mut list)) if list.len() == 1 => Ok(list.remove(0)),
+        Some(Prompt::List(_)) => Err(malformed("`prompt` must be one text")),
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/local.rs
@@ -0,0 +1,1 @@
+//! A cell whose scheduler runs in this process.
--- /dev/null
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -0,0 +1,284 @@
+//! Client of model engines: prefill, decode stream, cancel and load.
+//!
+//! Every call has a deadline. A call without bytes for a while is checked by a question over a
+//! fresh connection, because an open connection may go silent for good while new ones work.
+
+pub mod cancel;
+pub mod pool;
+mod stream;
+mod wire;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::sched::{Attempt, Failure, JobId};
+use derive_more::Display;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::time::timeout;
+
+pub use pool::{BodyError, Connected, OutBody, Pool, SendError, full_body};
+pub use stream::{Piece, TokenStream};
+pub use wire::{DecodeCall, Load, PrefillCall, Prefilled};
+
+use crate::serve::spec::HopTimes;
+
+/// Bytes of a short answer from an engine that are read at most.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// Returns the id by which an engine knows one attempt of a request.
+///
+/// Each attempt has its own id, so that a cancelled one does not hit its successor on the same
+/// engine, and a late answer of an abandoned one cannot be taken for the current one.
+#[must_use]
+pub fn engine_id(id: JobId, attempt: Attempt) -> String {
+    format!("{id}-{attempt}")
+}
+
+/// Returns the request of an id from an engine's list, or `None` if the id is not ours.
+#[must_use]
+pub fn parse_engine_id(text: &str) -> Option<(JobId, Attempt)> {
+    let (id, attempt) = text.split_once('-')?;
+    let id = u128::from_str_radix(id, 16).ok()?;
+    Some((JobId(id), Attempt(attempt.parse().ok()?)))
+}
+
+/// Why a call to an engine failed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[display("not sent: {_0}")]
+    Unsent(String),
+    /// The engine was full and did no work.
+    #[display("engine full")]
+    Full,
+    /// The prefill's result is gone.
+    #[display("prefill result evicted")]
+    Evicted,
+    /// The connection or the engine failed; the work may have happened.
+    #[display("engine lost: {_0}")]
+    Lost(String),
+    /// The engine lists the request but makes no progress.
+    #[display("no progress")]
+    Stalled,
+}
+
+impl CallError {
+    /// Returns the scheduler's word for the failure.
+    #[must_use]
+    pub fn failure(&self) -> Failure {
+        match self {
+            Self::Full => Failure::Full,
+            Self::Evicted => Failure::Evicted,
+            Self::Unsent(_) | Self::Lost(_) => Failure::Lost,
+            Self::Stalled => Failure::Stalled,
+        }
+    }
+
+    /// Returns true if the engine certainly did no work.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::Unsent(_) | Self::Full)
+    }
+}
+
+impl From<SendError> for CallError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(text) => Self::Unsent(text),
+            SendError::Sent(text) => Self::Lost(text),
+        }
+    }
+}
+
+/// Client of all model engines; clones share the connections.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    pool: Pool,
+    times: Arc<HopTimes>,
+}
+
+impl EngineClient {
+    /// Returns a client with an empty pool.
+    #[must_use]
+    pub fn new(times: HopTimes) -> Self {
+        Self {
+            pool: Pool::new(times.connect),
+            times: Arc::new(times),
+        }
+    }
+
+    /// Returns the connections, for the sweeper of idle ones.
+    #[must_use]
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Returns the deadlines.
+    #[must_use]
+    pub fn times(&self) -> &HopTimes {
+        &self.times
+    }
+
+    /// Computes the KV cache of a prompt.
+    ///
+    /// `limit` is the longest that the engine may take although it lists the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] when the engine is full, lost or makes no progress.
+    pub async fn prefill(
+        &self,
+        addr: SocketAddr,
+        call: &PrefillCall,
+        trace: Option<&str>,
+        limit: Duration,
+    ) -> Result<Prefilled, CallError> {
+        let request = wire::post("/v1/prefill", call, trace);
+        let exchange = async {
+            let connected = self.pool.send(addr, request).await?;
+            let (status, answer) = read_answer(connected).await?;
+            check_status(status, &answer)?;
+            wire::parse(&answer)
+        };
+        self.watch(addr, &call.id, limit, exchange).await?
+    }
+
+    /// Imports a prefill's result and starts the output stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] when the engine has no slot, the result was evicted, the transfer
+    /// stalls or the engine is lost.
+    pub async fn decode(
+        &self,
+        addr: SocketAddr,
+        call: &DecodeCall,
+        trace: Option<&str>,
+    ) -> Result<TokenStream, CallError> {
+        let request = wire::post("/v1/decode", call, trace);
+        let exchange = async {
+            let connected = self.pool.send(addr, request).await?;
+            let status = connected.response.status();
+            if status == StatusCode::OK {
+                return Ok(connected);
+            }
+            let (status, answer) = read_answer(connected).await?;
+            check_status(status, &answer)?;
+            Err(CallError::Lost(format!("unexpected status {status}")))
+        };
+        let answered = timeout(self.times.import, exchange).await;
+        let connected = answered.map_err(|_| CallError::Stalled)??;
+        Ok(TokenStream::new(
+            connected,
+            self.clone(),
+            addr,
+            call.id.clone(),
+            call.offset,
+        ))
+    }
+
+    /// Frees everything that `id` holds on an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] if the engine did not acknowledge.
+    pub async fn cancel(&self, addr: SocketAddr, id: &str) -> Result<(), CallError> {
+        let request = wire::post("/v1/cancel", &wire::CancelCall { id }, None);
+        let exchange = async {
+            // A connection from the pool may be one that went silent.
+            let connected = self.pool.send_fresh(addr, request).await?;
+            let (status, _) = read_answer(connected).await?;
+            if status.is_success() {
+                return Ok(());
+            }
+            Err(CallError::Lost(format!("cancel answered {status}")))
+        };
+        let answered = timeout(self.times.cancel, exchange).await;
+        answered.map_err(|_| CallError::Stalled)?
+    }
+
+    /// Asks an engine over a fresh connection for its load.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] if there is no valid answer in time.
+    pub async fn load(&self, addr: SocketAddr) -> Result<Load, CallError> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri("/v1/load")
+            .body(full_body(""));
+        let request = request.map_err(|error| CallError::Unsent(error.to_string()))?;
+        let exchange = async {
+            let connected = self.pool.send_fresh(addr, request).await?;
+            let (status, answer) = read_answer(connected).await?;
+            check_status(status, &answer)?;
+            wire::parse(&answer)
+        };
+        let answered = timeout(self.times.probe, exchange).await;
+        answered.map_err(|_| CallError::Stalled)?
+    }
+
+    /// Waits for `future`; while nothing happens, asks the engine whether it lists `id`.
+    pub(crate) async fn watch<T>(
+        &self,
+        addr: SocketAddr,
+        id: &str,
+        limit: Duration,
+        future: impl Future<Output = T>,
+    ) -> Result<T, CallError> {
+        let mut future = pin!(future);
+        let mut waited = Duration::ZERO;
+        loop {
+            if let Ok(done) = timeout(self.times.quiet, &mut future).await {
+                return Ok(done);
+            }
+            waited += self.times.quiet;
+            if waited >= limit {
+                return Err(CallError::Stalled);
+            }
+            // The answer may arrive while the question is on its way.
+            let listed = tokio::select! {
+                done = &mut future => return Ok(done),
+                listed = self.lists(addr, id) => listed,
+            };
+            if let Err(text) = listed {
+                self.pool.forget(addr);
+                return Err(CallError::Lost(text));
+            }
+        }
+    }
+
+    async fn lists(&self, addr: SocketAddr, id: &str) -> Result<(), String> {
+        let load = self.load(addr).await;
+        let load = load.map_err(|error| format!("silent, and no answer to a probe: {error}"))?;
+        if load.held.iter().any(|held| held == id) {
+            return Ok(());
+        }
+        Err("silent, and the engine does not list the request".to_owned())
+    }
+}
+
+async fn read_answer(connected: Connected) -> Result<(StatusCode, Vec<u8>), CallError> {
+    let Connected { response, lease } = connected;
+    let (parts, body) = Response::into_parts(response);
+    let collected = Limited::new(body, ANSWER_LIMIT).collect().await;
+    let collected = collected.map_err(|error| CallError::Lost(error.to_string()))?;
+    lease.release();
+    Ok((parts.status, collected.to_bytes().to_vec()))
+}
+
+fn check_status(status: StatusCode, answer: &[u8]) -> Result<(), CallError> {
+    match status {
+        StatusCode::OK => Ok(()),
+        StatusCode::TOO_MANY_REQUESTS => Err(CallError::Full),
+        StatusCode::GONE => Err(CallError::Evicted),
+        _ => {
+            let text = String::from_utf8_lossy(answer);
+            Err(CallError::Lost(format!("status {status}: {}", text.trim())))
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/engine/wire.rs
@@ -0,0 +1,97 @@
+//! The JSON of the engines' protocol (see `docs/design.md`, section 4).
+
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::{CallError, OutBody, full_body};
+
+/// The body of `POST /v1/prefill`.
+#[derive(Clone, Debug, Serialize)]
+pub struct PrefillCall {
+    /// The attempt's id.
+    pub id: String,
+    /// The prompt, tokens already delivered included.
+    pub prompt: String,
+    /// Higher is more urgent.
+    pub priority: u8,
+}
+
+/// The answer to a prefill.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Prefilled {
+    /// Names the result on the engine.
+    pub handle: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that were in the prefix cache.
+    #[serde(default)]
+    pub cached_tokens: u32,
+    /// Milliseconds until the result is evicted.
+    #[serde(default)]
+    pub expires_ms: u64,
+}
+
+/// The body of `POST /v1/decode`.
+#[derive(Clone, Debug, Serialize)]
+pub struct DecodeCall {
+    /// The attempt's id.
+    pub id: String,
+    /// Address of the engine that holds the prefill's result.
+    pub source: String,
+    /// Names the result on that engine.
+    pub handle: String,
+    /// The prompt as the caller sent it.
+    pub prompt: String,
+    /// Index of the first token wanted.
+    pub offset: u32,
+    /// Index at which the output ends at the latest.
+    pub max_tokens: u32,
+    /// Higher is more urgent.
+    pub priority: u8,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct CancelCall<'a> {
+    pub id: &'a str,
+}
+
+/// An engine's load, sampled with a lag.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Load {
+    /// Decode requests that fit.
+    #[serde(default)]
+    pub slots: u32,
+    /// Decode requests that run.
+    #[serde(default)]
+    pub used: u32,
+    /// Ids that hold memory.
+    #[serde(default)]
+    pub held: Vec<String>,
+    /// Requests that wait inside the engine.
+    #[serde(default)]
+    pub queue: u32,
+}
+
+pub(super) fn post(path: &str, body: &impl Serialize, trace: Option<&str>) -> Request<OutBody> {
+    // Serialising strings and numbers to memory cannot fail.
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut request = Request::new(full_body(text));
+    *request.method_mut() = Method::POST;
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    headers.insert(CONTENT_TYPE, json);
+    if let Some(value) = trace.and_then(|trace| trace.parse().ok()) {
+        headers.insert("traceparent", value);
+    }
+    request
+}
+
+pub(super) fn parse<T: DeserializeOwned>(answer: &[u8]) -> Result<T, CallError> {
+    let parsed = serde_json::from_slice(answer);
+    parsed.map_err(|error| CallError::Lost(format!("malformed answer: {error}")))
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -0,0 +1,180 @@
+//! Client of plain services: calls are passed through with streaming bodies.
+//!
+//! A call is sent to another upstream only if nothing of it was sent to the first one, or if
+//! its service allows repeats and its body was kept.
+
+mod balance;
+mod bodies;
+mod headers;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coord::name::Upstream;
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode, Uri};
+use tokio::time::{Instant, timeout_at};
+
+pub use balance::Balance;
+
+use crate::serve::engine::{Connected, OutBody, SendError, full_body};
+use crate::serve::refusal::Refusal;
+use crate::serve::route::{Context, OpenGuard};
+use crate::serve::spec::{ServiceSpec, UpstreamSpec};
+use bodies::Fault;
+
+/// Bodies up to this size are kept, so that a repeatable call can be sent again.
+const KEPT_BYTES: u64 = 64 * 1024;
+/// Upstreams that one call is sent to at most.
+const TRIES: usize = 3;
+
+/// The body of a call.
+enum Payload {
+    Kept(Bytes),
+    Streamed(OutBody, Fault),
+}
+
+/// Passes a call through to one of the service's upstreams.
+///
+/// # Errors
+///
+/// Returns a [`Refusal`] if no upstream answered; its kind is `unknown` once bytes of a call
+/// were sent.
+pub async fn call(
+    context: &Arc<Context>,
+    spec: &Arc<ServiceSpec>,
+    request: Request<Incoming>,
+    guard: OpenGuard,
+) -> Result<Response<OutBody>, Refusal> {
+    let until = Instant::now() + spec.request_limit;
+    let (mut parts, body) = request.into_parts();
+    parts.uri = inner_uri(&parts.uri)?;
+    headers::strip(&mut parts.headers);
+    let mut payload = payload(context, spec, body).await?;
+    let mut tried: Vec<Upstream> = Vec::new();
+    let mut last = None;
+    while tried.len() < TRIES {
+        let upstreams = context.table.upstreams(&spec.name);
+        let Some(upstream) = context.balance.choose(&upstreams, &tried) else {
+            break;
+        };
+        tried.push(upstream.name.clone());
+        match attempt(context, &upstream, &parts, payload, until).await {
+            Ok(connected) => {
+                let load = context.balance.enter(&upstream.name);
+                return Ok(bodies::answer(connected, until, (guard, load)));
+            }
+            Err(failed) => {
+                context.balance.failed(&upstream.name);
+                let repeat = !spec.once || !failed.sent;
+                last = Some(failed.refusal);
+                match failed.payload {
+                    Some(kept) if repeat => payload = kept,
+                    _ => break,
+                }
+            }
+        }
+    }
+    Err(last.unwrap_or_else(no_upstream))
+}
+
+fn no_upstream() -> Refusal {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "no-upstream", "no upstream is available")
+}
+
+/// Returns the path below the service's name.
+fn inner_uri(uri: &Uri) -> Result<Uri, Refusal> {
+    let whole = uri.path_and_query().map_or("/", |p| p.as_str());
+    let below = whole.trim_start_matches('/');
+    let start = below.find(['/', '?']).unwrap_or(below.len());
+    let rest = &below[start..];
+    let text = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    let parsed: Result<Uri, _> = text.parse();
+    parsed.map_err(|error| {
+        let message = format!("the path is not valid: {error}");
+        Refusal::not_run(StatusCode::BAD_REQUEST, "malformed", message)
+    })
+}
+
+async fn payload(
+    context: &Context,
+    spec: &ServiceSpec,
+    body: Incoming,
+) -> Result<Payload, Refusal> {
+    let limits = &context.options.limits;
+    let hint = body.size_hint();
+    if hint.lower() > limits.plain_bytes {
+        return Err(bodies::too_large(limits));
+    }
+    let small = hint.exact().is_some_and(|bytes| bytes <= KEPT_BYTES);
+    if body.is_end_stream() || (small && !spec.once) {
+        let bytes = bodies::read(body, limits).await?;
+        return Ok(Payload::Kept(bytes));
+    }
+    let fault = Fault::default();
+    let body = bodies::limited(body, limits, fault.clone());
+    Ok(Payload::Streamed(body, fault))
+}
+
+/// A call that was not answered.
+struct Failed {
+    /// True if bytes of the call may have reached the upstream.
+    sent: bool,
+    refusal: Refusal,
+    /// The body, if the call can be sent again.
+    payload: Option<Payload>,
+}
+
+async fn attempt(
+    context: &Context,
+    upstream: &UpstreamSpec,
+    parts: &Parts,
+    payload: Payload,
+    until: Instant,
+) -> Result<Connected, Failed> {
+    let pool = context.engines.pool();
+    // A new connection for each call: an idle one may have been closed by the upstream while
+    // the call was written, and then nobody knows whether it ran.
+    let connection = match pool.connect(upstream.address).await {
+        Ok(connection) => connection,
+        Err(error) => return Err(unsent(error.to_string(), Some(payload))),
+    };
+    let (body, fault, kept) = match payload {
+        Payload::Kept(bytes) => (full_body(bytes.clone()), None, Some(bytes)),
+        Payload::Streamed(body, fault) => (body, Some(fault), None),
+    };
+    let request = Request::from_parts(parts.clone(), body);
+    let until = until.min(Instant::now() + context.options.times.plain);
+    let answered = timeout_at(until, connection.send(request)).await;
+    let error = match answered {
+        Ok(Ok(connected)) => return Ok(connected),
+        Ok(Err(SendError::Unsent(text))) => {
+            return Err(unsent(text, kept.map(Payload::Kept)));
+        }
+        Ok(Err(SendError::Sent(text))) => text,
+        Err(_) => "no answer in time".to_owned(),
+    };
+    let message = format!("the upstream failed after the call was sent: {error}");
+    let unknown = Refusal::unknown("upstream-failed", message);
+    let refusal = fault.and_then(|fault| fault.take()).unwrap_or(unknown);
+    Err(Failed {
+        sent: true,
+        refusal,
+        payload: kept.map(Payload::Kept),
+    })
+}
+
+fn unsent(text: String, payload: Option<Payload>) -> Failed {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Failed {
+        sent: false,
+        refusal: Refusal::not_run(status, "no-upstream", text),
+        payload,
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/plain/bodies.rs
@@ -0,0 +1,129 @@
+//! Streaming bodies in both directions, within their limits.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::{Bytes, BytesMut};
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Response, StatusCode};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::headers;
+use crate::serve::engine::{BodyError, Connected, OutBody};
+use crate::serve::refusal::Refusal;
+use crate::serve::spec::Limits;
+
+/// Why a streamed request body ended early; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fault(Arc<Mutex<Option<Refusal>>>);
+
+impl Fault {
+    fn set(&self, refusal: Refusal) -> BodyError {
+        let text = refusal.message.clone();
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(refusal);
+        text.into()
+    }
+
+    pub(super) fn take(&self) -> Option<Refusal> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+/// Returns the refusal of a body over the limit.
+pub(super) fn too_large(limits: &Limits) -> Refusal {
+    let message = format!("the body is larger than {} bytes", limits.plain_bytes);
+    Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
+}
+
+fn too_slow() -> Refusal {
+    let message = "the body made no progress in time";
+    Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "body-timeout", message)
+}
+
+fn broken(error: &hyper::Error) -> Refusal {
+    let message = format!("the body broke off: {error}");
+    Refusal::not_run(StatusCode::BAD_REQUEST, "malformed", message)
+}
+
+/// Reads a short body whose length is known.
+pub(super) async fn read(mut body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+    let until = Instant::now() + limits.body_time;
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout_at(until, body.frame())
+            .await
+            .map_err(|_| too_slow())?;
+        let Some(frame) = frame else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|error| broken(&error))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
+/// Passes a caller's body on; it fails when it is too large or makes no progress.
+///
+/// The call may have run by then, so the refusal in `fault` says `unknown`.
+pub(super) fn limited(body: Incoming, limits: &Limits, fault: Fault) -> OutBody {
+    let state = (body, 0_u64, limits.clone(), fault);
+    let frames = stream::unfold(state, |(mut body, mut bytes, limits, fault)| async move {
+        let frame = match timeout(limits.body_time, body.frame()).await {
+            Err(_) => Err(started(too_slow())),
+            Ok(None) => return None,
+            Ok(Some(Err(error))) => Err(started(broken(&error))),
+            Ok(Some(Ok(frame))) => Ok(frame),
+        };
+        let frame = frame.and_then(|frame| {
+            bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+            if bytes > limits.plain_bytes {
+                return Err(started(too_large(&limits)));
+            }
+            Ok(frame)
+        });
+        let frame = frame.map_err(|refusal| fault.set(refusal));
+        Some((frame, (body, bytes, limits, fault)))
+    });
+    StreamBody::new(Box::pin(frames)).boxed_unsync()
+}
+
+fn started(refusal: Refusal) -> Refusal {
+    let Refusal {
+        status,
+        reason,
+        message,
+        ..
+    } = refusal;
+    let mut refusal = Refusal::unknown(reason, message);
+    refusal.status = status;
+    refusal
+}
+
+/// Passes an upstream's answer on; `guards` are dropped with its body.
+pub(super) fn answer(
+    connected: Connected,
+    until: Instant,
+    guards: impl Send + 'static,
+) -> Response<OutBody> {
+    let (mut parts, body) = connected.response.into_parts();
+    headers::strip(&mut parts.headers);
+    let state = (body, connected.lease, guards, false);
+    let frames = stream::unfold(state, move |(mut body, lease, guards, failed)| async move {
+        if failed {
+            return None;
+        }
+        let frame: Result<Frame<Bytes>, BodyError> = match timeout_at(until, body.frame()).await {
+            Err(_) => Err("the answer took too long".into()),
+            Ok(None) => {
+                lease.release();
+                return None;
+            }
+            Ok(Some(frame)) => frame.map_err(Into::into),
+        };
+        let failed = frame.is_err();
+        Some((frame, (body, lease, guards, failed)))
+    });
+    Response::from_parts(parts, StreamBody::new(Box::pin(frames)).boxed_unsync())
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/route/job.rs
@@ -0,0 +1,82 @@
+//! The scheduler's view of a request.
+
+use coord::hash::{hash64, hash128};
+use coord::name::VmName;
+use coord::sched::{Class, Job, JobId};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Context;
+use crate::serve::spec::ServiceSpec;
+
+/// Bytes of text that are estimated to be one token before an engine has counted them.
+const TOKEN_BYTES: usize = 4;
+
+/// What a caller asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The prompt as one text.
+    pub prompt: String,
+    /// Output tokens at most.
+    pub max_tokens: u32,
+    /// The trace context that the caller sent.
+    pub trace: Option<String>,
+}
+
+/// Returns the priority that engines are given for a class.
+pub(super) fn priority(class: Class) -> u8 {
+    match class {
+        Class::Interactive => 1,
+        Class::Patient => 0,
+    }
+}
+
+/// Returns the estimated number of tokens of `text`.
+pub(super) fn estimate_tokens(text: &str) -> u32 {
+    let tokens = text.len().div_ceil(TOKEN_BYTES).max(1);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+/// Returns the scheduler's view of `ask`.
+pub(super) fn build(context: &Context, spec: &ServiceSpec, ask: &Ask) -> Job {
+    Job {
+        id: draw_id(&context.options.vm),
+        vm: context.options.vm.clone(),
+        organisation: spec.organisation.clone(),
+        service: spec.name.clone(),
+        class: spec.class,
+        deadline: context.clock.now() + spec.first_token,
+        token_target: spec.token_target,
+        prompt_tokens: estimate_tokens(&ask.prompt),
+        max_tokens: ask.max_tokens,
+        prefix: prefixes(&ask.prompt, context.options.block_tokens),
+        fingerprint: fingerprint(spec, &ask.prompt),
+        once: spec.once,
+        offset: 0,
+    }
+}
+
+/// Draws an id whose upper 32 bits are a hash of the VM's name.
+fn draw_id(vm: &VmName) -> JobId {
+    let vm = hash64(vm.as_str().as_bytes()) >> 32;
+    let random = uuid::Uuid::new_v4().as_u128() & (u128::MAX >> 32);
+    JobId((u128::from(vm) << 96) | random)
+}
+
+/// Returns the hash of each prefix of whole blocks, shortest first.
+fn prefixes(prompt: &str, block_tokens: u32) -> Vec<u64> {
+    let block = block_tokens.max(1) as usize * TOKEN_BYTES;
+    let mut state = Xxh3::new();
+    let mut hashes = Vec::with_capacity(prompt.len() / block);
+    for chunk in prompt.as_bytes().chunks_exact(block) {
+        state.update(chunk);
+        hashes.push(state.digest());
+    }
+    hashes
+}
+
+fn fingerprint(spec: &ServiceSpec, prompt: &str) -> u128 {
+    let organisation = hash64(spec.organisation.as_str().as_bytes());
+    let service = hash64(spec.name.as_str().as_bytes());
+    let who = (u128::from(organisation) << 64) | u128::from(service);
+    hash128(prompt.as_bytes()) ^ who
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -0,0 +1,112 @@
+//! The prefill step of a request.
+
+use std::time::Duration;
+
+use coord::name::Upstream;
+use coord::sched::Failure;
+
+use super::{End, Ready, Run, Stop, job};
+use crate::serve::cell::Progress;
+use crate::serve::engine::{CallError, PrefillCall};
+
+/// Time that a prefill may take beyond its expected duration.
+const SLACK: Duration = Duration::from_secs(2);
+/// Multiple of the expected duration that a prefill may take.
+const FACTOR: u32 = 4;
+
+impl Run {
+    pub(super) async fn prefill(&mut self, upstream: Upstream) -> Result<(), Stop> {
+        let Some(address) = self.context.table.address(&upstream) else {
+            self.ticket.report(Progress::PrefillFailed(Failure::Lost));
+            return Ok(());
+        };
+        // A result of an earlier attempt is not used any more.
+        self.drop_ready();
+        let call = self.prefill_call();
+        let limit = self.prefill_limit(&call.prompt);
+        let id = call.id.clone();
+        let before = self.dispatched;
+        self.asked.add(upstream.clone(), address, id.clone());
+        self.current = Some(upstream.clone());
+        self.dispatched = true;
+
+        let engines = self.context.engines.clone();
+        let trace = self.ask.trace.clone();
+        let exchange = engines.prefill(address, &call, trace.as_deref(), limit);
+        let answered = self.watch(exchange).await;
+
+        match answered {
+            Ok(Ok(prefilled)) => {
+                self.prompt_tokens.get_or_insert(prefilled.prompt_tokens);
+                self.prefilled = Some(Ready {
+                    source: upstream,
+                    address,
+                    handle: prefilled.handle,
+                    id,
+                });
+                self.ticket.report(Progress::PrefillDone);
+                Ok(())
+            }
+            Ok(Err(error)) => {
+                self.close_call(&upstream, &id, &error, before);
+                let failure = error.failure();
+                self.ticket.report(Progress::PrefillFailed(failure));
+                self.end_once(&error)
+            }
+            Err(interrupt) => {
+                self.asked.cancel(&upstream, &id);
+                Err(interrupt.into())
+            }
+        }
+    }
+
+    fn prefill_call(&self) -> PrefillCall {
+        let mut prompt = self.ask.prompt.clone();
+        prompt.push_str(&self.delivered);
+        PrefillCall {
+            id: self.ticket.engine_id(),
+            prompt,
+            priority: job::priority(self.spec.class),
+        }
+    }
+
+    fn prefill_limit(&self, prompt: &str) -> Duration {
+        let rate = self.context.options.prefill_rate.max(1);
+        let expected = f64::from(job::estimate_tokens(prompt)) / f64::from(rate);
+        SLACK + Duration::from_secs_f64(expected) * FACTOR
+    }
+
+    /// Cancels the prefill whose result waits for import, if there is one.
+    pub(super) fn drop_ready(&mut self) {
+        if let Some(ready) = self.prefilled.take() {
+            self.asked.cancel(&ready.source, &ready.id);
+        }
+    }
+
+    /// Frees what a failed call may hold and notes whether the work may have happened.
+    pub(super) fn close_call(
+        &mut self,
+        upstream: &Upstream,
+        id: &str,
+        error: &CallError,
+        dispatched_before: bool,
+    ) {
+        if error.not_run() {
+            self.asked.settle(upstream, id);
+            self.dispatched = dispatched_before;
+            return;
+        }
+        self.asked.cancel(upstream, id);
+    }
+
+    /// Ends a once-only request whose work may have happened.
+    pub(super) fn end_once(&mut self, error: &CallError) -> Result<(), Stop> {
+        if !self.spec.once || !self.dispatched || error.not_run() {
+            return Ok(());
+        }
+        let message = format!("the upstream failed after the request was sent: {error}");
+        Err(Stop::End(End::Refused(
+            self.refusal("upstream-failed", &message),
+        )))
+    }
+}
