--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -10,6 +10,7 @@
 pub mod refusal;
 pub mod route;
 pub mod spec;
+pub mod supervisor;
 
 pub use caller::Server;
 pub use spec::{HopTimes, Limits, ServeOptions, ServiceKind, ServiceSpec, Table, UpstreamSpec};
--- a/crates/cumindoor/src/serve/cell.rs
+++ b/crates/cumindoor/src/serve/cell.rs
@@ -3,13 +3,17 @@
 //! A cell is the scheduler of one service's engines. It may be in this process
 //! ([`LocalCell`]) or on another VM; the request path sees only this trait.
 
+mod local;
+
 use std::time::{Duration, Instant};
 
 use coord::name::Upstream;
-use coord::sched::{Attempt, Failure, Job, JobId, Reason};
+use coord::sched::{Attempt, Failure, Job, JobId, Prefilled, Reason};
 use coord::time::Time;
 use tokio::sync::mpsc;
 
+pub use local::{Input, LocalCell, Orphan};
+
 /// What a cell orders a request to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -49,16 +53,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
     /// The prefill is complete and its result waits for import.
-    PrefillDone,
+    PrefillDone(Prefilled),
     /// The prefill failed.
     PrefillFailed(Failure),
     /// The decode engine imported the result and streams.
     DecodeStarted,
-    /// The decode failed after the caller had received `delivered` tokens in all.
+    /// The decode failed after `delivered` tokens of its stream.
     DecodeFailed {
         /// What happened.
         failure: Failure,
-        /// Output tokens that the caller has received, over all attempts.
+        /// Output tokens that were delivered since the decode was ordered.
         delivered: u32,
     },
     /// The answer is complete.
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -32,8 +32,8 @@
 /// Events that wait for a slow caller, so that it does not hold its engine's slot.
 const EVENT_QUEUE: usize = 1024;
 /// Times that a request is handed to a restarted cell before it is refused.
-const SUBMIT_LIMIT: u32 = 5;
-/// Pause before a request is handed to a restarted cell.
+const SUBMIT_LIMIT: u32 = 6;
+/// First pause before a request is handed to a restarted cell; it doubles.
 const SUBMIT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// What a request's caller is told.
@@ -189,12 +189,8 @@
     }
 
     async fn serve(&mut self) -> End {
-        let mut submits = 0;
-        loop {
-            if submits == SUBMIT_LIMIT {
-                return End::Refused(self.refusal("cell-lost", "the scheduler failed repeatedly"));
-            }
-            submits += 1;
+        let mut pause = SUBMIT_PAUSE;
+        for _ in 0..SUBMIT_LIMIT {
             self.submit();
             match self.follow_orders().await {
                 Ok(()) => {}
@@ -205,8 +201,12 @@
             if self.spec.once && self.dispatched {
                 return End::Refused(self.refusal("cell-lost", "the scheduler failed"));
             }
-            tokio::time::sleep(jittered(SUBMIT_PAUSE)).await;
+            tokio::time::sleep(jittered(pause)).await;
+            pause *= 2;
+            // Engines remember the old id as cancelled.
+            self.ticket.job.id = job::draw_id(&self.context.options.vm);
         }
+        End::Refused(self.refusal("cell-lost", "the scheduler failed repeatedly"))
     }
 
     fn submit(&mut self) {
--- a/crates/cumindoor/src/serve/route/decode.rs
+++ b/crates/cumindoor/src/serve/route/decode.rs
@@ -17,11 +17,11 @@
     ) -> Result<(), Stop> {
         let Some(address) = self.context.table.address(&upstream) else {
             self.drop_ready();
-            self.report_failure(Failure::Lost);
+            self.report_failure(Failure::Lost, 0);
             return Ok(());
         };
         let Some(call) = self.decode_call(source) else {
-            self.report_failure(Failure::Evicted);
+            self.report_failure(Failure::Evicted, 0);
             return Ok(());
         };
         let before = self.dispatched;
@@ -36,7 +36,7 @@
             }
             Err(Cut::Failed(error)) => {
                 self.close_call(&upstream, &call.id, &error, before);
-                self.after_cut(&error);
+                self.after_cut(&error, call.offset);
                 self.end_once(&error)
             }
             Err(Cut::Interrupted(interrupt)) => {
@@ -136,18 +136,18 @@
         sent.map_err(|_| Interrupt::CallerGone)
     }
 
-    fn after_cut(&mut self, error: &CallError) {
+    fn after_cut(&mut self, error: &CallError, start: u32) {
         let job = &mut self.ticket.job;
         job.prompt_tokens = job::estimate_tokens(&self.ask.prompt).saturating_add(job.offset);
         job.max_tokens = self.ask.max_tokens.saturating_sub(job.offset);
+        let delivered = job.offset - start;
         if matches!(error, CallError::Evicted) {
             self.prefilled = None;
         }
-        self.report_failure(error.failure());
+        self.report_failure(error.failure(), delivered);
     }
 
-    fn report_failure(&self, failure: Failure) {
-        let delivered = self.ticket.job.offset;
+    fn report_failure(&self, failure: Failure, delivered: u32) {
         self.ticket
             .report(Progress::DecodeFailed { failure, delivered });
     }
--- a/crates/cumindoor/src/serve/route/job.rs
+++ b/crates/cumindoor/src/serve/route/job.rs
@@ -51,15 +51,14 @@
         prefix: prefixes(&ask.prompt, context.options.block_tokens),
         fingerprint: fingerprint(spec, &ask.prompt),
         once: spec.once,
+        suspect: false,
         offset: 0,
     }
 }
 
-/// Draws an id whose upper 32 bits are a hash of the VM's name.
-fn draw_id(vm: &VmName) -> JobId {
-    let vm = hash64(vm.as_str().as_bytes()) >> 32;
-    let random = uuid::Uuid::new_v4().as_u128() & (u128::MAX >> 32);
-    JobId((u128::from(vm) << 96) | random)
+/// Draws the id of a new request of this VM.
+pub(super) fn draw_id(vm: &VmName) -> JobId {
+    JobId::new(vm, uuid::Uuid::new_v4().as_u128())
 }
 
 /// Returns the hash of each prefix of whole blocks, shortest first.
--- a/crates/cumindoor/src/serve/route/prefill.rs
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -38,13 +38,17 @@
         match answered {
             Ok(Ok(prefilled)) => {
                 self.prompt_tokens.get_or_insert(prefilled.prompt_tokens);
+                let done = coord::sched::Prefilled {
+                    prompt_tokens: prefilled.prompt_tokens,
+                    cached_tokens: prefilled.cached_tokens,
+                };
                 self.prefilled = Some(Ready {
                     source: upstream,
                     address,
                     handle: prefilled.handle,
                     id,
                 });
-                self.ticket.report(Progress::PrefillDone);
+                self.ticket.report(Progress::PrefillDone(done));
                 Ok(())
             }
             Ok(Err(error)) => {
--- /dev/null
+++ b/crates/cumindoor/src/serve/supervisor.rs
@@ -0,0 +1,251 @@
+//! A tree of named tasks that are restarted when they fail.
+//!
+//! A [`Spec`] describes the tree. A group restarts either the failed child alone or, when the
+//! children share state that a panic may have left half changed, all of them. A child that
+//! fails too often fails its group, and a root that fails ends the process.
+
+mod restart;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
+
+pub use restart::{Restarts, Window};
+
+type Factory = Arc<dyn Fn() -> BoxFuture<'static, eyre::Result<()>> + Send + Sync>;
+
+/// What a group does when one of its children fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strategy {
+    /// Restart the child that failed.
+    One,
+    /// Restart all children, because they share state that can no longer be trusted.
+    All,
+}
+
+/// A task or a group of the tree.
+#[derive(Clone)]
+pub enum Spec {
+    /// A task that runs until the tree stops.
+    Task {
+        /// The name, unique in the tree.
+        name: &'static str,
+        /// Makes the task's future for each start.
+        factory: Factory,
+    },
+    /// Children that are restarted together or one by one.
+    Group {
+        /// The name, unique in the tree.
+        name: &'static str,
+        /// What happens when a child fails.
+        strategy: Strategy,
+        /// The children in the order of their start.
+        children: Vec<Spec>,
+    },
+}
+
+impl Spec {
+    /// Returns a task; `factory` is called for each start.
+    pub fn task<F>(name: &'static str, factory: impl Fn() -> F + Send + Sync + 'static) -> Self
+    where
+        F: Future<Output = eyre::Result<()>> + Send + 'static,
+    {
+        let factory = Arc::new(move || factory().boxed());
+        Self::Task { name, factory }
+    }
+
+    /// Returns a group.
+    #[must_use]
+    pub fn group(name: &'static str, strategy: Strategy, children: Vec<Self>) -> Self {
+        Self::Group {
+            name,
+            strategy,
+            children,
+        }
+    }
+
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Task { name, .. } | Self::Group { name, .. } => name,
+        }
+    }
+}
+
+/// What is told about the tree, for counters and tests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A task or group failed and starts again.
+    Restarted(&'static str),
+    /// A task or group failed too often.
+    GaveUp(&'static str),
+}
+
+/// A running tree; it ends when the handle is dropped.
+pub struct Supervisor {
+    shared: Arc<Shared>,
+    root: AbortHandle,
+}
+
+struct Shared {
+    restarts: Restarts,
+    stop: CancellationToken,
+    failed: CancellationToken,
+    faults: Mutex<BTreeMap<&'static str, Arc<Notify>>>,
+    changes: mpsc::UnboundedSender<Change>,
+}
+
+impl Supervisor {
+    /// Starts the tree and returns its handle with the changes that happen to it.
+    #[must_use]
+    pub fn spawn(root: Spec, restarts: Restarts) -> (Self, mpsc::UnboundedReceiver<Change>) {
+        let (changes, receiver) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            restarts,
+            stop: CancellationToken::new(),
+            failed: CancellationToken::new(),
+            faults: Mutex::default(),
+            changes,
+        });
+        let running = Arc::clone(&shared);
+        let task = tokio::spawn(async move {
+            let name = root.name();
+            if let Err(error) = run(&running, root).await {
+                log::error!(task = name; "the supervisor gave up: {error:#}");
+                running.failed.cancel();
+            }
+        });
+        let root = task.abort_handle();
+        (Self { shared, root }, receiver)
+    }
+
+    /// Ends all tasks.
+    pub fn stop(&self) {
+        self.shared.stop.cancel();
+    }
+
+    /// Waits until the tree has failed for good.
+    pub async fn failed(&self) {
+        self.shared.failed.cancelled().await;
+    }
+
+    /// Makes the task `name` panic at its next scheduling point, as tests of restarts do.
+    pub fn inject_panic(&self, name: &'static str) {
+        self.shared.fault(name).notify_one();
+    }
+}
+
+impl Drop for Supervisor {
+    fn drop(&mut self) {
+        self.shared.stop.cancel();
+        self.root.abort();
+    }
+}
+
+impl Shared {
+    fn fault(&self, name: &'static str) -> Arc<Notify> {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(faults.entry(name).or_default())
+    }
+
+    fn tell(&self, change: Change) {
+        // Nobody has to listen.
+        let _ = self.changes.send(change);
+    }
+}
+
+/// Runs a task or group until the tree stops, which is `Ok`, or until it fails.
+fn run(shared: &Arc<Shared>, spec: Spec) -> BoxFuture<'static, eyre::Result<()>> {
+    let shared = Arc::clone(shared);
+    async move {
+        match spec {
+            Spec::Task { name, factory } => run_task(&shared, name, &factory).await,
+            Spec::Group {
+                name,
+                strategy,
+                children,
+            } => run_group(&shared, name, strategy, &children).await,
+        }
+    }
+    .boxed()
+}
+
+async fn run_task(shared: &Shared, name: &'static str, factory: &Factory) -> eyre::Result<()> {
+    let fault = shared.fault(name);
+    let work = async {
+        tokio::select! {
+            result = factory() => result,
+            () = fault.notified() => panic!("injected fault"),
+        }
+    };
+    let caught = AssertUnwindSafe(work).catch_unwind();
+    let Some(result) = shared.stop.run_until_cancelled(caught).await else {
+        return Ok(());
+    };
+    match result {
+        Ok(Ok(())) => Err(eyre::eyre!("the task {name} ended")),
+        Ok(Err(error)) => Err(error.wrap_err(format!("the task {name} failed"))),
+        Err(_) => Err(eyre::eyre!("the task {name} panicked")),
+    }
+}
+
+async fn run_group(
+    shared: &Arc<Shared>,
+    name: &'static str,
+    strategy: Strategy,
+    children: &[Spec],
+) -> eyre::Result<()> {
+    let mut running = JoinSet::new();
+    let mut windows: Vec<Window> = children.iter().map(|_| Window::default()).collect();
+    for index in 0..children.len() {
+        start(shared, &mut running, children, index);
+    }
+    while let Some(joined) = running.join_next().await {
+        // Panics are caught inside, so a join error means that the runtime ends.
+        let (index, result) = joined?;
+        let Err(error) = result else {
+            continue;
+        };
+        let child = children[index].name();
+        log::warn!(task = child, group = name; "restarting: {error:#}");
+        let Some(pause) = windows[index].failed(&shared.restarts) else {
+            shared.tell(Change::GaveUp(child));
+            return Err(error.wrap_err(format!("the group {name} failed")));
+        };
+        if strategy == Strategy::All {
+            running.shutdown().await;
+        }
+        if shared
+            .stop
+            .run_until_cancelled(tokio::time::sleep(pause))
+            .await
+            .is_none()
+        {
+            return Ok(());
+        }
+        shared.tell(Change::Restarted(child));
+        match strategy {
+            Strategy::One => start(shared, &mut running, children, index),
+            Strategy::All => {
+                (0..children.len()).for_each(|i| start(shared, &mut running, children, i));
+            }
+        }
+    }
+    Ok(())
+}
+
+type Ended = (usize, eyre::Result<()>);
+
+fn start(shared: &Arc<Shared>, running: &mut JoinSet<Ended>, children: &[Spec], index: usize) {
+    let child = run(shared, children[index].clone());
+    running.spawn(async move { (index, child.await) });
+}
+
+#[cfg(test)]
+mod tests;
