--- /dev/null
+++ b/crates/coord/src/sched/admit.rs
@@ -0,0 +1,163 @@
+//! Early refusal: a job that cannot be served in time gets its answer at once.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::Scheduler;
+use super::estimate::real;
+use super::job::{Entry, Phase};
+use super::types::{Action, Class, Failure, JobId, Reason};
+use crate::time::Time;
+
+/// Bounds of the time after which a refused caller may try again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+const MAX_RETRY_AFTER: Duration = Duration::from_mins(1);
+
+/// How long a cut stream waits for a new engine before it ends with an error.
+const RESUME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Jobs examined for expiry in one tick; the rest follow in the next ones.
+const EXPIRY_BATCH: usize = 64;
+
+impl Scheduler {
+    /// Returns a refusal if the job's first token cannot be expected before its deadline.
+    pub(super) fn admit(&mut self, now: Time, entry: &Entry) -> Option<Action> {
+        if entry.resumed() {
+            return None;
+        }
+        let id = entry.job.id;
+        let waiting = self.queues.iter().map(super::Queue::len).sum::<usize>();
+        if waiting >= self.options.queue_limit {
+            let wait = self.wait(now, entry);
+            return Some(self.refusal(id, Reason::QueueFull, Some(wait)));
+        }
+        let patient = entry.job.class == Class::Patient;
+        if !patient
+            && !self
+                .fleet
+                .slots
+                .iter()
+                .any(|s| s.prefills_prompts() && s.open(now))
+        {
+            return Some(self.refusal(id, Reason::NoUpstream, Some(RESUME_LIMIT)));
+        }
+        let first = now + self.wait(now, entry) + entry.least;
+        let late = first.since(entry.job.deadline);
+        (!late.is_zero()).then(|| self.refusal(id, Reason::Deadline, Some(late)))
+    }
+
+    /// Returns the time from the start of a job to its first token on idle engines.
+    pub(super) fn least(&self, entry: &Entry) -> Duration {
+        let matches = self.prefixes.matches(&entry.job.prefix);
+        let best = u32::from(matches.iter().copied().max().unwrap_or(0));
+        let cached = best * self.options.block_tokens;
+        let work = entry.job.prompt_tokens.saturating_sub(cached);
+        self.estimates.prefill(work) + self.estimates.transfer(self.bytes(entry))
+    }
+
+    /// Returns the bytes of the job's KV cache.
+    pub(super) fn bytes(&self, entry: &Entry) -> u64 {
+        u64::from(entry.job.prompt_tokens) * self.options.token_bytes
+    }
+
+    /// Returns the expected time until the start of a new job.
+    fn wait(&self, now: Time, entry: &Entry) -> Duration {
+        let class = entry.job.class as usize;
+        let queue = &self.queues[class];
+        let mut tokens = queue.tokens_ahead(&entry.job.organisation, entry.job.prompt_tokens);
+        let mut jobs = queue.share_of(tokens);
+        if entry.job.class == Class::Patient {
+            let other = &self.queues[Class::Interactive as usize];
+            tokens += other.tokens();
+            jobs += real(other.len() as u64);
+        }
+        let open = || self.fleet.slots.iter().filter(|s| s.open(now));
+        let engines = open().filter(|s| s.prefills_prompts()).count();
+        let slots = open()
+            .filter(|s| s.decodes())
+            .map(|s| s.engine.slots)
+            .sum::<u32>();
+        let free = open()
+            .filter(|s| s.decodes())
+            .map(super::fleet::Slot::free)
+            .sum::<u32>();
+        let for_prefill = self.estimates.backlog(tokens, engines) + self.soonest(now);
+        let for_slot = self
+            .estimates
+            .slot_wait(jobs + 1.0 - f64::from(free), slots);
+        for_prefill.max(for_slot)
+    }
+
+    /// Returns the time until the first prefill engine is expected to be idle.
+    fn soonest(&self, now: Time) -> Duration {
+        let open = self
+            .fleet
+            .slots
+            .iter()
+            .filter(|s| s.open(now) && s.prefills_prompts());
+        open.map(|s| s.busy_until.since(now))
+            .min()
+            .unwrap_or_default()
+    }
+
+    /// Refuses waiting jobs whose deadline can no longer be met.
+    pub(super) fn expire(&mut self, now: Time) -> Vec<Action> {
+        let waiting = self.queues.iter().flat_map(|q| q.earliest(EXPIRY_BATCH));
+        let delayed = self.backoffs.iter().map(|(_, id)| *id);
+        let all = waiting.chain(delayed).chain(self.suspects.iter().copied());
+        let ids: Vec<JobId> = all.collect();
+        let refusals = ids.into_iter().filter_map(|id| self.expire_one(now, id));
+        let mut actions: Vec<Action> = refusals.collect();
+        actions.extend(self.evict_ready(now));
+        actions
+    }
+
+    /// Starts jobs again whose prefill result was evicted while they waited for a slot.
+    fn evict_ready(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((since, id)) = self.ready.first().copied() {
+            if now.since(since) < self.options.prefill_ttl {
+                break;
+            }
+            self.vacate(now, id);
+            actions.extend(self.again(now, id, Failure::Evicted));
+        }
+        actions
+    }
+
+    fn expire_one(&mut self, now: Time, id: JobId) -> Option<Action> {
+        let entry = self.jobs.get(&id)?;
+        let (limit, reason) = if entry.resumed() {
+            (entry.since + RESUME_LIMIT, Reason::NoUpstream)
+        } else {
+            (entry.job.deadline - entry.least, Reason::Deadline)
+        };
+        if now <= limit {
+            return None;
+        }
+        let wait = self.wait(now, entry);
+        self.withdraw(id);
+        self.forget(now, id);
+        Some(self.refusal(id, reason, Some(wait)))
+    }
+
+    /// Takes a job that holds nothing out of its queue or its backoff.
+    pub(super) fn withdraw(&mut self, id: JobId) {
+        self.dequeue(id, false);
+        if let Some(Phase::Backoff { until }) = self.jobs.get(&id).map(|e| e.phase) {
+            self.backoffs.remove(&(until, id));
+        }
+    }
+
+    /// Builds a refusal with a jittered time, so that refused callers do not return together.
+    pub(super) fn refusal(&mut self, id: JobId, reason: Reason, wait: Option<Duration>) -> Action {
+        let jitter = self.rng.random_range(1.0..1.5);
+        let retry_after = wait.map(|w| w.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(jitter));
+        Action::Refuse {
+            id,
+            reason,
+            retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/sched/estimate.rs
@@ -0,0 +1,109 @@
+//! Running averages from which starts and ends are estimated.
+
+use std::time::Duration;
+
+use super::types::SchedOptions;
+
+/// Weight of a new sample in an average; about 50 samples count.
+const WEIGHT: f64 = 0.02;
+
+/// Time that a prefill takes besides its tokens: messages and one step.
+const PREFILL_OVERHEAD: Duration = Duration::from_millis(5);
+
+/// A stream's expected duration before the first one has ended, in steps.
+const FIRST_STREAM_STEPS: u32 = 200;
+
+/// Averages over the cell's recent work.
+#[derive(Debug)]
+pub(super) struct Estimates {
+    /// Duration of a prefill against the one computed from the configured rate.
+    slowness: f64,
+    /// Share of prompt tokens that are not cached.
+    fresh: f64,
+    /// Seconds that a stream holds its slot.
+    stream: f64,
+    rate: f64,
+    link: f64,
+}
+
+impl Estimates {
+    /// Starts from the configured rates.
+    pub(super) fn new(options: &SchedOptions) -> Self {
+        Self {
+            slowness: 1.0,
+            fresh: 1.0,
+            stream: (options.step * FIRST_STREAM_STEPS).as_secs_f64(),
+            rate: f64::from(options.prefill_rate.max(1)),
+            link: real(options.link_rate.max(1)),
+        }
+    }
+
+    /// Returns how long a prefill of `work` uncached tokens takes.
+    pub(super) fn prefill(&self, work: u32) -> Duration {
+        PREFILL_OVERHEAD + seconds(f64::from(work) / self.rate * self.slowness)
+    }
+
+    /// Returns how long the computation of `work` tokens takes without overhead.
+    pub(super) fn compute(&self, work: u32) -> Duration {
+        seconds(f64::from(work) / self.rate * self.slowness)
+    }
+
+    /// Returns how long `bytes` take on an empty link.
+    pub(super) fn transfer(&self, bytes: u64) -> Duration {
+        seconds(real(bytes) / self.link)
+    }
+
+    /// Returns how long `engines` need for queued prompts of `tokens` in all.
+    pub(super) fn backlog(&self, tokens: u64, engines: usize) -> Duration {
+        let rate = self.rate * real(engines.max(1) as u64);
+        seconds(real(tokens) * self.fresh * self.slowness / rate)
+    }
+
+    /// Returns how long until `jobs` slots out of `slots` have become free.
+    pub(super) fn slot_wait(&self, jobs: f64, slots: u32) -> Duration {
+        seconds(jobs.max(0.0) * self.stream / f64::from(slots.max(1)))
+    }
+
+    /// Returns the slots out of `streams` that almost certainly become free within `time`.
+    ///
+    /// The ends of streams are close to a Poisson process; two deviations below its mean are
+    /// reached in about 98 of 100 cases.
+    pub(super) fn freed(&self, streams: u32, time: Duration) -> u32 {
+        let mean = f64::from(streams) * time.as_secs_f64() / self.stream;
+        whole(mean - 2.0 * mean.sqrt())
+    }
+
+    /// Learns from a finished prefill of `work` tokens out of `prompt`.
+    pub(super) fn prefilled(&mut self, prompt: u32, work: u32, took: Duration) {
+        let nominal = PREFILL_OVERHEAD.as_secs_f64() + f64::from(work) / self.rate;
+        let ratio = (took.as_secs_f64() / nominal).clamp(0.2, 5.0);
+        average(&mut self.slowness, ratio);
+        average(&mut self.fresh, f64::from(work) / f64::from(prompt.max(1)));
+    }
+
+    /// Learns from a finished stream.
+    pub(super) fn streamed(&mut self, took: Duration) {
+        average(&mut self.stream, took.as_secs_f64().max(0.001));
+    }
+}
+
+/// Converts a count for estimates, where the loss above 2^53 does not matter.
+#[allow(clippy::cast_precision_loss)]
+pub(super) fn real(count: u64) -> f64 {
+    count as f64
+}
+
+/// Rounds towards zero; negative values give 0.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(value: f64) -> u32 {
+    value.max(0.0) as u32
+}
+
+fn average(value: &mut f64, sample: f64) {
+    *value += (sample - *value) * WEIGHT;
+}
+
+/// Converts seconds to a duration of at most one day.
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s.clamp(0.0, 86_400.0))
+}
--- /dev/null
+++ b/crates/coord/src/sched/queue.rs
@@ -0,0 +1,188 @@
+//! Waiting jobs of one class: deadline order inside an organisation, deficit round-robin by
+//! tokens between organisations.
+//!
+//! An organisation that has used more than its share of a round owes the rest and has its next
+//! turn some rounds later. Organisations in the same round are ordered by the deadline of their
+//! first job, so without overload the whole class runs in deadline order. Rounds in which no
+//! organisation has a turn are skipped, so an operation costs O(log n) organisations.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::estimate::real;
+use super::types::{Job, JobId};
+use crate::name::Organisation;
+use crate::time::Time;
+
+/// Tokens that an organisation may use in one round.
+///
+/// A quantum near the size of a usual long prompt keeps deadline order among organisations that
+/// send single requests and spreads out those that send many.
+const QUANTUM_TOKENS: i64 = 32_768;
+
+/// What is kept for an organisation that waits or owes tokens.
+#[derive(Debug, Default)]
+struct Account {
+    waiting: BTreeMap<(Time, JobId), u32>,
+    /// The round of the next turn.
+    round: u64,
+    /// Tokens left in that round.
+    balance: i64,
+    /// Sum of the costs in `waiting`.
+    tokens: u64,
+}
+
+impl Account {
+    fn first(&self) -> Option<Time> {
+        self.waiting.keys().next().map(|(deadline, _)| *deadline)
+    }
+}
+
+/// The queue of one class.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    accounts: BTreeMap<Organisation, Account>,
+    /// One entry for each organisation with waiting jobs.
+    turns: BTreeSet<(u64, Time, Organisation)>,
+    /// Organisations without waiting jobs that owe tokens.
+    owing: BTreeSet<(u64, Organisation)>,
+    /// All waiting jobs by deadline.
+    due: BTreeSet<(Time, JobId)>,
+    len: usize,
+    tokens: u64,
+    round: u64,
+}
+
+impl Queue {
+    /// Returns the number of waiting jobs.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the cost of all waiting jobs in tokens.
+    pub(super) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Returns the number of waiting jobs to which `tokens` of their cost belong.
+    pub(super) fn share_of(&self, tokens: u64) -> f64 {
+        real(self.len as u64) * (real(tokens) / real(self.tokens.max(1))).min(1.0)
+    }
+
+    /// Returns up to `limit` waiting jobs with the earliest deadlines.
+    pub(super) fn earliest(&self, limit: usize) -> Vec<JobId> {
+        self.due.iter().take(limit).map(|(_, id)| *id).collect()
+    }
+
+    /// Returns the cost in tokens that is ahead of a new job of `organisation`.
+    ///
+    /// At most an equal share of the other organisations' work runs before it.
+    pub(super) fn tokens_ahead(&self, organisation: &Organisation, cost: u32) -> u64 {
+        let own = self.accounts.get(organisation).map_or(0, |a| a.tokens);
+        let share = (own + u64::from(cost)).saturating_mul(self.turns.len() as u64 + 1);
+        self.tokens.min(share.max(own))
+    }
+
+    /// Adds a job.
+    pub(super) fn push(&mut self, job: &Job, deadline: Time, cost: u32) {
+        let name = &job.organisation;
+        self.unlist(name);
+        let round = self.round;
+        let account = self.accounts.entry(name.clone()).or_default();
+        if account.round < round {
+            account.round = round;
+            account.balance = 0;
+        }
+        if account.balance <= 0 {
+            account.balance += QUANTUM_TOKENS;
+        }
+        if account.waiting.insert((deadline, job.id), cost).is_none() {
+            account.tokens += u64::from(cost);
+            self.tokens += u64::from(cost);
+            self.len += 1;
+            self.due.insert((deadline, job.id));
+        }
+        self.list(name);
+    }
+
+    /// Removes a job without a charge; returns false if it did not wait.
+    pub(super) fn remove(&mut self, name: &Organisation, deadline: Time, id: JobId) -> bool {
+        self.take(name, deadline, id, false)
+    }
+
+    /// Removes a job that starts and charges its organisation.
+    pub(super) fn start(&mut self, name: &Organisation, deadline: Time, id: JobId) -> bool {
+        self.take(name, deadline, id, true)
+    }
+
+    fn take(&mut self, name: &Organisation, deadline: Time, id: JobId, charge: bool) -> bool {
+        self.unlist(name);
+        let Some(account) = self.accounts.get_mut(name) else {
+            return false;
+        };
+        let cost = account.waiting.remove(&(deadline, id));
+        if let Some(cost) = cost {
+            account.tokens -= u64::from(cost);
+            self.tokens -= u64::from(cost);
+            self.len -= 1;
+            self.due.remove(&(deadline, id));
+            if charge {
+                spend(account, cost);
+            }
+        }
+        self.list(name);
+        self.advance();
+        cost.is_some()
+    }
+
+    /// Returns up to `limit` waiting jobs in the order in which they should start.
+    pub(super) fn first(&self, limit: usize) -> Vec<JobId> {
+        let accounts = self.turns.iter().filter_map(|t| self.accounts.get(&t.2));
+        let jobs = accounts.flat_map(|a| a.waiting.keys().take(limit));
+        jobs.take(limit).map(|(_, id)| *id).collect()
+    }
+
+    fn unlist(&mut self, name: &Organisation) {
+        let Some(account) = self.accounts.get(name) else {
+            return;
+        };
+        match account.first() {
+            Some(first) => self.turns.remove(&(account.round, first, name.clone())),
+            None => self.owing.remove(&(account.round, name.clone())),
+        };
+    }
+
+    fn list(&mut self, name: &Organisation) {
+        let Some(account) = self.accounts.get(name) else {
+            return;
+        };
+        match account.first() {
+            Some(first) => self.turns.insert((account.round, first, name.clone())),
+            None => self.owing.insert((account.round, name.clone())),
+        };
+    }
+
+    /// Moves to the earliest round with a turn and forgets debts that are paid by then.
+    fn advance(&mut self) {
+        match self.turns.first() {
+            Some((round, ..)) => self.round = self.round.max(*round),
+            None => self.round += 1,
+        }
+        while let Some((round, name)) = self.owing.first() {
+            if !self.turns.is_empty() && *round > self.round {
+                break;
+            }
+            self.accounts.remove(name);
+            self.owing.pop_first();
+        }
+    }
+}
+
+/// Takes `cost` from the account and moves its turn to the round that pays for it.
+fn spend(account: &mut Account, cost: u32) {
+    account.balance -= i64::from(cost);
+    if account.balance <= 0 {
+        let rounds = 1 + (-account.balance) / QUANTUM_TOKENS;
+        account.balance += rounds * QUANTUM_TOKENS;
+        account.round += rounds.unsigned_abs();
+    }
+}
--- /dev/null
+++ b/crates/coord/src/sched/recover.rs
@@ -0,0 +1,235 @@
+//! Retries, lost VMs and the take-over of a cell by a new owner.
+
+use std::time::Duration;
+
+use super::Scheduler;
+use super::fleet::Health;
+use super::job::{Entry, Phase};
+use super::types::{Action, Attempt, Class, Job, JobId, Reason, Stage};
+use crate::name::{Upstream, VmName};
+use crate::time::Time;
+
+/// An engine that reported to be full is not tried for this long unless one of its jobs ends.
+pub(super) const FULL_PAUSE: Duration = Duration::from_millis(20);
+
+/// A patient job asks the retry budget again after this time.
+const BUDGET_PAUSE: Duration = Duration::from_secs(1);
+
+/// How long ids of ended jobs are remembered, against lagged load reports.
+const ENDED_MEMORY: Duration = Duration::from_secs(5);
+
+/// How long a dead VM's work is looked for in load reports.
+const DEAD_MEMORY: Duration = Duration::from_mins(1);
+
+impl Scheduler {
+    /// Plans a retry if the budget has credit.
+    ///
+    /// An interactive caller without credit is refused at once. A patient job is never lost to
+    /// the budget: it waits for credit until its deadline.
+    pub(super) fn retry(&mut self, now: Time, id: JobId) -> Vec<Action> {
+        let Some(entry) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let patient = entry.job.class == Class::Patient;
+        let count = entry.retries;
+        let paid = self.budget.try_spend(now);
+        if !paid && !patient {
+            self.forget(now, id);
+            return vec![self.refusal(id, Reason::RetryBudget, Some(BUDGET_PAUSE))];
+        }
+        let pause = self.backoff.pause(count, &mut self.rng);
+        let until = now + if paid { pause } else { BUDGET_PAUSE.max(pause) };
+        self.retries += u64::from(paid);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.retries += 1;
+            entry.unpaid = !paid;
+            entry.phase = Phase::Backoff { until };
+        }
+        self.backoffs.insert((until, id));
+        Vec::new()
+    }
+
+    /// Returns a job to its queue after its backoff, once its retry is paid.
+    pub(super) fn requeue(&mut self, now: Time, id: JobId) {
+        let unpaid = self.jobs.get(&id).is_some_and(|e| e.unpaid);
+        if !unpaid {
+            self.enqueue(id);
+            return;
+        }
+        let paid = self.budget.try_spend(now);
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.unpaid = !paid;
+        if paid {
+            self.retries += 1;
+            self.enqueue(id);
+        } else {
+            let until = now + BUDGET_PAUSE;
+            entry.phase = Phase::Backoff { until };
+            self.backoffs.insert((until, id));
+        }
+    }
+
+    /// A VM is dead: its callers are gone, so its jobs are dropped and freed on the engines.
+    pub fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
+        self.dead.insert(JobId::tag_of(vm), now);
+        let own = self.jobs.values().filter(|e| e.job.vm == *vm);
+        let ids: Vec<JobId> = own.map(|e| e.job.id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            actions.extend(self.abandon(now, id));
+            self.forget(now, id);
+        }
+        actions.extend(self.dispatch(now));
+        actions
+    }
+
+    /// A VM is back: ids with its tag may be new work again.
+    pub fn vm_up(&mut self, vm: &VmName) {
+        self.dead.remove(&JobId::tag_of(vm));
+    }
+
+    /// Begins the take-over of a cell from an owner that was lost.
+    ///
+    /// For `ttl`, engines get new work only after they have reported their load, because jobs
+    /// that are not registered again yet hold slots.
+    pub fn take_over(&mut self, now: Time, ttl: Duration) {
+        self.confirm_until = now + ttl;
+        for slot in &mut self.fleet.slots {
+            slot.closed_until = slot.closed_until.max(self.confirm_until);
+        }
+    }
+
+    /// Registers a job that runs on engines already, after the cell's owner has changed.
+    ///
+    /// `attempt` is the one of its running engine call, so that the result is recognised.
+    pub fn resume(&mut self, now: Time, job: Job, attempt: Attempt, stage: &Stage) -> Vec<Action> {
+        if self.jobs.contains_key(&job.id) {
+            return Vec::new();
+        }
+        let mut entry = Entry::new(now, job);
+        entry.attempt = attempt;
+        entry.least = self.least(&entry);
+        let id = entry.job.id;
+        entry.phase = self.occupy(now, &entry, stage);
+        self.in_use[entry.job.class as usize] += 1;
+        self.ended.remove(&id);
+        self.jobs.insert(id, entry);
+        Vec::new()
+    }
+
+    /// Counts a registered job on its engines; returns its phase.
+    fn occupy(&mut self, now: Time, entry: &Entry, stage: &Stage) -> Phase {
+        let id = entry.job.id;
+        match stage {
+            Stage::Prefill { prefill, decode } => {
+                let prefill = self.fleet.expect(now, prefill);
+                let decode = self.fleet.expect(now, decode);
+                self.fleet.slots[prefill].prefill_started(now, id, entry.least);
+                self.fleet.slots[decode].reserved += 1;
+                self.promise(self.bytes(entry), prefill);
+                Phase::Prefill { prefill, decode }
+            }
+            Stage::Decode { source, decode } => {
+                let source = self.fleet.expect(now, source);
+                let decode = self.fleet.expect(now, decode);
+                let slot = &mut self.fleet.slots[decode];
+                slot.used += 1;
+                slot.foreign = slot.foreign.saturating_sub(1);
+                Phase::Decode {
+                    source,
+                    decode,
+                    streaming: true,
+                }
+            }
+        }
+    }
+
+    /// Frees everything that a job holds and takes it out of every queue.
+    ///
+    /// Cancels go to all engines that may hold something, because a cancel is idempotent and a
+    /// missed one would keep engine memory for a caller that is gone.
+    pub(super) fn abandon(&mut self, now: Time, id: JobId) -> Vec<Action> {
+        let Some(entry) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let held = entry.holds();
+        let actions = self.cancel_on(id, &held);
+        self.withdraw(id);
+        self.vacate(now, id);
+        actions
+    }
+
+    /// Builds cancels of a job on engines that are not known to be gone.
+    pub(super) fn cancel_on(&self, id: JobId, engines: &[usize]) -> Vec<Action> {
+        let mut engines = engines.to_vec();
+        engines.sort_unstable();
+        engines.dedup();
+        let alive = engines
+            .into_iter()
+            .filter(|i| self.fleet.slots[*i].health != Health::Down);
+        let named = alive.map(|i| self.fleet.name(i));
+        named
+            .map(|upstream| Action::Cancel { id, upstream })
+            .collect()
+    }
+
+    /// Returns the jobs on an engine with their fingerprints, to be charged when it dies.
+    #[must_use]
+    pub fn running_on(&self, upstream: &Upstream) -> Vec<(JobId, u128)> {
+        let Some(index) = self.fleet.index(upstream) else {
+            return Vec::new();
+        };
+        let here = self.jobs.values().filter(|e| e.holds().contains(&index));
+        here.map(|e| (e.job.id, e.job.fingerprint)).collect()
+    }
+
+    /// Marks all jobs that are not running with this fingerprint: they run alone from now on.
+    pub fn isolate(&mut self, now: Time, fingerprint: u128) -> Vec<Action> {
+        for id in self.with_fingerprint(fingerprint) {
+            let waiting = self
+                .jobs
+                .get(&id)
+                .is_some_and(|e| e.phase == Phase::Waiting);
+            if waiting {
+                self.dequeue(id, false);
+            }
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.job.suspect = true;
+            }
+            if waiting {
+                self.enqueue(id);
+            }
+        }
+        self.dispatch(now)
+    }
+
+    /// Refuses all jobs that are not running with this fingerprint.
+    pub fn forbid(&mut self, now: Time, fingerprint: u128, time: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for id in self.with_fingerprint(fingerprint) {
+            let holds = self.jobs.get(&id).is_some_and(|e| !e.holds().is_empty());
+            if !holds {
+                self.withdraw(id);
+                self.forget(now, id);
+                actions.push(self.refusal(id, Reason::Poison, Some(time)));
+            }
+        }
+        actions
+    }
+
+    fn with_fingerprint(&self, fingerprint: u128) -> Vec<JobId> {
+        let same = self
+            .jobs
+            .values()
+            .filter(|e| e.job.fingerprint == fingerprint);
+        same.map(|e| e.job.id).collect()
+    }
+
+    /// Drops what is remembered longer than it is needed.
+    pub(super) fn tidy(&mut self, now: Time) {
+        self.ended.retain(|_, at| now.since(*at) < ENDED_MEMORY);
+        self.dead.retain(|_, at| now.since(*at) < DEAD_MEMORY);
+    }
+}
--- a/crates/coord/src/sched/types.rs
+++ b/crates/coord/src/sched/types.rs
@@ -5,16 +5,40 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
+use crate::hash::hash64;
 use crate::name::{DataCentre, Organisation, Service, Upstream, VmName};
 use crate::time::Time;
 
-/// Names one request over all VMs; the entry VM draws it at random.
+/// Names one request over all VMs.
+///
+/// The upper 32 bits are a hash of the entry VM's name, so that engines' `held` lists show whose
+/// work they hold; the entry VM draws the lower bits at random.
 #[derive(
     Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[display("{_0:032x}")]
 pub struct JobId(pub u128);
 
+impl JobId {
+    /// Returns the id with `low` as its lower 96 bits for a request that reached `vm`.
+    #[must_use]
+    pub fn new(vm: &VmName, low: u128) -> Self {
+        Self((u128::from(Self::tag_of(vm)) << 96) | (low & (u128::MAX >> 32)))
+    }
+
+    /// Returns the tag of the VM that the request reached.
+    #[must_use]
+    pub fn tag(self) -> u32 {
+        (self.0 >> 96) as u32
+    }
+
+    /// Returns the tag in the upper 32 bits of the ids that `vm` draws.
+    #[must_use]
+    pub fn tag_of(vm: &VmName) -> u32 {
+        (hash64(vm.as_str().as_bytes()) >> 32) as u32
+    }
+}
+
 /// Counts the engine calls of one job, so that a late result of an abandoned attempt is told
 /// apart from the current one.
 #[derive(
@@ -71,6 +95,8 @@
     pub once: bool,
     /// Output tokens that the caller has already received.
     pub offset: u32,
+    /// True if the request must run alone because an upstream failed while it ran before.
+    pub suspect: bool,
 }
 
 /// What an engine may be used for.
@@ -106,6 +132,77 @@
     pub queue: u32,
 }
 
+/// What an engine answers to a prefill.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prefilled {
+    /// Prompt length in tokens, as the engine counts it.
+    pub prompt_tokens: u32,
+    /// Prompt tokens that were in the engine's prefix cache.
+    pub cached_tokens: u32,
+}
+
+/// A change of an engine's prefix cache; events may be late and some are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CacheEvent {
+    /// The engine stored the prefix that ends with this block.
+    Stored(u64),
+    /// The engine evicted the block with this prefix hash.
+    Evicted(u64),
+    /// Events were lost between the last one and the next one.
+    Gap,
+}
+
+/// What a job that is registered again was doing.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Its prefill runs or has finished without an import.
+    Prefill {
+        /// The engine that computes the prompt.
+        prefill: Upstream,
+        /// The engine whose slot is reserved.
+        decode: Upstream,
+    },
+    /// It imports or generates output.
+    Decode {
+        /// The engine that holds the prefill's result.
+        source: Upstream,
+        /// The engine that generates the output.
+        decode: Upstream,
+    },
+}
+
+/// One engine on the status page.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// The engine's name.
+    pub name: Upstream,
+    /// What it may be used for.
+    pub role: Role,
+    /// True if it takes new work.
+    pub open: bool,
+    /// Decode requests that fit into its memory at once.
+    pub slots: u32,
+    /// Slots in use or reserved.
+    pub used: u32,
+    /// Prefills that were started and have not ended.
+    pub prefills: u32,
+}
+
+/// The scheduler's state for the status page.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SchedStatus {
+    /// Interactive jobs that wait.
+    pub interactive: usize,
+    /// Patient jobs that wait.
+    pub patient: usize,
+    /// Jobs that hold engine memory or are about to.
+    pub running: usize,
+    /// Jobs that were started again after a failure.
+    pub retries: u64,
+    /// The engines in the order of their names.
+    pub engines: Vec<EngineStatus>,
+}
+
 /// Why an engine call did not succeed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Failure {
@@ -206,4 +303,21 @@
     pub token_bytes: u64,
     /// Waiting jobs at which new ones are refused.
     pub queue_limit: usize,
+    /// Blocks that an engine's prefix cache holds; 0 if unknown.
+    pub cache_blocks: usize,
+}
+
+impl Default for SchedOptions {
+    fn default() -> Self {
+        Self {
+            block_tokens: 1_000,
+            prefill_ttl: Duration::from_millis(800),
+            step: Duration::from_millis(5),
+            prefill_rate: 40_000,
+            link_rate: 10_000_000_000,
+            token_bytes: 70_000,
+            queue_limit: 10_000,
+            cache_blocks: 0,
+        }
+    }
 }
