Add stand-ins of engines, plain services and the platform

Cause: the router can be tested only against engines, plain services and a configuration service that are not part of the project. Each listens on a free loopback port, counts what it does and has fault switches that can be changed at run time. Conclusion: the request path can be built against them.

--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,175 @@
+//! The configuration service and the list of VMs and upstreams.
+
+mod serve;
+mod state;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub use state::{Staleness, TooLarge, UpstreamEntry, VmEntry};
+
+use crate::server::{Handler, Server};
+use state::Shared;
+
+/// Limits of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// Port on the loopback address; 0 chooses a free one.
+    pub port: u16,
+    /// Reads answered in one second at most; more are refused with 429. A watch is one read.
+    pub reads_per_second: u32,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            port: 0,
+            reads_per_second: 2_000,
+        }
+    }
+}
+
+/// A running platform; dropping it ends it.
+///
+/// # Example
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// let platform = standin::Platform::spawn(standin::PlatformOptions::default()).await?;
+/// let revision = platform.put_document("celeste", "[organisation]\n").unwrap();
+/// assert_eq!(revision, 1);
+/// # Ok(())
+/// # }
+/// ```
+pub struct Platform {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Platform {
+    /// Starts a platform on a free loopback port, or on the port that `options` name.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the listening socket.
+    pub async fn spawn(options: PlatformOptions) -> io::Result<Self> {
+        let shared = Arc::new(Shared::new(options.reads_per_second));
+        let handler: Handler = {
+            let shared = shared.clone();
+            Arc::new(move |_, request| {
+                let shared = shared.clone();
+                Box::pin(async move { Ok(serve::answer(&shared, &request).await) })
+            })
+        };
+        let server = Server::spawn(options.port, handler).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Ends the platform and gives its port back.
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+
+    /// Goes down: closes every connection and watch and refuses new ones.
+    pub async fn go_down(&self) {
+        self.server.die().await;
+    }
+
+    /// Comes back on the same port with the same content.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the listening socket.
+    pub async fn come_back(&self) -> io::Result<()> {
+        self.server.revive().await
+    }
+
+    /// Accepts connections and answers nothing while `silent` is true.
+    pub fn set_silent(&self, silent: bool) {
+        self.server.set_silent(silent);
+    }
+
+    /// Delays every answer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.server.set_delay(delay);
+    }
+
+    /// Chooses which replica answers: the current one, a stale one, or both in turns.
+    ///
+    /// The stale replica has the content of the moment at which this is called.
+    pub fn set_staleness(&self, staleness: Staleness) {
+        self.shared.set_staleness(staleness);
+    }
+
+    /// Writes a document and returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TooLarge`] if the text has more than 1 MB.
+    pub fn put_document(&self, name: &str, text: &str) -> Result<u64, TooLarge> {
+        if text.len() > state::VALUE_LIMIT {
+            return Err(TooLarge { bytes: text.len() });
+        }
+        Ok(self.shared.write_document(name, Some(text.into())))
+    }
+
+    /// Deletes a document; the deletion has a revision of its own.
+    pub fn delete_document(&self, name: &str) {
+        self.shared.write_document(name, None);
+    }
+
+    /// Adds or replaces a VM in the list.
+    pub fn put_vm(&self, vm: VmEntry) {
+        self.shared.write_list(|list| {
+            list.vms.insert(vm.name.clone(), vm);
+        });
+    }
+
+    /// Removes a VM from the list.
+    pub fn remove_vm(&self, name: &str) {
+        self.shared.write_list(|list| {
+            list.vms.remove(name);
+        });
+    }
+
+    /// Adds or replaces an upstream in the list.
+    pub fn put_upstream(&self, upstream: UpstreamEntry) {
+        self.shared.write_list(|list| {
+            list.upstreams.insert(upstream.name.clone(), upstream);
+        });
+    }
+
+    /// Removes an upstream from the list.
+    pub fn remove_upstream(&self, name: &str) {
+        self.shared.write_list(|list| {
+            list.upstreams.remove(name);
+        });
+    }
+
+    /// Returns the reads that were answered; a watch counts once.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.shared.reads()
+    }
+
+    /// Returns the reads that were refused because of the read limit.
+    #[must_use]
+    pub fn refused_reads(&self) -> u64 {
+        self.shared.refused_reads()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
