Check the mirror's length when a prefix without blocks is used

Cause: PrefixIndex::used sliced the list of mirrors from the engine's index; the list grows only with blocks, so the first prompt shorter than one block on a later engine panicked. Change: the mirror is looked up instead. Conclusion: the first request to three or more engines no longer stops the scheduler.

--- a/crates/coord/src/sched/prefix.rs
+++ b/crates/coord/src/sched/prefix.rs
@@ -69,8 +69,9 @@
         for block in prefix.iter().rev() {
             self.touch(now, engine, *block);
         }
-        while self.mirrors[engine..]
-            .first()
+        while self
+            .mirrors
+            .get(engine)
             .is_some_and(|m| m.order.len() > self.limit)
         {
             let oldest = self.mirrors[engine].order.pop_first();
