Serve a router that owns its cells, with telemetry and polls

Cause: the request path had neither cells of its own, nor counters, nor a view of the engines. Change: one cell for each service under the supervisor; polls of load and cache changes that also cancel what nobody waits for; cadence counters, logforth lines and fastrace spans. Conclusion: a streamed and a whole chat answer arrive byte by byte from the stand-ins.

--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -8,11 +8,12 @@
 mod parse;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use eyre::WrapErr;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -20,26 +21,27 @@
 
 pub use parse::chat_prompt;
 
-use crate::serve::cell::{Cell, Clock};
 use crate::serve::route::Context;
-use crate::serve::spec::{ServeOptions, Table};
+use crate::serve::supervisor::{Restarts, Spec, Strategy, Supervisor};
 
 /// Pause after a failed accept, for example when file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often idle connections to upstreams are looked at.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
-/// A running router; dropping it does not stop it, [`Server::stop`] does.
+/// A running router; dropping it ends it at once, [`Server::stop`] does so gracefully.
 pub struct Server {
     addr: SocketAddr,
     shared: Arc<Shared>,
+    supervisor: Supervisor,
 }
 
 /// What the listener and the connections share.
 struct Shared {
     context: Arc<Context>,
+    listener: Mutex<Option<Arc<TcpListener>>>,
     /// Cancelled when no new connection or request is accepted any more.
     stopping: CancellationToken,
-    /// Cancelled when the background tasks have to end.
-    ended: CancellationToken,
     connections: TaskTracker,
     permits: Arc<Semaphore>,
 }
@@ -47,35 +49,60 @@
 impl Server {
     /// Listens for callers and serves them until [`Self::stop`].
     ///
+    /// `tasks` run under the same supervisor as the listener, for example a cell's scheduler.
+    ///
     /// # Errors
     ///
     /// Returns the error of the listening socket.
-    pub async fn bind(
-        options: ServeOptions,
-        table: Table,
-        cell: Arc<dyn Cell>,
-        clock: Clock,
-    ) -> eyre::Result<Self> {
-        let listener = TcpListener::bind(options.listen)
+    pub async fn bind(context: Arc<Context>, tasks: Vec<Spec>) -> eyre::Result<Self> {
+        let listen = context.options.listen;
+        let listener = TcpListener::bind(listen)
             .await
-            .wrap_err_with(|| format!("cannot listen on {}", options.listen))?;
+            .wrap_err_with(|| format!("cannot listen on {listen}"))?;
         let addr = listener.local_addr()?;
-        let permits = Arc::new(Semaphore::new(options.limits.connections));
+        let permits = Arc::new(Semaphore::new(context.options.limits.connections));
         let shared = Arc::new(Shared {
-            context: Arc::new(Context::new(options, table, cell, clock)),
+            context,
+            listener: Mutex::new(Some(Arc::new(listener))),
             stopping: CancellationToken::new(),
-            ended: CancellationToken::new(),
             connections: TaskTracker::new(),
             permits,
         });
-        tokio::spawn(accept(Arc::clone(&shared), listener));
-        let background = Arc::clone(&shared);
+        let supervisor = Self::supervise(&shared, tasks);
+        Ok(Self {
+            addr,
+            shared,
+            supervisor,
+        })
+    }
+
+    fn supervise(shared: &Arc<Shared>, tasks: Vec<Spec>) -> Supervisor {
+        let accepting = Arc::clone(shared);
+        let mut children = vec![Spec::task("callers", move || {
+            accept(Arc::clone(&accepting))
+        })];
+        let context = Arc::clone(&shared.context);
+        children.push(Spec::task("cancels", move || {
+            let context = Arc::clone(&context);
+            async move {
+                context.canceller.run(context.engines.clone()).await;
+                Ok(())
+            }
+        }));
+        let context = Arc::clone(&shared.context);
+        children.push(Spec::task("idle-connections", move || {
+            sweep(Arc::clone(&context))
+        }));
+        children.extend(tasks);
+        let root = Spec::group("router", Strategy::One, children);
+        let (supervisor, mut changes) = Supervisor::spawn(root, Restarts::default());
+        let telemetry = shared.context.telemetry.clone();
         tokio::spawn(async move {
-            let context = &background.context;
-            let cancels = context.canceller.run(context.engines.clone());
-            background.ended.run_until_cancelled(cancels).await;
+            while let Some(change) = changes.recv().await {
+                telemetry.count(&format!("supervisor.{}", change.word()));
+            }
         });
-        Ok(Self { addr, shared })
+        supervisor
     }
 
     /// Returns the address that callers connect to.
@@ -90,6 +117,18 @@
         &self.shared.context
     }
 
+    /// Returns the tree of background tasks.
+    #[must_use]
+    pub fn supervisor(&self) -> &Supervisor {
+        &self.supervisor
+    }
+
+    /// Returns the number of open connections of callers.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.connections.len()
+    }
+
     /// Stops accepting, waits for running requests within the stop limit and ends.
     ///
     /// Returns true if every request ended by itself.
@@ -97,6 +136,7 @@
         let shared = &self.shared;
         let context = &shared.context;
         shared.stopping.cancel();
+        shared.lock_listener().take();
         shared.connections.close();
         context.runs.close();
         let finished = async {
@@ -105,23 +145,61 @@
             context.canceller.idle().await;
         };
         let complete = timeout(context.options.stop_limit, finished).await.is_ok();
-        shared.ended.cancel();
+        self.supervisor.stop();
         complete
     }
+
+    /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be watched or the supervisor gave up.
+    pub async fn run_until_signal(&self) -> eyre::Result<bool> {
+        // The handler stays installed, so a second signal does not end the process.
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            () = self.supervisor.failed() => eyre::bail!("the supervisor gave up"),
+        }
+        log::info!("stopping: no new requests are accepted");
+        let complete = self.stop().await;
+        log::info!(complete; "stopped");
+        Ok(complete)
+    }
+}
+
+impl Shared {
+    fn lock_listener(&self) -> MutexGuard<'_, Option<Arc<TcpListener>>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(shared: Arc<Shared>) -> eyre::Result<()> {
+    let listener = shared.lock_listener().clone();
+    if let Some(listener) = listener {
+        let accepting = accept_from(&shared, &listener);
+        shared.stopping.run_until_cancelled(accepting).await;
+        drop(listener);
+    }
+    // The socket is closed when the last reference goes; the task itself ends with the tree.
+    std::future::pending().await
 }
 
-async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+async fn accept_from(shared: &Arc<Shared>, listener: &TcpListener) {
     loop {
-        let accepted = tokio::select! {
-            () = shared.stopping.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let permit = Arc::clone(&shared.permits).try_acquire_owned().ok();
-        let served = connection::serve(Arc::clone(&shared), stream, permit);
+        let served = connection::serve(Arc::clone(shared), stream, permit);
         shared.connections.spawn(served);
     }
 }
+
+async fn sweep(context: Arc<Context>) -> eyre::Result<()> {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        context.engines.pool().sweep();
+    }
+}
--- a/crates/cumindoor/src/serve/cell.rs
+++ b/crates/cumindoor/src/serve/cell.rs
@@ -4,6 +4,7 @@
 //! ([`LocalCell`]) or on another VM; the request path sees only this trait.
 
 mod local;
+mod set;
 
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,10 @@
 use tokio::sync::mpsc;
 
 pub use local::{Input, LocalCell, Orphan};
+pub use set::CellSet;
+
+/// After what time a request to a service without engines may be sent again.
+const NO_CELL_RETRY: Duration = Duration::from_secs(1);
 
 /// What a cell orders a request to do.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cumindoor/src/serve/cell/local.rs
+++ b/crates/cumindoor/src/serve/cell/local.rs
@@ -56,21 +56,20 @@
 }
 
 impl LocalCell {
-    /// Returns a cell without engines, and the cancels that no request of this process obeys.
+    /// Returns a cell without engines; `orphans` gets the cancels that no request obeys.
     #[must_use]
     pub fn new(
         options: SchedOptions,
         clock: Clock,
-    ) -> (Arc<Self>, mpsc::UnboundedReceiver<Orphan>) {
-        let (orphans, receiver) = mpsc::unbounded_channel();
-        let cell = Self {
+        orphans: mpsc::UnboundedSender<Orphan>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
             options,
             clock,
             inbox: Mutex::default(),
             engines: Mutex::default(),
             orphans,
-        };
-        (Arc::new(cell), receiver)
+        })
     }
 
     /// Makes these the cell's engines; the flag marks one that is leaving.
@@ -190,9 +189,7 @@
         let scheduler = &mut self.scheduler;
         match progress {
             Progress::PrefillDone(done) => scheduler.prefill_done(now, id, attempt, done),
-            Progress::PrefillFailed(failure) => {
-                scheduler.prefill_failed(now, id, attempt, failure)
-            }
+            Progress::PrefillFailed(failure) => scheduler.prefill_failed(now, id, attempt, failure),
             Progress::DecodeStarted => scheduler.decode_started(now, id, attempt),
             Progress::DecodeFailed { failure, delivered } => {
                 scheduler.decode_failed(now, id, attempt, failure, delivered)
@@ -205,7 +202,10 @@
                 self.orders.remove(&id);
                 let actions = scheduler.cancel(now, id);
                 // The request cancels its own calls.
-                actions.into_iter().filter(|a| !is_cancel_of(a, id)).collect()
+                actions
+                    .into_iter()
+                    .filter(|a| !is_cancel_of(a, id))
+                    .collect()
             }
         }
     }
@@ -215,7 +215,11 @@
         let mut actions = Vec::new();
         let wanted = engines.into_iter().map(|(e, l)| (e.name.clone(), (e, l)));
         let wanted: BTreeMap<_, _> = wanted.collect();
-        for name in self.engines.keys().filter(|name| !wanted.contains_key(*name)) {
+        for name in self
+            .engines
+            .keys()
+            .filter(|name| !wanted.contains_key(*name))
+        {
             actions.extend(self.scheduler.engine_down(now, name));
         }
         for (name, (engine, leaving)) in &wanted {
--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -4,6 +4,7 @@
 //! fresh connection, because an open connection may go silent for good while new ones work.
 
 pub mod cancel;
+pub mod poll;
 pub mod pool;
 mod stream;
 mod wire;
@@ -17,12 +18,13 @@
 use coord::sched::{Attempt, Failure, JobId};
 use derive_more::Display;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
+use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
 pub use pool::{BodyError, Connected, OutBody, Pool, SendError, full_body};
 pub use stream::{Piece, TokenStream};
-pub use wire::{DecodeCall, Load, PrefillCall, Prefilled};
+pub use wire::{CacheChange, CacheKind, DecodeCall, Load, PrefillCall, Prefilled};
 
 use crate::serve::spec::HopTimes;
 
@@ -140,9 +142,7 @@
         let request = wire::post("/v1/prefill", call, trace);
         let exchange = async {
             let connected = self.pool.send(addr, request).await?;
-            let (status, answer) = read_answer(connected).await?;
-            check_status(status, &answer)?;
-            wire::parse(&answer)
+            read_json(connected).await
         };
         self.watch(addr, &call.id, limit, exchange).await?
     }
@@ -207,16 +207,30 @@
     ///
     /// Returns [`CallError`] if there is no valid answer in time.
     pub async fn load(&self, addr: SocketAddr) -> Result<Load, CallError> {
-        let request = Request::builder()
-            .method(Method::GET)
-            .uri("/v1/load")
-            .body(full_body(""));
-        let request = request.map_err(|error| CallError::Unsent(error.to_string()))?;
+        let request = wire::get("/v1/load");
         let exchange = async {
             let connected = self.pool.send_fresh(addr, request).await?;
-            let (status, answer) = read_answer(connected).await?;
-            check_status(status, &answer)?;
-            wire::parse(&answer)
+            read_json(connected).await
+        };
+        let answered = timeout(self.times.probe, exchange).await;
+        answered.map_err(|_| CallError::Stalled)?
+    }
+
+    /// Asks an engine for the changes of its prefix cache after `since`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] if there is no valid answer in time.
+    pub async fn changes(
+        &self,
+        addr: SocketAddr,
+        since: u64,
+    ) -> Result<Vec<CacheChange>, CallError> {
+        let request = wire::get(&format!("/v1/events?since={since}"));
+        let exchange = async {
+            let connected = self.pool.send(addr, request).await?;
+            let changes: wire::CacheChanges = read_json(connected).await?;
+            Ok(changes.events)
         };
         let answered = timeout(self.times.probe, exchange).await;
         answered.map_err(|_| CallError::Stalled)?
@@ -271,6 +285,12 @@
     Ok((parts.status, collected.to_bytes().to_vec()))
 }
 
+async fn read_json<T: DeserializeOwned>(connected: Connected) -> Result<T, CallError> {
+    let (status, answer) = read_answer(connected).await?;
+    check_status(status, &answer)?;
+    wire::parse(&answer)
+}
+
 fn check_status(status: StatusCode, answer: &[u8]) -> Result<(), CallError> {
     match status {
         StatusCode::OK => Ok(()),
--- a/crates/cumindoor/src/serve/engine/wire.rs
+++ b/crates/cumindoor/src/serve/engine/wire.rs
@@ -95,3 +95,37 @@
     let parsed = serde_json::from_slice(answer);
     parsed.map_err(|error| CallError::Lost(format!("malformed answer: {error}")))
 }
+
+/// One change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct CacheChange {
+    /// Counts the engine's changes; a jump means that some were lost.
+    pub seq: u64,
+    /// What happened.
+    pub kind: CacheKind,
+    /// Hash of the prefix that ends with the block.
+    pub prefix: u64,
+}
+
+/// What happened to a block of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheKind {
+    /// It was stored.
+    Stored,
+    /// It was evicted.
+    Evicted,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct CacheChanges {
+    pub events: Vec<CacheChange>,
+}
+
+pub(super) fn get(path: &str) -> Request<OutBody> {
+    let mut request = Request::new(full_body(""));
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    request
+}
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -11,9 +11,10 @@
 
 use bytes::Bytes;
 use coord::name::Upstream;
+use fastrace::Span;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::{Instant, timeout_at};
 
 pub use balance::Balance;
@@ -22,6 +23,7 @@
 use crate::serve::refusal::Refusal;
 use crate::serve::route::{Context, OpenGuard};
 use crate::serve::spec::{ServiceSpec, UpstreamSpec};
+use crate::serve::telemetry;
 use bodies::Fault;
 
 /// Bodies up to this size are kept, so that a repeatable call can be sent again.
@@ -29,6 +31,9 @@
 /// Upstreams that one call is sent to at most.
 const TRIES: usize = 3;
 
+/// The header with the trace context.
+const TRACE: &str = "traceparent";
+
 /// The body of a call.
 enum Payload {
     Kept(Bytes),
@@ -51,6 +56,10 @@
     let (mut parts, body) = request.into_parts();
     parts.uri = inner_uri(&parts.uri)?;
     headers::strip(&mut parts.headers);
+    let (span, trace) = hop(&parts.headers);
+    if let Ok(trace) = trace.parse() {
+        parts.headers.insert(TRACE, trace);
+    }
     let mut payload = payload(context, spec, body).await?;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut last = None;
@@ -63,9 +72,10 @@
         match attempt(context, &upstream, &parts, payload, until).await {
             Ok(connected) => {
                 let load = context.balance.enter(&upstream.name);
-                return Ok(bodies::answer(connected, until, (guard, load)));
+                return Ok(bodies::answer(connected, until, (guard, load, span)));
             }
             Err(failed) => {
+                context.telemetry.count("plain.failed");
                 context.balance.failed(&upstream.name);
                 let repeat = !spec.once || !failed.sent;
                 last = Some(failed.refusal);
@@ -79,6 +89,11 @@
     Err(last.unwrap_or_else(no_upstream))
 }
 
+fn hop(headers: &HeaderMap) -> (Span, String) {
+    let trace = headers.get(TRACE).and_then(|value| value.to_str().ok());
+    telemetry::hop("plain", trace)
+}
+
 fn no_upstream() -> Refusal {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Refusal::not_run(status, "no-upstream", "no upstream is available")
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -13,14 +13,16 @@
 use std::future::{Future, pending};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::time::Instant;
 
 use coord::name::Upstream;
-use coord::sched::{Attempt, Job};
+use coord::sched::{Attempt, Job, JobId};
+use fastrace::Span;
 use hyper::StatusCode;
 use tokio::sync::mpsc;
 use tokio::time::{Sleep, sleep};
 
-pub use context::{Context, Open, OpenGuard};
+pub use context::{Context, Live, Open, OpenGuard};
 pub use job::Ask;
 
 use crate::serve::cell::{Cell, Order, Progress};
@@ -28,6 +30,7 @@
 use crate::serve::engine::engine_id;
 use crate::serve::refusal::Refusal;
 use crate::serve::spec::{ServiceSpec, jittered};
+use crate::serve::telemetry;
 
 /// Events that wait for a slow caller, so that it does not hold its engine's slot.
 const EVENT_QUEUE: usize = 1024;
@@ -63,13 +66,16 @@
 pub fn start(
     context: &Arc<Context>,
     spec: Arc<ServiceSpec>,
-    ask: Ask,
+    mut ask: Ask,
     guard: OpenGuard,
 ) -> mpsc::Receiver<Event> {
     let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+    let (span, trace) = telemetry::hop("request", ask.trace.as_deref());
+    ask.trace = Some(trace);
+    context.telemetry.count("request.started");
     let job = job::build(context, &spec, &ask);
     let run = Run {
-        ticket: Ticket::new(Arc::clone(&context.cell), job),
+        ticket: Ticket::new(Arc::clone(&context.cell), context.live.clone(), job),
         asked: Asked::new(context.canceller.clone()),
         until: Box::pin(sleep(spec.request_limit)),
         context: Arc::clone(context),
@@ -82,7 +88,9 @@
         prompt_tokens: None,
         dispatched: false,
         current: None,
+        started: Instant::now(),
         _guard: guard,
+        _span: span,
     };
     context.runs.spawn(run.drive());
     receiver
@@ -91,21 +99,31 @@
 /// A request's entry at its cell; dropping it tells the cell that the request is over.
 struct Ticket {
     cell: Arc<dyn Cell>,
+    live: Live,
     job: Job,
     attempt: Attempt,
     over: bool,
 }
 
 impl Ticket {
-    fn new(cell: Arc<dyn Cell>, job: Job) -> Self {
+    fn new(cell: Arc<dyn Cell>, live: Live, job: Job) -> Self {
+        live.add(job.id);
         Self {
             cell,
+            live,
             job,
             attempt: Attempt::default(),
             over: false,
         }
     }
 
+    /// Takes a new id, because engines remember the old one as cancelled.
+    fn rename(&mut self, id: JobId) {
+        self.live.remove(self.job.id);
+        self.live.add(id);
+        self.job.id = id;
+    }
+
     fn report(&self, progress: Progress) {
         self.cell.report(self.job.id, self.attempt, progress);
     }
@@ -125,6 +143,7 @@
         if !self.over {
             self.report(Progress::Cancelled);
         }
+        self.live.remove(self.job.id);
     }
 }
 
@@ -168,7 +187,9 @@
     dispatched: bool,
     /// The engine that is being waited for.
     current: Option<Upstream>,
+    started: Instant,
     _guard: OpenGuard,
+    _span: Span,
 }
 
 impl Run {
@@ -176,10 +197,17 @@
         let last = match self.serve().await {
             End::Finished(usage) => {
                 self.ticket.finish();
+                self.count_end("request.finished");
                 Event::Finish(usage)
             }
-            End::Refused(refusal) => Event::Fail(refusal),
-            End::CallerGone => return,
+            End::Refused(refusal) => {
+                self.count_end(&format!("request.refused.{}", refusal.reason));
+                Event::Fail(refusal)
+            }
+            End::CallerGone => {
+                self.count_end("request.cancelled");
+                return;
+            }
         };
         // The engines are freed before the caller reads the last event.
         let events = self.events.clone();
@@ -188,6 +216,12 @@
         drop(events.send(last).await);
     }
 
+    fn count_end(&self, name: &str) {
+        let telemetry = &self.context.telemetry;
+        telemetry.count(name);
+        telemetry.add("tokens", u64::from(self.ticket.job.offset));
+    }
+
     async fn serve(&mut self) -> End {
         let mut pause = SUBMIT_PAUSE;
         for _ in 0..SUBMIT_LIMIT {
@@ -203,8 +237,7 @@
             }
             tokio::time::sleep(jittered(pause)).await;
             pause *= 2;
-            // Engines remember the old id as cancelled.
-            self.ticket.job.id = job::draw_id(&self.context.options.vm);
+            self.ticket.rename(job::draw_id(&self.context.options.vm));
         }
         End::Refused(self.refusal("cell-lost", "the scheduler failed repeatedly"))
     }
--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -1,9 +1,10 @@
 //! What all requests of a VM share.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use coord::name::{Organisation, Service};
+use coord::sched::JobId;
 use tokio_util::task::TaskTracker;
 
 use crate::serve::cell::{Cell, Clock};
@@ -11,6 +12,7 @@
 use crate::serve::engine::cancel::Canceller;
 use crate::serve::plain::Balance;
 use crate::serve::spec::{ServeOptions, ServiceSpec, Table};
+use crate::serve::telemetry::Telemetry;
 
 /// What all requests of a VM share.
 pub struct Context {
@@ -32,12 +34,22 @@
     pub open: Open,
     /// Open calls of plain services' upstreams.
     pub balance: Balance,
+    /// Requests that run on this VM now.
+    pub live: Live,
+    /// Counters and timers.
+    pub telemetry: Telemetry,
 }
 
 impl Context {
     /// Returns a context without requests.
     #[must_use]
-    pub fn new(options: ServeOptions, table: Table, cell: Arc<dyn Cell>, clock: Clock) -> Self {
+    pub fn new(
+        options: ServeOptions,
+        table: Table,
+        cell: Arc<dyn Cell>,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> Self {
         let engines = EngineClient::new(options.times.clone());
         Self {
             options,
@@ -49,10 +61,40 @@
             runs: TaskTracker::new(),
             open: Open::default(),
             balance: Balance::default(),
+            live: Live::default(),
+            telemetry,
         }
     }
 }
 
+/// The ids of the requests that run on this VM; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Live {
+    ids: Arc<Mutex<BTreeSet<JobId>>>,
+}
+
+impl Live {
+    /// Notes an id before any engine hears of it.
+    pub fn add(&self, id: JobId) {
+        self.lock().insert(id);
+    }
+
+    /// Forgets an id that no engine is to work for any more.
+    pub fn remove(&self, id: JobId) {
+        self.lock().remove(&id);
+    }
+
+    /// Returns true if a request with this id runs.
+    #[must_use]
+    pub fn contains(&self, id: JobId) -> bool {
+        self.lock().contains(&id)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 type Key = (Organisation, Service);
 
 /// Counts open requests of each organisation and service; clones share the counts.
--- a/crates/cumindoor/src/serve/route/decode.rs
+++ b/crates/cumindoor/src/serve/route/decode.rs
@@ -8,6 +8,7 @@
 use super::{End, Event, Interrupt, Run, Stop, Usage, job};
 use crate::serve::cell::Progress;
 use crate::serve::engine::{CallError, DecodeCall, Piece, TokenStream};
+use crate::serve::telemetry;
 
 impl Run {
     pub(super) async fn decode(
@@ -64,8 +65,8 @@
 
     async fn stream(&mut self, address: SocketAddr, call: &DecodeCall) -> Result<Usage, Cut> {
         let engines = self.context.engines.clone();
-        let trace = self.ask.trace.clone();
-        let opening = engines.decode(address, call, trace.as_deref());
+        let (_span, trace) = telemetry::hop("decode", self.ask.trace.as_deref());
+        let opening = engines.decode(address, call, Some(&trace));
         let mut stream = self.watch(opening).await??;
         self.started();
         let mut pieces = Vec::new();
@@ -127,6 +128,10 @@
         if tokens.is_empty() {
             return Ok(());
         }
+        if self.ticket.job.offset == 0 {
+            let waited = self.started.elapsed();
+            self.context.telemetry.time("first-token", waited);
+        }
         for token in &tokens {
             self.delivered.push_str(token);
         }
@@ -144,6 +149,7 @@
         if matches!(error, CallError::Evicted) {
             self.prefilled = None;
         }
+        self.count_failure("decode", error.failure());
         self.report_failure(error.failure(), delivered);
     }
 
--- a/crates/cumindoor/src/serve/route/prefill.rs
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -1,6 +1,6 @@
 //! The prefill step of a request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coord::name::Upstream;
 use coord::sched::Failure;
@@ -8,6 +8,7 @@
 use super::{End, Ready, Run, Stop, job};
 use crate::serve::cell::Progress;
 use crate::serve::engine::{CallError, PrefillCall};
+use crate::serve::telemetry;
 
 /// Time that a prefill may take beyond its expected duration.
 const SLACK: Duration = Duration::from_secs(2);
@@ -31,9 +32,11 @@
         self.dispatched = true;
 
         let engines = self.context.engines.clone();
-        let trace = self.ask.trace.clone();
-        let exchange = engines.prefill(address, &call, trace.as_deref(), limit);
+        let (span, trace) = telemetry::hop("prefill", self.ask.trace.as_deref());
+        let began = Instant::now();
+        let exchange = engines.prefill(address, &call, Some(&trace), limit);
         let answered = self.watch(exchange).await;
+        drop(span);
 
         match answered {
             Ok(Ok(prefilled)) => {
@@ -48,12 +51,14 @@
                     handle: prefilled.handle,
                     id,
                 });
+                self.context.telemetry.time("prefill.done", began.elapsed());
                 self.ticket.report(Progress::PrefillDone(done));
                 Ok(())
             }
             Ok(Err(error)) => {
                 self.close_call(&upstream, &id, &error, before);
                 let failure = error.failure();
+                self.count_failure("prefill", failure);
                 self.ticket.report(Progress::PrefillFailed(failure));
                 self.end_once(&error)
             }
@@ -80,6 +85,18 @@
         SLACK + Duration::from_secs_f64(expected) * FACTOR
     }
 
+    /// Counts a failed step by its cause.
+    pub(super) fn count_failure(&self, step: &str, failure: Failure) {
+        let cause = match failure {
+            Failure::Full => "full",
+            Failure::Evicted => "evicted",
+            Failure::Lost => "lost",
+            Failure::Stalled => "stalled",
+        };
+        let name = format!("{step}.failed.{cause}");
+        self.context.telemetry.count(&name);
+    }
+
     /// Cancels the prefill whose result waits for import, if there is one.
     pub(super) fn drop_ready(&mut self) {
         if let Some(ready) = self.prefilled.take() {
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use coord::name::{DataCentre, Organisation, Service, Upstream, VmName};
 use coord::sched::{Class, Engine, Role};
+use tokio::sync::watch;
 
 /// How the upstreams of a service are called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,9 +81,17 @@
 }
 
 /// The services and upstreams that are in force now; clones share their contents.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Table {
-    contents: Arc<RwLock<Arc<Contents>>>,
+    contents: watch::Sender<Arc<Contents>>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            contents: watch::Sender::new(Arc::default()),
+        }
+    }
 }
 
 impl Table {
@@ -104,16 +113,17 @@
         for upstream in upstreams {
             contents.upstreams.insert(upstream.name.clone(), upstream);
         }
-        let mut guard = self
-            .contents
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        *guard = Arc::new(contents);
+        self.contents.send_replace(Arc::new(contents));
+    }
+
+    /// Returns a receiver that is marked as changed with each replacement.
+    #[must_use]
+    pub fn changes(&self) -> Changes {
+        Changes(self.contents.subscribe())
     }
 
     fn read(&self) -> Arc<Contents> {
-        let guard = self.contents.read().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&guard)
+        Arc::clone(&self.contents.borrow())
     }
 
     /// Returns a service of an organisation.
@@ -123,6 +133,17 @@
         contents.services.get(name)?.get(organisation).cloned()
     }
 
+    /// Returns the names of an organisation's services of one kind.
+    #[must_use]
+    pub fn names(&self, organisation: &Organisation, kind: ServiceKind) -> Vec<Service> {
+        let contents = self.read();
+        let own = contents.services.iter().filter(|(_, by_name)| {
+            let spec = by_name.get(organisation);
+            spec.is_some_and(|spec| spec.kind == kind)
+        });
+        own.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns where an upstream listens.
     #[must_use]
     pub fn address(&self, name: &Upstream) -> Option<SocketAddr> {
@@ -138,6 +159,27 @@
             .cloned()
             .collect()
     }
+
+    /// Returns all model engines.
+    #[must_use]
+    pub fn engines(&self) -> Vec<UpstreamSpec> {
+        let contents = self.read();
+        let all = contents.upstreams.values();
+        all.filter(|spec| spec.role.is_some()).cloned().collect()
+    }
+}
+
+/// Tells that a [`Table`] was replaced.
+#[derive(Clone, Debug)]
+pub struct Changes(watch::Receiver<Arc<Contents>>);
+
+impl Changes {
+    /// Waits for the next replacement; never returns once the table is gone.
+    pub async fn next(&mut self) {
+        if self.0.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 /// Deadlines of single hops to upstreams.
@@ -159,6 +201,8 @@
     pub cancel_total: Duration,
     /// For the head of a plain service's answer.
     pub plain: Duration,
+    /// Between two questions for an engine's load.
+    pub poll: Duration,
 }
 
 impl Default for HopTimes {
@@ -172,6 +216,7 @@
             cancel: Duration::from_secs(1),
             cancel_total: Duration::from_secs(30),
             plain: Duration::from_secs(30),
+            poll: Duration::from_secs(1),
         }
     }
 }
--- a/crates/cumindoor/src/serve/supervisor.rs
+++ b/crates/cumindoor/src/serve/supervisor.rs
@@ -87,6 +87,17 @@
     GaveUp(&'static str),
 }
 
+impl Change {
+    /// Returns the change in the form of a counter's name.
+    #[must_use]
+    pub fn word(&self) -> String {
+        match self {
+            Self::Restarted(name) => format!("{name}.restarted"),
+            Self::GaveUp(name) => format!("{name}.gave-up"),
+        }
+    }
+}
+
 /// A running tree; it ends when the handle is dropped.
 pub struct Supervisor {
     shared: Arc<Shared>,
--- /dev/null
+++ b/crates/cumindoor/tests/serve_model.rs
@@ -0,0 +1,36 @@
+//! Model requests through a router to stand-ins.
+
+mod common;
+
+use common::{Plan, expected};
+
+/// Guards against a request path that does not reach from caller to engines and back.
+#[tokio::test]
+async fn streams_a_whole_answer() {
+    let fleet = Plan::default().start().await;
+
+    let answer = fleet.chat("Good morning", 40, true).await;
+    let status = answer.status;
+    let events = answer.events().await;
+
+    assert_eq!(status, 200);
+    assert_eq!(events.text, expected("Good morning", 40));
+    assert_eq!(events.finish.as_deref(), Some("length"));
+    assert_eq!(events.usage.unwrap()["completion_tokens"], 40);
+    assert!(events.done);
+    fleet.nothing_held().await;
+}
+
+/// Guards against an answer in the wrong form for callers that do not stream.
+#[tokio::test]
+async fn answers_in_one_json() {
+    let fleet = Plan::default().start().await;
+
+    let answer = fleet.chat("Good evening", 12, false).await;
+    let json = answer.json().await;
+
+    let message = &json["choices"][0]["message"];
+    assert_eq!(message["content"], expected("Good evening", 12));
+    assert_eq!(json["usage"]["completion_tokens"], 12);
+    assert_eq!(json["object"], "chat.completion");
+}
