Test the request path against faults of engines, callers and tasks

Cause: only the fault-free path was tested. Faults are set while the engine waits, so no verdict depends on the machine's speed.

--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -90,6 +90,18 @@
         self.lock().contains(&id)
     }
 
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Returns true if no request runs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
         self.ids.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -22,9 +22,10 @@
 use serde_json::{Value, json};
 use standin::{Engine, EngineOptions, Plain};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 /// A safety net only: no verdict depends on how long something takes.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Waits for `future`, or fails the test when it never ends.
 pub async fn patiently<T>(what: &str, future: impl Future<Output = T>) -> T {
@@ -185,6 +186,45 @@
         post(self.server.addr(), "/v1/chat/completions", &[], body).await
     }
 
+    /// Starts a chat whose decode engine waits before its first token; returns that engine.
+    ///
+    /// Faults that are set then are met for certain, whatever the machine's speed.
+    pub async fn held_chat(
+        &self,
+        text: &str,
+        max_tokens: u32,
+    ) -> (JoinHandle<Events>, Arc<Engine>) {
+        for engine in &self.decodes {
+            engine.fault(|fault| fault.stall_work = true);
+        }
+        let body = chat_body(text, max_tokens, true);
+        let addr = self.server.addr();
+        let reading = tokio::spawn(async move {
+            let answer = post(addr, "/v1/chat/completions", &[], body).await;
+            assert_eq!(answer.status, 200);
+            answer.events().await
+        });
+        let busy = self.busy_decode().await;
+        // The import is over once no prefill engine holds the result.
+        let imported = || self.prefills.iter().all(|p| p.held().is_empty());
+        until("the import", imported).await;
+        (reading, busy)
+    }
+
+    /// Lets the decode engines go on.
+    pub fn go(&self) {
+        for engine in &self.decodes {
+            engine.fault(|fault| fault.stall_work = false);
+        }
+    }
+
+    /// Returns true if neither a request nor a connection is left on the router.
+    pub fn router_idle(&self) -> bool {
+        let context = self.server.context();
+        let requests = context.runs.len() + context.open.total();
+        requests == 0 && self.server.connections() == 0 && context.canceller.pending() == 0
+    }
+
     pub fn counter(&self, name: &str) -> u64 {
         let snapshot = self.server.context().telemetry.snapshot();
         let counters = snapshot.counters;
--- /dev/null
+++ b/crates/cumindoor/tests/serve_cancel.rs
@@ -0,0 +1,119 @@
+//! Callers that go away.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Plan, chat_body, until};
+use standin::{Engine, Fault};
+
+/// Sends a chat, waits for `stage`, closes the connection and checks that nothing is left.
+async fn close_at(fleet: &Fleet, what: &str, stage: impl FnMut() -> bool) {
+    let addr = fleet.server.addr();
+    let body = chat_body("Bye", 500, true);
+    let caller = tokio::spawn(async move {
+        let answer = common::post(addr, "/v1/chat/completions", &[], body).await;
+        answer.events().await
+    });
+    until(what, stage).await;
+
+    caller.abort();
+
+    fleet.nothing_held().await;
+    until("the router is idle", || fleet.router_idle()).await;
+}
+
+fn all(engines: &[std::sync::Arc<Engine>], change: impl Fn(&mut Fault)) {
+    for engine in engines {
+        engine.fault(&change);
+    }
+}
+
+/// Guards against work in the queue for a caller that is gone.
+#[tokio::test]
+async fn frees_all_when_the_caller_leaves_the_queue() {
+    let fleet = Plan::default().start().await;
+    fleet
+        .engines()
+        .for_each(|e| e.fault(|fault| fault.full = true));
+    let refused = || fleet.engines().any(|e| e.counts().full > 0);
+
+    close_at(&fleet, "the request waits", refused).await;
+
+    assert!(fleet.engines().all(|e| e.counts().prefills == 0));
+}
+
+/// Guards against a prefill that goes on for a caller that is gone.
+#[tokio::test]
+async fn frees_all_when_the_caller_leaves_during_the_prefill() {
+    let fleet = Plan::default().start().await;
+    all(&fleet.prefills, |fault| fault.stall_work = true);
+    let computing = || fleet.prefills.iter().any(|e| !e.held().is_empty());
+
+    close_at(&fleet, "a prefill runs", computing).await;
+}
+
+/// Guards against a slot that stays taken when the caller leaves during the transfer.
+#[tokio::test]
+async fn frees_all_when_the_caller_leaves_during_the_import() {
+    let mut plan = Plan::default();
+    plan.options.times.import = Duration::from_secs(30);
+    let fleet = plan.start().await;
+    all(&fleet.decodes, |fault| fault.stall_transfers = true);
+    let importing = || fleet.decodes.iter().any(|e| e.slots_used() > 0);
+
+    close_at(&fleet, "an import runs", importing).await;
+}
+
+/// Guards against a stream that nobody reads.
+#[tokio::test]
+async fn frees_all_when_the_caller_leaves_during_the_stream() {
+    let fleet = Plan::default().start().await;
+    let streaming = || fleet.decodes.iter().any(|e| e.counts().output_tokens > 20);
+
+    close_at(&fleet, "tokens arrive", streaming).await;
+}
+
+/// Guards against memory on an engine that got the request but did not answer before the caller
+/// left: the cancel must be repeated until the engine acknowledges it.
+#[tokio::test]
+async fn cancels_on_an_engine_that_has_not_answered_yet() {
+    let mut plan = Plan::default();
+    plan.options.times.cancel = Duration::from_millis(100);
+    let fleet = plan.start().await;
+    fleet.prefills.iter().for_each(|e| e.set_silent(true));
+    let addr = fleet.server.addr();
+    let caller = tokio::spawn(async move {
+        let body = chat_body("Silent", 50, true);
+        common::post(addr, "/v1/chat/completions", &[], body).await
+    });
+    let context = fleet.server.context();
+    until("the request runs", || context.live.len() == 1).await;
+
+    caller.abort();
+    until("a cancel waits", || context.canceller.pending() > 0).await;
+    fleet.prefills.iter().for_each(|e| e.set_silent(false));
+
+    until("the router is idle", || fleet.router_idle()).await;
+    let cancels: u64 = fleet.prefills.iter().map(|e| e.counts().cancels).sum();
+    assert!(cancels > 0);
+    fleet.nothing_held().await;
+}
+
+/// Guards against a caller that stays connected, reads nothing and keeps an engine busy.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_counts_as_gone() {
+    let mut plan = Plan::default();
+    plan.options.limits.write_stall = Duration::from_millis(200);
+    plan.engine.step = Duration::ZERO;
+    let fleet = plan.start().await;
+    let body = chat_body("Silent reader", 2_000_000, true);
+
+    // The head is read, then nothing more.
+    let answer = common::post(fleet.server.addr(), "/v1/chat/completions", &[], body).await;
+    let gone = || fleet.counter("request.cancelled") == 1;
+    until("the caller counts as gone", gone).await;
+
+    fleet.nothing_held().await;
+    drop(answer);
+}
--- /dev/null
+++ b/crates/cumindoor/tests/serve_faults.rs
@@ -0,0 +1,233 @@
+//! Faults of engines in the middle of requests.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Plan, expected, patiently, until};
+use rstest::rstest;
+use standin::TokenFault;
+
+/// Times that let a test notice silence soon; the verdicts do not depend on them.
+fn quick() -> Plan {
+    let mut plan = Plan::default();
+    plan.options.times.quiet = Duration::from_millis(100);
+    plan.options.times.probe = Duration::from_millis(500);
+    plan
+}
+
+async fn is_whole(fleet: &Fleet, reading: tokio::task::JoinHandle<common::Events>, text: &str) {
+    let events = patiently("the answer", reading).await.unwrap();
+
+    assert_eq!(events.error, None);
+    assert_eq!(events.text, expected(text, 60));
+    assert_eq!(events.usage.unwrap()["completion_tokens"], 60);
+    assert!(events.done);
+    fleet.nothing_held().await;
+}
+
+/// Guards against lost or repeated text when the decode engine dies in the middle of a stream.
+#[tokio::test]
+async fn resumes_after_the_decode_engine_died() {
+    let fleet = quick().start().await;
+    let (reading, busy) = fleet.held_chat("Kill it", 60).await;
+    busy.fault(|fault| fault.cut_after = Some(25));
+
+    fleet.go();
+    let cut = || fleet.counter("decode.failed.lost") > 0;
+    until("the stream is cut", cut).await;
+    busy.die().await;
+
+    is_whole(&fleet, reading, "Kill it").await;
+}
+
+/// Guards against a stream that dies with its engine's process and is never replaced.
+#[tokio::test]
+async fn resumes_after_the_process_died_before_its_first_token() {
+    let fleet = quick().start().await;
+    let (reading, busy) = fleet.held_chat("Die early", 60).await;
+
+    busy.die().await;
+    fleet.go();
+
+    is_whole(&fleet, reading, "Die early").await;
+    assert_eq!(fleet.counter("decode.failed.lost"), 1);
+}
+
+/// Guards against tokens of other requests, repeated tokens, and gaps in a caller's text.
+#[rstest]
+#[case::repeated(TokenFault::Repeat(3), 0)]
+#[case::crossed(TokenFault::Interleave(4), 0)]
+#[case::skipped(TokenFault::Skip(7), 1)]
+#[case::swapped(TokenFault::Swap(9), 1)]
+#[tokio::test]
+async fn puts_tokens_in_order(#[case] tokens: TokenFault, #[case] cuts: u64) {
+    let fleet = quick().start().await;
+    let (reading, busy) = fleet.held_chat("Order", 60).await;
+    busy.fault(|fault| fault.tokens = tokens);
+
+    fleet.go();
+
+    is_whole(&fleet, reading, "Order").await;
+    assert_eq!(fleet.counter("decode.failed.lost"), cuts);
+}
+
+/// Guards against a caller that waits for ever on a connection that went silent.
+#[tokio::test]
+async fn replaces_a_silent_connection() {
+    let fleet = quick().start().await;
+    let (reading, busy) = fleet.held_chat("Silence", 60).await;
+
+    busy.freeze_open();
+    fleet.go();
+
+    is_whole(&fleet, reading, "Silence").await;
+    assert_eq!(fleet.counter("decode.failed.lost"), 1);
+}
+
+/// Guards against a caller that waits for ever for an engine that accepts and answers nothing.
+#[tokio::test]
+async fn replaces_a_silent_engine() {
+    let fleet = quick().start().await;
+    let (reading, busy) = fleet.held_chat("Deaf", 60).await;
+
+    busy.set_silent(true);
+    fleet.go();
+    let lost = || fleet.counter("decode.failed.lost") > 0;
+    until("the silence is noticed", lost).await;
+    busy.set_silent(false);
+
+    is_whole(&fleet, reading, "Deaf").await;
+}
+
+/// Guards against a request that fails because its prefill was evicted before the import.
+#[tokio::test]
+async fn prefills_again_after_an_eviction() {
+    let mut plan = quick();
+    plan.options.times.import = Duration::from_secs(30);
+    let fleet = plan.start().await;
+    for engine in &fleet.decodes {
+        engine.fault(|fault| fault.stall_transfers = true);
+    }
+    let chat = async { fleet.chat("Evicted", 60, true).await.events().await };
+    let evict = async {
+        fleet.busy_decode().await;
+        for engine in &fleet.prefills {
+            for id in engine.held() {
+                let body = serde_json::json!({ "id": &*id }).to_string();
+                common::post(engine.addr(), "/v1/cancel", &[], body).await;
+            }
+        }
+        for engine in &fleet.decodes {
+            engine.fault(|fault| fault.stall_transfers = false);
+        }
+    };
+
+    let (events, ()) = tokio::join!(chat, evict);
+
+    assert_eq!(events.text, expected("Evicted", 60));
+    assert!(events.done);
+    assert_eq!(fleet.counter("decode.failed.evicted"), 1);
+    fleet.nothing_held().await;
+}
+
+/// Guards against a request that waits for a transfer that makes no progress.
+#[tokio::test]
+async fn replaces_a_stalled_transfer() {
+    let mut plan = quick();
+    plan.options.times.import = Duration::from_millis(300);
+    let fleet = plan.start().await;
+    for engine in &fleet.decodes {
+        engine.fault(|fault| fault.stall_transfers = true);
+    }
+    let chat = async { fleet.chat("Stalled", 60, true).await.events().await };
+    let recover = async {
+        let stalled = || fleet.counter("decode.failed.stalled") > 0;
+        until("the stall is noticed", stalled).await;
+        for engine in &fleet.decodes {
+            engine.fault(|fault| fault.stall_transfers = false);
+        }
+    };
+
+    let (events, ()) = tokio::join!(chat, recover);
+
+    assert_eq!(events.text, expected("Stalled", 60));
+    assert!(events.done);
+    fleet.nothing_held().await;
+}
+
+/// Guards against treating a full engine as a failed one, or as a reason to refuse.
+#[tokio::test]
+async fn waits_for_a_full_engine() {
+    let fleet = quick().start().await;
+    for engine in fleet.engines() {
+        engine.fault(|fault| fault.full = true);
+    }
+    let chat = async { fleet.chat("Full", 60, true).await.events().await };
+    let recover = async {
+        let refused = || fleet.engines().map(|e| e.counts().full).sum::<u64>() > 0;
+        until("an engine answers 429", refused).await;
+        for engine in fleet.engines() {
+            engine.fault(|fault| fault.full = false);
+        }
+    };
+
+    let (events, ()) = tokio::join!(chat, recover);
+
+    assert_eq!(events.text, expected("Full", 60));
+    assert!(events.done);
+}
+
+/// Guards against a refusal that calls work unknown although every engine said that it did none.
+#[tokio::test]
+async fn refuses_with_not_run_when_all_engines_stay_full() {
+    let mut plan = quick();
+    plan.services[0].first_token = Duration::from_millis(500);
+    let fleet = plan.start().await;
+    for engine in fleet.engines() {
+        engine.fault(|fault| fault.full = true);
+    }
+
+    let answer = fleet.chat("Full for good", 5, true).await;
+    let status = answer.status;
+    let error = answer.json().await["error"].clone();
+
+    assert_eq!(status, 503);
+    assert_eq!(error["kind"], "not-run");
+    assert!(error["retry_after_ms"].as_u64().is_some(), "{error}");
+    assert!(fleet.engines().all(|e| e.counts().prefills == 0));
+}
+
+/// Guards against a once-only request that runs a second time, or is called `not-run` after an
+/// engine had it.
+#[tokio::test]
+async fn a_once_only_stream_is_not_resumed() {
+    let mut plan = quick();
+    plan.services[0].once = true;
+    let fleet = plan.start().await;
+    let (reading, busy) = fleet.held_chat("Once", 60).await;
+    busy.fault(|fault| fault.cut_after = Some(10));
+
+    fleet.go();
+    let events = patiently("the answer", reading).await.unwrap();
+
+    assert_eq!(events.tokens, 10);
+    assert_eq!(events.error.unwrap()["kind"], "unknown");
+    assert!(!events.done);
+    let decodes: u64 = fleet.decodes.iter().map(|e| e.counts().decodes).sum();
+    assert_eq!(decodes, 1);
+    fleet.nothing_held().await;
+}
+
+/// Guards against limits that were made for short prompts.
+#[tokio::test]
+async fn serves_a_prompt_of_tens_of_thousands_of_tokens() {
+    let fleet = Plan::default().start().await;
+    let text = "long prompt ".repeat(20_000);
+
+    let events = fleet.chat(&text, 30, true).await.events().await;
+
+    assert_eq!(events.text, expected(&text, 30));
+    let prompt = events.usage.unwrap()["prompt_tokens"].as_u64().unwrap();
+    assert!(prompt > 50_000, "{prompt}");
+}
--- /dev/null
+++ b/crates/cumindoor/tests/serve_panics.rs
@@ -0,0 +1,59 @@
+//! Panics of supervised tasks under load.
+
+mod common;
+
+use common::{Plan, expected, patiently, until};
+use rstest::rstest;
+
+/// Guards against a router that stops serving, or cuts running streams, after a panic.
+#[rstest]
+#[case("callers")]
+#[case("cancels")]
+#[case("idle-connections")]
+#[case("engine-list")]
+#[case("schedulers")]
+#[case("engine-load")]
+#[case("orphans")]
+#[tokio::test]
+async fn serves_on_after_a_panic(#[case] task: &'static str) {
+    let fleet = Plan::default().start().await;
+    let (running, _) = fleet.held_chat("Running", 60).await;
+    let restarted = format!("supervisor.{task}.restarted");
+
+    fleet.server.supervisor().inject_panic(task);
+    until("the restart", || fleet.counter(&restarted) == 1).await;
+    fleet.go();
+    let next = fleet.chat("Next", 60, true).await.events().await;
+    let running = patiently("the running stream", running).await.unwrap();
+
+    assert_eq!(next.text, expected("Next", 60));
+    assert!(next.done);
+    assert_eq!(running.text, expected("Running", 60));
+    assert!(running.done);
+    fleet.nothing_held().await;
+}
+
+/// Guards against requests that wait for a scheduler that is gone.
+#[tokio::test]
+async fn waiting_requests_survive_the_scheduler() {
+    let fleet = Plan::default().start().await;
+    fleet
+        .engines()
+        .for_each(|e| e.fault(|fault| fault.full = true));
+    let chat = async { fleet.chat("Waiting", 60, true).await.events().await };
+    let fail = async {
+        let context = fleet.server.context();
+        until("the request waits", || context.live.len() == 1).await;
+        fleet.server.supervisor().inject_panic("schedulers");
+        let restarted = || fleet.counter("supervisor.schedulers.restarted") == 1;
+        until("the restart", restarted).await;
+        fleet
+            .engines()
+            .for_each(|e| e.fault(|fault| fault.full = false));
+    };
+
+    let (events, ()) = tokio::join!(chat, fail);
+
+    assert_eq!(events.text, expected("Waiting", 60));
+    assert!(events.done);
+}
--- /dev/null
+++ b/crates/cumindoor/tests/serve_plain.rs
@@ -0,0 +1,122 @@
+//! Calls to plain services.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Answer, Fleet, Plan, until};
+
+async fn start(once: bool, plains: usize) -> Fleet {
+    let mut plan = Plan::default();
+    plan.services[1].once = once;
+    plan.plains = plains;
+    plan.prefills = 0;
+    plan.decodes = 0;
+    plan.options.times.plain = Duration::from_millis(500);
+    plan.start().await
+}
+
+async fn call(fleet: &Fleet, key: &str) -> Answer {
+    let headers = [("idempotency-key", key)];
+    let body = r#"{"item":"saffron"}"#.to_owned();
+    common::post(fleet.server.addr(), "/stock/orders?day=2", &headers, body).await
+}
+
+fn runs(fleet: &Fleet, key: &str) -> u32 {
+    fleet.plains.iter().map(|plain| plain.runs(key)).sum()
+}
+
+/// Guards against calls that arrive changed, or at another path.
+#[tokio::test]
+async fn passes_a_call_through() {
+    let fleet = start(false, 1).await;
+
+    let answer = call(&fleet, "k1").await;
+    let status = answer.status;
+    let text = answer.text().await;
+
+    assert_eq!(status, 200);
+    assert!(text.contains("saffron"), "{text}");
+    assert!(text.contains("/orders"), "{text}");
+    assert_eq!(runs(&fleet, "k1"), 1);
+}
+
+/// Guards against a once-only call that is sent a second time after its upstream failed.
+#[tokio::test]
+async fn a_once_only_call_is_not_repeated_after_its_dispatch() {
+    for after in [false, true] {
+        let fleet = start(true, 2).await;
+        for plain in &fleet.plains {
+            plain.fault(|fault| {
+                fault.fail_before = !after;
+                fault.fail_after = after;
+            });
+        }
+
+        let answer = call(&fleet, "once").await;
+        let status = answer.status;
+        let error = answer.json().await["error"].clone();
+
+        assert_eq!(status, 503);
+        assert_eq!(error["kind"], "unknown");
+        assert_eq!(runs(&fleet, "once"), u32::from(after));
+    }
+}
+
+/// Guards against a once-only call that waits for ever, or is repeated, when its answer is lost.
+#[tokio::test]
+async fn a_once_only_call_without_an_answer_is_unknown() {
+    let fleet = start(true, 2).await;
+    for plain in &fleet.plains {
+        plain.fault(|fault| fault.silent_after = true);
+    }
+
+    let error = call(&fleet, "lost").await.json().await["error"].clone();
+
+    assert_eq!(error["kind"], "unknown");
+    assert_eq!(runs(&fleet, "lost"), 1);
+    until("the router is idle", || fleet.router_idle()).await;
+}
+
+/// Guards against giving up before the dispatch although another upstream is there.
+#[tokio::test]
+async fn a_once_only_call_goes_elsewhere_before_its_dispatch() {
+    let fleet = start(true, 2).await;
+    fleet.plains[0].die().await;
+
+    for number in 0..4 {
+        let key = format!("key-{number}");
+        let answer = call(&fleet, &key).await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(runs(&fleet, &key), 1);
+    }
+}
+
+/// Guards against `unknown` for a call that never left the router.
+#[tokio::test]
+async fn a_call_without_an_upstream_did_not_run() {
+    let fleet = start(true, 2).await;
+    for plain in &fleet.plains {
+        plain.die().await;
+    }
+
+    let answer = call(&fleet, "none").await;
+    let status = answer.status;
+    let error = answer.json().await["error"].clone();
+
+    assert_eq!(status, 503);
+    assert_eq!(error["kind"], "not-run");
+    assert_eq!(runs(&fleet, "none"), 0);
+}
+
+/// Guards against a repeatable call that fails although another upstream would answer it.
+#[tokio::test]
+async fn a_repeatable_call_is_sent_to_another_upstream() {
+    let fleet = start(false, 2).await;
+    fleet.plains[0].fault(|fault| fault.fail_before = true);
+
+    for number in 0..4 {
+        let answer = call(&fleet, &format!("again-{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/tests/serve_stop.rs
@@ -0,0 +1,45 @@
+//! Planned stops. The signal reaches the whole test process, so this file has one test.
+
+mod common;
+
+use std::process::Command;
+
+use common::{Plan, expected, patiently, until};
+use tokio::net::TcpStream;
+
+fn terminate() {
+    let pid = std::process::id().to_string();
+    let status = Command::new("kill").args(["-TERM", &pid]).status();
+    assert!(status.unwrap().success());
+}
+
+/// Guards against streams that a planned stop cuts, and against a second signal that does.
+#[tokio::test]
+async fn finishes_running_streams_after_sigterm() {
+    let fleet = Plan::default().start().await;
+    let (running, _) = fleet.held_chat("Last words", 60).await;
+    let addr = fleet.server.addr();
+    let stop = fleet.server.run_until_signal();
+    let signals = async {
+        terminate();
+        let refused = async {
+            while TcpStream::connect(addr).await.is_ok() {
+                tokio::task::yield_now().await;
+            }
+        };
+        patiently("the listener closes", refused).await;
+        terminate();
+        terminate();
+        assert!(!running.is_finished());
+        fleet.go();
+        patiently("the running stream", running).await.unwrap()
+    };
+
+    let (complete, events) = tokio::join!(stop, signals);
+
+    assert!(complete.unwrap());
+    assert_eq!(events.text, expected("Last words", 60));
+    assert!(events.done);
+    until("the router is idle", || fleet.router_idle()).await;
+    fleet.nothing_held().await;
+}
