Add the transport of calls between VMs

Cause: claims, leases, limits, membership and configuration all need typed calls between VMs, and each would otherwise add methods to one shared service.

A part implements `Part` (name, call, reply) and `Handler`, and registers with a `Router`; the transport does not change. The client keeps at most 64 connections, notices a silent one with a keep-alive call after 0.5 s without an answer, and says in its errors whether the call may have run. The trace id and the caller's span cross the connection.

Conclusion: other parts can build on `Part`, `Handler`, `Router` and `Peers`.

--- /dev/null
+++ b/crates/cumindoor/src/serve/peer.rs
@@ -0,0 +1,77 @@
+//! Typed calls between VMs.
+//!
+//! Each VM has one port. A connection starts as HTTP/1.1; `POST /peer` with
+//! `Upgrade: cumindoor-peer/1` turns it into tarpc over `MessagePack` frames of bounded length
+//! (`docs/design.md`, section 4). Other HTTP requests on the port go to [`Http`].
+//!
+//! A part of the system adds calls without touching this module: it implements [`Part`] for a
+//! marker type that names its call and reply types, and registers a [`Handler`] with a [`Router`].
+//! Calls are at most once: a [`PeerError`] tells whether the call may have run.
+
+mod link;
+mod listener;
+mod pool;
+mod router;
+mod wire;
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+pub use listener::{Http, Listener, ListenerOptions, NoHttp, Running};
+pub use pool::{Peers, PeersOptions};
+pub use router::{Handler, Part, Router};
+pub use wire::MAX_FRAME;
+
+/// The token of the `Upgrade` header; a change of the frame format changes the number.
+pub const UPGRADE: &str = "cumindoor-peer/1";
+
+/// The silence on a connection with an unanswered call after which a keep-alive call is sent.
+///
+/// The cost is paid only while a call waits, so idle connections use no control traffic.
+pub const KEEP_ALIVE: Duration = Duration::from_millis(500);
+
+/// The time within which a keep-alive call must be answered; otherwise the connection is replaced.
+pub const KEEP_ALIVE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Why a call to a peer has no reply.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum PeerError {
+    /// The address of the VM is not in the directory. The call was not sent.
+    #[display("the address of VM {_0} is not known")]
+    UnknownVm(#[error(not(source))] String),
+    /// No connection could be opened. The call was not sent.
+    #[display("no connection to {to}: {text}")]
+    Connect {
+        /// The address that was tried.
+        to: String,
+        /// What failed.
+        text: String,
+    },
+    /// The call is larger than [`MAX_FRAME`] or cannot be encoded. The call was not sent.
+    #[display("the call cannot be encoded: {_0}")]
+    Encode(#[error(not(source))] String),
+    /// The deadline passed. The call may have run.
+    #[display("the deadline of the call passed")]
+    Deadline,
+    /// The connection closed or went silent while the call was waiting. The call may have run.
+    #[display("the connection to the peer closed or went silent")]
+    Closed,
+    /// The peer has no handler for the part, or it could not decode the call. It did not run.
+    #[display("the peer refused the call: {_0}")]
+    Refused(#[error(not(source))] String),
+    /// The reply cannot be decoded. The call ran.
+    #[display("the reply cannot be decoded: {_0}")]
+    Decode(#[error(not(source))] String),
+}
+
+impl PeerError {
+    /// Returns `true` if the call certainly did not run, so that it may be repeated elsewhere.
+    #[must_use]
+    pub fn not_run(&self) -> bool {
+        match self {
+            Self::UnknownVm(_) | Self::Connect { .. } | Self::Encode(_) | Self::Refused(_) => true,
+            Self::Deadline | Self::Closed | Self::Decode(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/peer/link.rs
@@ -0,0 +1,155 @@
+//! One connection to a peer.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::header::{CONNECTION, HOST, UPGRADE as UPGRADE_HEADER};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tarpc::client::{Config, RpcError};
+use tarpc::context::Context;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use super::wire::{Answer, Envelope, WireClient, transport};
+use super::{KEEP_ALIVE, KEEP_ALIVE_LIMIT, PeerError, UPGRADE};
+
+/// A connection that carries calls until it closes or is found silent.
+pub(super) struct Link {
+    client: WireClient,
+    closed: CancellationToken,
+    heard: Mutex<Instant>,
+    checking: tokio::sync::Mutex<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.closed.cancel();
+    }
+}
+
+impl Link {
+    /// Connects to `to` and upgrades the connection.
+    pub(super) async fn open(to: SocketAddr) -> eyre::Result<Self> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, http) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        let http = tokio::spawn(http.with_upgrades());
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/peer")
+            .header(HOST, to.to_string())
+            .header(CONNECTION, "upgrade")
+            .header(UPGRADE_HEADER, UPGRADE)
+            .body(Empty::<Bytes>::new())?;
+        let mut response = sender.send_request(request).await?;
+        if response.status() != StatusCode::SWITCHING_PROTOCOLS {
+            http.abort();
+            eyre::bail!("the peer answered {} to the upgrade", response.status());
+        }
+        let io = hyper::upgrade::on(&mut response).await?;
+        Ok(Self::start(TokioIo::new(io)))
+    }
+
+    fn start(io: TokioIo<hyper::upgrade::Upgraded>) -> Self {
+        let client = WireClient::new(Config::default(), transport(io));
+        let closed = CancellationToken::new();
+        let token = closed.clone();
+        tokio::spawn(async move {
+            let _ended = token.run_until_cancelled(client.dispatch).await;
+            token.cancel();
+        });
+        Self {
+            client: client.client,
+            closed,
+            heard: Mutex::new(Instant::now()),
+            checking: tokio::sync::Mutex::new(()),
+        }
+    }
+
+    /// Returns `true` once the connection is unusable.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
+    /// Sends one call and waits for its answer, its deadline or the loss of the connection.
+    pub(super) async fn call(
+        &self,
+        context: Context,
+        envelope: Envelope,
+    ) -> Result<Answer, PeerError> {
+        let limit = tokio::time::Instant::from_std(context.deadline);
+        tokio::select! {
+            biased;
+            answer = self.client.call(context, envelope) => self.answered(answer),
+            () = self.closed.cancelled() => Err(PeerError::Closed),
+            () = tokio::time::sleep_until(limit) => Err(PeerError::Deadline),
+            () = self.watch() => Err(PeerError::Closed),
+        }
+    }
+
+    fn answered(&self, answer: Result<Answer, RpcError>) -> Result<Answer, PeerError> {
+        match answer {
+            Ok(answer) => {
+                self.hear();
+                Ok(answer)
+            }
+            Err(RpcError::DeadlineExceeded) => Err(PeerError::Deadline),
+            Err(RpcError::Server(error)) => Err(PeerError::Refused(error.to_string())),
+            Err(RpcError::Send(error)) => Err(PeerError::Encode(error.to_string())),
+            Err(RpcError::Shutdown | RpcError::Channel(_)) => Err(PeerError::Closed),
+        }
+    }
+
+    fn hear(&self) {
+        *self
+            .heard
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) = Instant::now();
+    }
+
+    fn silence(&self) -> Duration {
+        self.heard
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .elapsed()
+    }
+
+    /// Returns when the connection is found silent: a keep-alive call on it got no answer.
+    async fn watch(&self) {
+        loop {
+            tokio::time::sleep(KEEP_ALIVE).await;
+            // Calls that wait side by side share one keep-alive call.
+            let _one = self.checking.lock().await;
+            if self.silence() < KEEP_ALIVE {
+                continue;
+            }
+            if !self.answers().await {
+                self.closed.cancel();
+                return;
+            }
+        }
+    }
+
+    async fn answers(&self) -> bool {
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + KEEP_ALIVE_LIMIT;
+        let envelope = Envelope {
+            from: String::new(),
+            part: String::new(),
+            span: 0,
+            body: Bytes::new(),
+        };
+        let call = self.client.call(context, envelope);
+        let answer = tokio::time::timeout(KEEP_ALIVE_LIMIT, call).await;
+        let heard = matches!(answer, Ok(Ok(_)));
+        if heard {
+            self.hear();
+        }
+        heard
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/peer/listener.rs
@@ -0,0 +1,260 @@
+//! The port on which a VM accepts its peers.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use fastrace::future::FutureExt as _;
+use fastrace::prelude::{Span, SpanContext, SpanId, TraceId};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, UPGRADE as UPGRADE_HEADER};
+use hyper::service::service_fn;
+use hyper::upgrade::Upgraded;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::UPGRADE;
+use super::router::Router;
+use super::wire::{Answer, Envelope, Wire, transport};
+
+/// The body of an HTTP answer on the peer port.
+pub type Body = BoxBody<Bytes, eyre::Report>;
+
+/// Answers HTTP requests on the peer port other than `POST /peer`, such as `GET /attach/{key}`.
+pub trait Http: Send + Sync + 'static {
+    /// Answers one request.
+    fn answer(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>>;
+}
+
+/// Answers every HTTP request with 404.
+#[derive(Clone, Copy, Debug)]
+pub struct NoHttp;
+
+impl Http for NoHttp {
+    fn answer(&self, _request: Request<Incoming>) -> BoxFuture<'_, Response<Body>> {
+        Box::pin(async { plain(StatusCode::NOT_FOUND) })
+    }
+}
+
+/// Bounds of a [`Listener`].
+#[derive(Clone, Debug)]
+pub struct ListenerOptions {
+    /// The number of open connections. Further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// The number of calls that one connection runs at a time. Further ones are refused.
+    pub calls: usize,
+    /// The time within which the head of an HTTP request must arrive.
+    pub head_limit: Duration,
+}
+
+impl Default for ListenerOptions {
+    /// 340 peers and as many again while old connections close; see section 2 of the design.
+    fn default() -> Self {
+        Self {
+            connections: 700,
+            calls: 64,
+            head_limit: Duration::from_secs(5),
+        }
+    }
+}
+
+/// A bound port that does not accept yet, so that its address is known before parts are wired.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    options: ListenerOptions,
+}
+
+/// A listener that accepts. Dropping the handle does not stop it.
+#[derive(Clone, Debug)]
+pub struct Running {
+    addr: SocketAddr,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Listener {
+    /// Binds the port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the address if it cannot be bound.
+    pub async fn bind(addr: SocketAddr, options: ListenerOptions) -> eyre::Result<Self> {
+        let socket = TcpListener::bind(addr).await;
+        let socket = socket.wrap_err_with(|| format!("cannot listen for peers on {addr}"))?;
+        Ok(Self { socket, options })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn addr(&self) -> eyre::Result<SocketAddr> {
+        Ok(self.socket.local_addr()?)
+    }
+
+    /// Starts to accept connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bound address cannot be read.
+    pub fn spawn(self, router: Router, http: Arc<dyn Http>) -> eyre::Result<Running> {
+        let running = Running {
+            addr: self.addr()?,
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let server = Server {
+            router,
+            http,
+            options: self.options,
+            running: running.clone(),
+        };
+        running.tasks.spawn(accept(self.socket, Arc::new(server)));
+        Ok(running)
+    }
+}
+
+impl Running {
+    /// Returns the address that peers connect to.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes the port and all connections, and waits until their tasks ended.
+    pub async fn stop(&self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+struct Server {
+    router: Router,
+    http: Arc<dyn Http>,
+    options: ListenerOptions,
+    running: Running,
+}
+
+async fn accept(socket: TcpListener, server: Arc<Server>) {
+    let slots = Arc::new(Semaphore::new(server.options.connections));
+    let stop = server.running.stop.clone();
+    let accepting = async {
+        while let Ok(permit) = Arc::clone(&slots).acquire_owned().await {
+            match socket.accept().await {
+                Ok((stream, _)) => connection(&server, stream, permit),
+                // Running out of file descriptors fails at once and would spin.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    };
+    stop.run_until_cancelled(accepting).await;
+}
+
+fn connection(server: &Arc<Server>, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    let permit = Arc::new(permit);
+    let shared = Arc::clone(server);
+    let service = service_fn(move |request| {
+        let server = Arc::clone(&shared);
+        let permit = Arc::clone(&permit);
+        async move { Ok::<_, Infallible>(server.request(request, permit).await) }
+    });
+    // Calls are small and latency matters more than packet count.
+    let _ = stream.set_nodelay(true);
+    let http = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(server.options.head_limit)
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
+    let stop = server.running.stop.clone();
+    server
+        .running
+        .tasks
+        .spawn(async move { stop.run_until_cancelled(http).await });
+}
+
+impl Server {
+    async fn request(
+        self: &Arc<Self>,
+        mut request: Request<Incoming>,
+        permit: Arc<OwnedSemaphorePermit>,
+    ) -> Response<Body> {
+        if request.uri().path() != "/peer" {
+            return self.http.answer(request).await;
+        }
+        if request.method() != Method::POST {
+            return plain(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let upgrade = request.headers().get(UPGRADE_HEADER);
+        if upgrade.is_none_or(|value| value != UPGRADE) {
+            return plain(StatusCode::UPGRADE_REQUIRED);
+        }
+        let upgrade = hyper::upgrade::on(&mut request);
+        let server = Arc::clone(self);
+        let stop = self.running.stop.clone();
+        self.running.tasks.spawn(async move {
+            let _permit = permit;
+            if let Ok(io) = upgrade.await {
+                stop.run_until_cancelled(server.frames(io)).await;
+            }
+        });
+        let mut response = plain(StatusCode::SWITCHING_PROTOCOLS);
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+        headers.insert(UPGRADE_HEADER, HeaderValue::from_static(UPGRADE));
+        response
+    }
+
+    /// Answers calls until the connection closes; a malformed or oversized frame closes it.
+    async fn frames(&self, io: Upgraded) {
+        let wire = Answers {
+            router: self.router.clone(),
+        };
+        let calls = BaseChannel::with_defaults(transport(TokioIo::new(io)))
+            .max_concurrent_requests(self.options.calls)
+            .execute(wire.serve());
+        // A call that panics ends its own connection only: it runs inside this task.
+        calls.for_each_concurrent(None, |call| call).await;
+    }
+}
+
+#[derive(Clone)]
+struct Answers {
+    router: Router,
+}
+
+impl Wire for Answers {
+    async fn call(self, context: tarpc::context::Context, envelope: Envelope) -> Answer {
+        if envelope.span == 0 {
+            return self.router.answer(envelope).await;
+        }
+        let trace = TraceId(u128::from(*context.trace_id()));
+        let parent = SpanContext::new(trace, SpanId(envelope.span));
+        let span = Span::root("peer call", parent);
+        span.add_property(|| ("part", envelope.part.clone()));
+        self.router.answer(envelope).in_span(span).await
+    }
+}
+
+fn plain(status: StatusCode) -> Response<Body> {
+    let body = Empty::new()
+        .map_err(|never: Infallible| match never {})
+        .boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/peer/pool.rs
@@ -0,0 +1,209 @@
+//! The client side: a bounded set of persistent connections to peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coord::name::VmName;
+use fastrace::prelude::SpanContext;
+use tarpc::context::Context;
+use tarpc::trace::{self, SamplingDecision, SpanId, TraceId};
+
+use super::PeerError;
+use super::link::Link;
+use super::router::Part;
+use super::wire::{Envelope, MAX_FRAME};
+
+/// Room in a frame for the envelope around a call.
+const ENVELOPE_ROOM: usize = 1_024;
+
+/// Bounds of [`Peers`].
+#[derive(Clone, Debug)]
+pub struct PeersOptions {
+    /// The number of persistent connections; the least recently used one is closed for a new one.
+    pub connections: usize,
+    /// The time within which a connection must be open and upgraded.
+    pub connect_limit: Duration,
+}
+
+impl Default for PeersOptions {
+    /// A data centre of the target has 43 VMs; the rest serves peers in other data centres.
+    fn default() -> Self {
+        Self {
+            connections: 64,
+            connect_limit: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Calls other VMs. Clones share the connections.
+#[derive(Clone)]
+pub struct Peers {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    own: VmName,
+    options: PeersOptions,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    directory: BTreeMap<VmName, SocketAddr>,
+    slots: BTreeMap<SocketAddr, Slot>,
+}
+
+struct Slot {
+    link: Arc<tokio::sync::Mutex<Option<Arc<Link>>>>,
+    used: Instant,
+}
+
+impl Peers {
+    /// Returns a client without connections that calls in the name of `own`.
+    #[must_use]
+    pub fn new(own: VmName, options: PeersOptions) -> Self {
+        let state = Mutex::new(State::default());
+        Self {
+            shared: Arc::new(Shared {
+                own,
+                options,
+                state,
+            }),
+        }
+    }
+
+    /// Replaces the addresses of all VMs. Connections to addresses not in `directory` close.
+    pub fn set_directory(&self, directory: BTreeMap<VmName, SocketAddr>) {
+        let mut state = self.state();
+        let kept: std::collections::BTreeSet<_> = directory.values().copied().collect();
+        state.slots.retain(|addr, _| kept.contains(addr));
+        state.directory = directory;
+    }
+
+    /// Returns the address of a VM, if it is known.
+    #[must_use]
+    pub fn address(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.state().directory.get(vm).copied()
+    }
+
+    /// Returns the number of connections that are open or being opened.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.state().slots.len()
+    }
+
+    /// Calls the part `P` on the VM `to` and waits at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`]; [`PeerError::not_run`] tells whether the call may have run.
+    pub async fn call<P: Part>(
+        &self,
+        to: &VmName,
+        call: &P::Call,
+        limit: Duration,
+    ) -> Result<P::Reply, PeerError> {
+        let addr = self
+            .address(to)
+            .ok_or_else(|| PeerError::UnknownVm(to.to_string()))?;
+        self.call_at::<P>(addr, call, limit).await
+    }
+
+    /// Calls the part `P` at an address, for VMs whose name is not known yet.
+    ///
+    /// # Errors
+    ///
+    /// As [`call`](Self::call).
+    pub async fn call_at<P: Part>(
+        &self,
+        to: SocketAddr,
+        call: &P::Call,
+        limit: Duration,
+    ) -> Result<P::Reply, PeerError> {
+        let deadline = Instant::now() + limit;
+        let body = rmp_serde::to_vec(call).map_err(|e| PeerError::Encode(e.to_string()))?;
+        if body.len() + ENVELOPE_ROOM > MAX_FRAME {
+            let text = format!("{} bytes are over the limit of {MAX_FRAME}", body.len());
+            return Err(PeerError::Encode(text));
+        }
+        let (context, envelope) = self.envelope(P::NAME, body, deadline);
+        let link = tokio::time::timeout(limit, self.link(to));
+        let link = link
+            .await
+            .map_err(|_| connect_error(to, "the deadline passed"))??;
+        let result = link.call(context, envelope).await;
+        let body = result?.map_err(PeerError::Refused)?;
+        rmp_serde::from_slice(&body).map_err(|e| PeerError::Decode(e.to_string()))
+    }
+
+    fn envelope(&self, part: &str, body: Vec<u8>, deadline: Instant) -> (Context, Envelope) {
+        let local = SpanContext::current_local_parent();
+        let mut context = tarpc::context::current();
+        context.deadline = deadline;
+        if let Some(parent) = local {
+            context.trace_context = trace::Context {
+                trace_id: TraceId::from(parent.trace_id.0),
+                span_id: SpanId::from(parent.span_id.0),
+                sampling_decision: SamplingDecision::Sampled,
+            };
+        }
+        let envelope = Envelope {
+            from: self.shared.own.to_string(),
+            part: part.to_owned(),
+            span: local.map_or(0, |parent| parent.span_id.0),
+            body: Bytes::from(body),
+        };
+        (context, envelope)
+    }
+
+    /// Returns the open connection to `to`, or opens one. Callers of one address share it.
+    async fn link(&self, to: SocketAddr) -> Result<Arc<Link>, PeerError> {
+        let slot = self.slot(to);
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| !link.is_closed()) {
+            return Ok(Arc::clone(link));
+        }
+        *slot = None;
+        let opening = tokio::time::timeout(self.shared.options.connect_limit, Link::open(to));
+        let link = match opening.await {
+            Ok(Ok(link)) => Arc::new(link),
+            Ok(Err(error)) => return Err(connect_error(to, &error.to_string())),
+            Err(_) => return Err(connect_error(to, "the connection was not open in time")),
+        };
+        *slot = Some(Arc::clone(&link));
+        Ok(link)
+    }
+
+    fn slot(&self, to: SocketAddr) -> Arc<tokio::sync::Mutex<Option<Arc<Link>>>> {
+        let mut state = self.state();
+        let full = state.slots.len() >= self.shared.options.connections;
+        if full && !state.slots.contains_key(&to) {
+            let oldest = state.slots.iter().min_by_key(|(_, slot)| slot.used);
+            let oldest = oldest.map(|(addr, _)| *addr);
+            oldest.and_then(|addr| state.slots.remove(&addr));
+        }
+        let slot = state.slots.entry(to).or_insert_with(|| Slot {
+            link: Arc::default(),
+            used: Instant::now(),
+        });
+        slot.used = Instant::now();
+        Arc::clone(&slot.link)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn connect_error(to: SocketAddr, text: &str) -> PeerError {
+    PeerError::Connect {
+        to: to.to_string(),
+        text: text.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/tests/peer.rs
@@ -0,0 +1,247 @@
+//! Calls between VMs over real loopback connections.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::VmName;
+use cumindoor::serve::peer::{
+    Handler, Listener, ListenerOptions, MAX_FRAME, NoHttp, Part, PeerError, Peers, PeersOptions,
+    Router, Running,
+};
+use fastrace::future::FutureExt as _;
+use fastrace::prelude::{Span, SpanContext};
+use futures::future::BoxFuture;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Far above any expected duration, so that a slow machine does not change a verdict.
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Echo;
+
+impl Part for Echo {
+    const NAME: &'static str = "echo";
+    type Call = String;
+    type Reply = (String, u128);
+}
+
+struct EchoHandler;
+
+impl Handler<Echo> for EchoHandler {
+    fn handle(&self, from: VmName, call: String) -> BoxFuture<'_, (String, u128)> {
+        Box::pin(async move {
+            match call.as_str() {
+                "never" => std::future::pending().await,
+                "panic" => panic!("the handler was asked to panic"),
+                _ => {}
+            }
+            let trace = SpanContext::current_local_parent().map_or(0, |span| span.trace_id.0);
+            (format!("{from}: {call}"), trace)
+        })
+    }
+}
+
+struct Absent;
+
+impl Part for Absent {
+    const NAME: &'static str = "absent";
+    type Call = ();
+    type Reply = ();
+}
+
+async fn server() -> Running {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = Listener::bind(any, ListenerOptions::default())
+        .await
+        .unwrap();
+    let router = Router::new().with::<Echo>(Arc::new(EchoHandler));
+    listener.spawn(router, Arc::new(NoHttp)).unwrap()
+}
+
+fn client(options: PeersOptions) -> Peers {
+    Peers::new(VmName::from("vm-1"), options)
+}
+
+async fn echo(peers: &Peers, to: SocketAddr, text: &str) -> Result<String, PeerError> {
+    let reply = peers.call_at::<Echo>(to, &text.to_owned(), LIMIT).await;
+    reply.map(|(text, _)| text)
+}
+
+/// Forwards connections to `to`; connections that are open when `gag` is cancelled go silent.
+async fn proxy(to: SocketAddr, gag: CancellationToken) -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = socket.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = socket.accept().await {
+            let late = gag.is_cancelled();
+            let gag = gag.clone();
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(to).await.unwrap();
+                let copy = tokio::io::copy_bidirectional(&mut near, &mut far);
+                if late {
+                    copy.await.unwrap();
+                } else if gag.run_until_cancelled(copy).await.is_none() {
+                    std::future::pending::<()>().await;
+                }
+            });
+        }
+    });
+    addr
+}
+
+async fn upgraded(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let head = b"POST /peer HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\n\
+        Upgrade: cumindoor-peer/1\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        text.push(stream.read_u8().await.unwrap());
+    }
+    assert!(
+        text.starts_with(b"HTTP/1.1 101"),
+        "{}",
+        String::from_utf8_lossy(&text)
+    );
+    stream
+}
+
+/// Guards against calls that name the wrong caller or lose their content.
+#[tokio::test]
+async fn a_call_is_answered() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    peers.set_directory(BTreeMap::from([(VmName::from("vm-2"), server.addr())]));
+
+    let reply = peers
+        .call::<Echo>(&VmName::from("vm-2"), &"hello".to_owned(), LIMIT)
+        .await;
+
+    assert_eq!(reply.unwrap().0, "vm-1: hello");
+    server.stop().await;
+}
+
+/// Guards against traces that end at the border between two VMs.
+#[tokio::test]
+async fn the_trace_crosses_the_connection() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    let root = SpanContext::random();
+    let span = Span::root("test", root);
+    let text = "hello".to_owned();
+
+    let reply = peers
+        .call_at::<Echo>(server.addr(), &text, LIMIT)
+        .in_span(span)
+        .await;
+
+    assert_eq!(reply.unwrap().1, root.trace_id.0);
+}
+
+/// Guards against a caller that repeats a call elsewhere although it may have run.
+#[tokio::test]
+async fn errors_tell_whether_the_call_may_have_run() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    let short = Duration::from_millis(20);
+
+    let unknown = peers
+        .call::<Echo>(&VmName::from("vm-9"), &String::new(), LIMIT)
+        .await;
+    let absent = peers.call_at::<Absent>(server.addr(), &(), LIMIT).await;
+    let large = peers
+        .call_at::<Echo>(server.addr(), &"x".repeat(MAX_FRAME), LIMIT)
+        .await;
+    let late = peers
+        .call_at::<Echo>(server.addr(), &"never".to_owned(), short)
+        .await;
+
+    assert!(unknown.unwrap_err().not_run());
+    assert!(absent.unwrap_err().not_run());
+    assert!(large.unwrap_err().not_run());
+    assert!(!late.unwrap_err().not_run());
+}
+
+/// Guards against calls that wait for their deadline on a connection that went silent for ever.
+#[tokio::test]
+async fn a_silent_connection_is_replaced() {
+    let server = server().await;
+    let gag = CancellationToken::new();
+    let through = proxy(server.addr(), gag.clone()).await;
+    let peers = client(PeersOptions::default());
+    echo(&peers, through, "before").await.unwrap();
+
+    gag.cancel();
+    let silent = echo(&peers, through, "during").await;
+    let after = echo(&peers, through, "after").await;
+
+    assert_eq!(silent.unwrap_err(), PeerError::Closed);
+    assert_eq!(after.unwrap(), "vm-1: after");
+}
+
+/// Guards against hostile bytes that reserve memory or end more than their own connection.
+#[rstest::rstest]
+#[case::oversized(&[0xff, 0xff, 0xff, 0xff, 0x00])]
+#[case::not_messagepack(&[0, 0, 0, 3, 0xc1, 0xc1, 0xc1])]
+#[case::http_again(b"GET / HTTP/1.1\r\n\r\n")]
+#[tokio::test]
+async fn a_hostile_frame_closes_its_connection_only(#[case] bytes: &[u8]) {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    echo(&peers, server.addr(), "before").await.unwrap();
+    let mut hostile = upgraded(server.addr()).await;
+
+    hostile.write_all(bytes).await.unwrap();
+    let mut rest = Vec::new();
+    let end = tokio::time::timeout(LIMIT, hostile.read_to_end(&mut rest)).await;
+    let after = echo(&peers, server.addr(), "after").await;
+
+    assert!(end.is_ok(), "the connection stayed open");
+    assert_eq!(after.unwrap(), "vm-1: after");
+}
+
+/// Guards against a handler's panic that stops the listener or leaves its caller waiting.
+#[tokio::test]
+async fn a_panic_closes_its_connection_only() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+
+    let broken = echo(&peers, server.addr(), "panic").await;
+    let after = echo(&peers, server.addr(), "after").await;
+
+    assert_eq!(broken.unwrap_err(), PeerError::Closed);
+    assert_eq!(after.unwrap(), "vm-1: after");
+}
+
+/// Guards against connections that grow with the fleet.
+#[tokio::test]
+async fn connections_are_bounded() {
+    let servers = [server().await, server().await, server().await];
+    let options = PeersOptions {
+        connections: 2,
+        ..PeersOptions::default()
+    };
+    let peers = client(options);
+
+    for server in &servers {
+        echo(&peers, server.addr(), "hello").await.unwrap();
+    }
+
+    assert_eq!(peers.connections(), 2);
+}
+
+/// Guards against a listener that keeps its tasks or its port after it was stopped.
+#[tokio::test]
+async fn a_stopped_listener_closes_its_connections() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    echo(&peers, server.addr(), "before").await.unwrap();
+
+    server.stop().await;
+    let after = echo(&peers, server.addr(), "after").await;
+
+    assert!(after.is_err());
+}
