--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod hash;
 pub mod name;
+pub mod owner;
 pub mod sched;
 pub mod time;
