--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod hash;
 pub mod name;
+pub mod owner;
 pub mod retry;
 pub mod sched;
 pub mod time;
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -1,3 +1,5 @@
 //! The `cumindoor` router as a library: the binary is a thin shell around it.
+//!
+//! See `docs/design.md` for the modules and their interfaces.
 
 pub mod serve;
--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod cell;
 pub mod engine;
+pub mod peer;
 pub mod plain;
 pub mod refusal;
 pub mod route;
