--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -257,7 +257,8 @@
             // The answer may arrive while the question is on its way.
             let listed = tokio::select! {
                 done = &mut future => return Ok(done),
-                listed = self.lists(addr, id) => listed,
+                // Boxed: it is rare, and its room would be part of every stream.
+                listed = Box::pin(self.lists(addr, id)) => listed,
             };
             if let Err(text) = listed {
                 self.pool.forget(addr);
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -286,7 +286,8 @@
                 attempt, prefill, ..
             } => {
                 self.ticket.attempt = attempt;
-                self.prefill(prefill).await
+                // Boxed, so that a stream does not keep the room of the larger step before it.
+                Box::pin(self.prefill(prefill)).await
             }
             Order::Decode {
                 attempt,
--- a/crates/cumindoor/src/serve/route/decode.rs
+++ b/crates/cumindoor/src/serve/route/decode.rs
@@ -66,7 +66,8 @@
     async fn stream(&mut self, address: SocketAddr, call: &DecodeCall) -> Result<Usage, Cut> {
         let engines = self.context.engines.clone();
         let (_span, trace) = telemetry::hop("decode", self.ask.trace.as_deref());
-        let opening = engines.decode(address, call, Some(&trace));
+        // Boxed, so that a stream does not keep the room of its larger start.
+        let opening = Box::pin(engines.decode(address, call, Some(&trace)));
         let mut stream = self.watch(opening).await??;
         self.started();
         let mut pieces = Vec::new();
