Add settings, documents and their checks

Cause: VMs and organisations need files whose mistakes are found before they are in force. Conclusion: the command line can check files, and the serving code can read them.

--- /dev/null
+++ b/crates/cumindoor/src/check.rs
@@ -0,0 +1,145 @@
+//! Checks files of both forms: the settings of a VM and the documents of organisations.
+
+use std::collections::BTreeMap;
+
+use coord::name::Organisation;
+
+use crate::document::Document;
+use crate::ini::{self, Finding, Findings, Section};
+use crate::settings::Settings;
+
+/// One file to check.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// The name that findings give.
+    pub file: String,
+    /// The bytes of the file.
+    pub bytes: Vec<u8>,
+}
+
+/// A file without findings of its own.
+struct Parsed {
+    file: String,
+    sections: Vec<Section>,
+    content: Content,
+}
+
+enum Content {
+    Settings(Box<Settings>),
+    Document(Box<Document>),
+}
+
+/// Checks every file by itself and the files against each other; returns all findings.
+#[must_use]
+pub fn check(sources: &[Source]) -> Vec<Finding> {
+    let mut all = Vec::new();
+    let mut parsed = Vec::new();
+    for source in sources {
+        match check_one(source) {
+            Ok(file) => parsed.push(file),
+            Err(findings) => all.extend(findings),
+        }
+    }
+    all.extend(check_owners(&parsed));
+    all.extend(check_deadlines(&parsed));
+    all
+}
+
+fn check_one(source: &Source) -> Result<Parsed, Vec<Finding>> {
+    let mut findings = Findings::new(&source.file);
+    let text = match std::str::from_utf8(&source.bytes) {
+        Ok(text) => text,
+        Err(error) => {
+            let before = &source.bytes[..error.valid_up_to()];
+            let line = 1 + before.split(|byte| *byte == b'\n').count() - 1;
+            findings.add(line, "the line is not valid UTF-8");
+            return Err(findings.into_list());
+        }
+    };
+    let sections = ini::sections(text, &mut findings);
+    let content = read(&sections, &mut findings);
+    match content {
+        Some(content) if findings.is_empty() => Ok(Parsed {
+            file: source.file.clone(),
+            sections,
+            content,
+        }),
+        _ => Err(findings.into_list()),
+    }
+}
+
+/// Reads a file in the form that its sections show.
+fn read(sections: &[Section], findings: &mut Findings) -> Option<Content> {
+    let has = |kinds: &[&str]| sections.iter().any(|s| kinds.contains(&s.kind()));
+    if has(&["organisation", "service", "upstreams", "caller"]) {
+        let document = Document::read(sections, findings);
+        return document.map(|document| Content::Document(Box::new(document)));
+    }
+    if has(&["vm", "callers", "peers", "platform", "hops"]) {
+        let settings = Settings::read(sections, findings);
+        return settings.map(|settings| Content::Settings(Box::new(settings)));
+    }
+    findings.add(
+        1,
+        "the file is neither the settings of a VM nor a document; expected a section [vm] or \
+         [organisation]",
+    );
+    None
+}
+
+fn documents(parsed: &[Parsed]) -> impl Iterator<Item = (&Parsed, &Document)> {
+    parsed.iter().filter_map(|file| match &file.content {
+        Content::Document(document) => Some((file, document.as_ref())),
+        Content::Settings(_) => None,
+    })
+}
+
+/// Finds organisations that own more than one of the documents.
+fn check_owners(parsed: &[Parsed]) -> Vec<Finding> {
+    let mut owners: BTreeMap<&Organisation, &str> = BTreeMap::new();
+    let mut found = Vec::new();
+    for (file, document) in documents(parsed) {
+        let name = &document.organisation.name;
+        if let Some(first) = owners.get(name) {
+            let text = format!("`{name}` already owns the document {first}; expected one each");
+            found.push(finding(file, "organisation", "name", text));
+        } else {
+            owners.insert(name, &file.file);
+        }
+    }
+    found
+}
+
+/// Finds deadlines that are above the `request-limit` of a VM.
+fn check_deadlines(parsed: &[Parsed]) -> Vec<Finding> {
+    let mut found = Vec::new();
+    for settings in parsed {
+        let Content::Settings(vm) = &settings.content else {
+            continue;
+        };
+        let limit = vm.vm.request_limit;
+        for (file, document) in documents(parsed) {
+            for (name, service) in &document.services {
+                let deadline = service.deadline();
+                if deadline <= limit {
+                    continue;
+                }
+                let text = format!(
+                    "deadline = {deadline} is above request-limit = {limit} of {}",
+                    settings.file
+                );
+                found.push(finding(file, &format!("service {name}"), "deadline", text));
+            }
+        }
+    }
+    found
+}
+
+fn finding(file: &Parsed, title: &str, key: &str, text: String) -> Finding {
+    let section = file.sections.iter().find(|section| section.title == title);
+    Finding {
+        file: file.file.as_str().into(),
+        line: section.map_or(1, |section| section.line_of(key)),
+        text,
+    }
+}
