--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -1,6 +1,9 @@
-//! The router: settings, documents, command line and the processes between callers and upstreams.
+//! The `cumindoor` router as a library: the binary is a thin shell around it.
+//!
+//! See `docs/design.md` for the modules and their interfaces.
 
 pub mod check;
 pub mod document;
 pub mod ini;
+pub mod serve;
 pub mod settings;
