Add the command line with check, status and the stand-in processes

Cause: operators need to check files and look at a running VM without writing a program. Lines without `=` before the first `:` are findings, because rust-ini takes `key: value` too.

--- a/crates/cumindoor/src/check.rs
+++ b/crates/cumindoor/src/check.rs
@@ -45,6 +45,17 @@
     all
 }
 
+/// Returns the file with every value that is in force, or `None` if it has findings.
+#[must_use]
+pub fn printout(source: &Source) -> Option<String> {
+    let parsed = check_one(source).ok()?;
+    let text = match &parsed.content {
+        Content::Settings(settings) => settings.to_string(),
+        Content::Document(document) => document.to_string(),
+    };
+    Some(format!("# {}\n{text}", parsed.file))
+}
+
 fn check_one(source: &Source) -> Result<Parsed, Vec<Finding>> {
     let mut findings = Findings::new(&source.file);
     let text = match std::str::from_utf8(&source.bytes) {
@@ -79,6 +90,9 @@
         let settings = Settings::read(sections, findings);
         return settings.map(|settings| Content::Settings(Box::new(settings)));
     }
+    if !findings.is_empty() {
+        return None;
+    }
     findings.add(
         1,
         "the file is neither the settings of a VM nor a document; expected a section [vm] or \
--- /dev/null
+++ b/crates/cumindoor/src/cli.rs
@@ -0,0 +1,130 @@
+//! The command line.
+
+mod check;
+mod standin;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+use crate::ini::{Setting, Span};
+use crate::status;
+
+/// Routes requests to language-model engines and plain services.
+///
+/// One process runs on each VM, between callers and upstreams. It learns its addresses from a
+/// settings file and everything else from the platform's configuration service.
+#[derive(Debug, Parser)]
+#[command(name = "cumindoor", version, propagate_version = true)]
+#[command(
+    after_help = "Settings and documents are described in docs/settings.md and \
+                        docs/documents.md; complete ones are in examples/."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check settings and documents and list everything that is wrong
+    ///
+    /// Each finding is printed as `file:line: what is wrong and what is expected`. Files of both
+    /// kinds may be mixed: documents are compared with each other and with the settings, so name
+    /// the files of one fleet together.
+    #[command(
+        after_help = "Exit status: 0 without findings, 1 with findings, 2 if a file cannot \
+                            be read or the usage is wrong."
+    )]
+    Check(CheckArgs),
+    /// Show what a running VM reports
+    #[command(
+        after_help = "Exit status: 0, 1 if the VM does not answer, 2 if the usage is \
+                            wrong."
+    )]
+    Status(StatusArgs),
+    /// Run one stand-in of an external system until SIGTERM
+    #[command(hide = true)]
+    Standin(standin::StandinArgs),
+}
+
+#[derive(Debug, clap::Args)]
+struct CheckArgs {
+    /// Files to check; `-` is the standard input
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+    /// Print each file without findings with every value that is in force, defaults included
+    #[arg(long)]
+    print: bool,
+}
+
+#[derive(Debug, clap::Args)]
+struct StatusArgs {
+    /// Address that the VM has for other VMs: `address` of [peers] in its settings
+    #[arg(long, value_name = "IP:PORT")]
+    at: SocketAddr,
+    /// Form of the output
+    #[arg(long, value_enum, default_value_t = Format::Text)]
+    format: Format,
+    /// Time to wait for the answer, such as `500 ms`
+    #[arg(long, value_name = "TIME", default_value = "2 s", value_parser = span)]
+    timeout: Span,
+}
+
+/// Form of an output.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Format {
+    /// Indented text and tables
+    Text,
+    /// The JSON that the VM sent
+    Json,
+}
+
+/// Reads a duration in the form of the settings.
+fn span(text: &str) -> Result<Span, String> {
+    Span::parse(text)
+}
+
+/// Runs the command that the arguments name and returns the process's exit status.
+#[must_use]
+pub fn main() -> ExitCode {
+    let result = match Cli::parse().command {
+        Command::Check(args) => return check::run(&args.files, args.print),
+        Command::Status(args) => block_on(show_status(args)),
+        Command::Standin(args) => block_on(standin::run(args)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs `future` on a runtime of its own.
+fn block_on(future: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(future)
+}
+
+async fn show_status(args: StatusArgs) -> eyre::Result<()> {
+    let value = status::fetch(args.at, args.timeout.0).await?;
+    let text = match args.format {
+        Format::Text => status::render(&value),
+        Format::Json => format!("{value:#}\n"),
+    };
+    print(&text);
+    Ok(())
+}
+
+/// Prints to the standard output; a reader that has gone, as in `| head`, is no error.
+fn print(text: &str) {
+    use std::io::Write as _;
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
--- /dev/null
+++ b/crates/cumindoor/src/cli/check.rs
@@ -0,0 +1,62 @@
+//! `cumindoor check`.
+
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use crate::check::{Source, check, printout};
+use crate::ini::FILE_LIMIT;
+
+/// Exit status with findings.
+const FINDINGS: u8 = 1;
+
+/// Exit status if a file cannot be read.
+const UNREADABLE: u8 = 2;
+
+/// Checks `files` and prints the findings; with `print`, also the values in force.
+pub(super) fn run(files: &[PathBuf], print: bool) -> ExitCode {
+    let mut sources = Vec::new();
+    let mut unreadable = false;
+    for path in files {
+        match read(path) {
+            Ok(source) => sources.push(source),
+            Err(error) => {
+                unreadable = true;
+                eprintln!("error: cannot read {}: {error}", path.display());
+            }
+        }
+    }
+    let findings = check(&sources);
+    let mut text = String::new();
+    for finding in &findings {
+        let _ = writeln!(text, "{finding}");
+    }
+    if print {
+        text.extend(sources.iter().filter_map(printout));
+    }
+    super::print(&text);
+    if unreadable {
+        ExitCode::from(UNREADABLE)
+    } else if findings.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(FINDINGS)
+    }
+}
+
+/// Reads one byte more than a file may have, so that an endless file ends too.
+fn read(path: &Path) -> io::Result<Source> {
+    let input: Box<dyn Read> = if path == Path::new("-") {
+        Box::new(io::stdin())
+    } else {
+        Box::new(File::open(path)?)
+    };
+    let mut bytes = Vec::new();
+    input.take(FILE_LIMIT as u64 + 1).read_to_end(&mut bytes)?;
+    Ok(Source {
+        file: path.display().to_string(),
+        bytes,
+    })
+}
--- a/crates/cumindoor/src/ini.rs
+++ b/crates/cumindoor/src/ini.rs
@@ -133,9 +133,15 @@
 #[must_use]
 pub fn quote(text: &str) -> String {
     let mut chars = text.chars();
-    let start: String = chars.by_ref().take(QUOTE_LIMIT).collect();
+    let mut start = String::new();
+    for c in chars.by_ref().take(QUOTE_LIMIT) {
+        match c {
+            '\'' | '"' | '\\' => start.push(c),
+            _ => start.extend(c.escape_debug()),
+        }
+    }
     let dots = if chars.next().is_some() { "…" } else { "" };
-    format!("`{}{dots}`", start.escape_debug())
+    format!("`{start}{dots}`")
 }
 
 /// One `key = value` line.
@@ -235,6 +241,13 @@
             quote(line)
         )
     };
+    // rust-ini also takes `key: value`, in which a missing `=` would go unnoticed.
+    if line
+        .find('=')
+        .is_none_or(|equals| line[..equals].contains(':'))
+    {
+        return Err(malformed());
+    }
     let options = ini::ParseOption {
         enabled_quote: false,
         enabled_escape: false,
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -3,7 +3,9 @@
 //! See `docs/design.md` for the modules and their interfaces.
 
 pub mod check;
+pub mod cli;
 pub mod document;
 pub mod ini;
 pub mod serve;
 pub mod settings;
+pub mod status;
--- a/crates/cumindoor/src/main.rs
+++ b/crates/cumindoor/src/main.rs
@@ -1,3 +1,7 @@
 //! The `cumindoor` command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cumindoor::cli::main()
+}
