Derive the serving options from settings and documents

Cause: the request path has types of its own for services, limits and deadlines. Change: Document::service_specs, Upstreams::sched_options and Settings::serve_options. A plain service with a once-only path is once-only as a whole until ServiceSpec knows paths. Conclusion: whoever wires `serve` needs no knowledge of the file formats.

--- a/crates/cumindoor/src/document.rs
+++ b/crates/cumindoor/src/document.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod paths;
+mod specs;
 
 use std::collections::BTreeMap;
 use std::fmt;
--- /dev/null
+++ b/crates/cumindoor/src/document/specs.rs
@@ -0,0 +1,79 @@
+//! What the serving code needs of a document.
+
+use coord::name::{Organisation, Service};
+use coord::sched::{self, SchedOptions};
+
+use super::{Class, Document, ModelService, PlainService, ServiceKeys, Upstreams};
+use crate::serve::{ServiceKind, ServiceSpec};
+
+impl Document {
+    /// Returns one entry for each service and each organisation that may call it.
+    #[must_use]
+    pub fn service_specs(&self) -> Vec<ServiceSpec> {
+        let mut specs = Vec::new();
+        let owner = std::iter::once(&self.organisation.name);
+        for organisation in owner.chain(self.callers.keys()) {
+            let callable = self.services.iter();
+            let callable = callable.filter(|(name, _)| self.allows(organisation, name));
+            specs.extend(callable.map(|(name, keys)| spec(organisation, name, keys)));
+        }
+        specs
+    }
+}
+
+fn spec(organisation: &Organisation, name: &Service, keys: &ServiceKeys) -> ServiceSpec {
+    match keys {
+        ServiceKeys::Model(keys) => model_spec(organisation, name, keys),
+        ServiceKeys::Plain(keys) => plain_spec(organisation, name, keys),
+    }
+}
+
+fn model_spec(organisation: &Organisation, name: &Service, keys: &ModelService) -> ServiceSpec {
+    ServiceSpec {
+        organisation: organisation.clone(),
+        name: name.clone(),
+        kind: ServiceKind::Model,
+        class: match keys.class {
+            Class::Interactive => sched::Class::Interactive,
+            Class::Patient => sched::Class::Patient,
+        },
+        first_token: keys.ttft_target.0,
+        token_target: keys.itl_target.0,
+        request_limit: keys.deadline.0,
+        once: keys.once,
+        open_limit: keys.open_limit.0 as usize,
+    }
+}
+
+fn plain_spec(organisation: &Organisation, name: &Service, keys: &PlainService) -> ServiceSpec {
+    ServiceSpec {
+        organisation: organisation.clone(),
+        name: name.clone(),
+        kind: ServiceKind::Plain,
+        class: sched::Class::Interactive,
+        first_token: keys.deadline.0,
+        token_target: keys.deadline.0,
+        request_limit: keys.deadline.0,
+        // The entry has no paths yet, so one once-only path protects the whole service. The
+        // other paths lose their retries, but nothing runs twice.
+        once: keys.once || !keys.once_paths.is_empty(),
+        open_limit: keys.open_limit.0 as usize,
+    }
+}
+
+impl Upstreams {
+    /// Returns the options of the scheduler of a cell of these engines.
+    #[must_use]
+    pub fn sched_options(&self) -> SchedOptions {
+        SchedOptions {
+            block_tokens: self.block.0,
+            prefill_ttl: self.prefill_ttl.0,
+            step: self.step.0,
+            prefill_rate: self.prefill_rate.0,
+            link_rate: self.link_rate.0,
+            token_bytes: self.token_bytes.0,
+            queue_limit: self.queue_limit.0 as usize,
+            ..SchedOptions::default()
+        }
+    }
+}
--- a/crates/cumindoor/src/settings.rs
+++ b/crates/cumindoor/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings of one VM.
 
+mod options;
+
 use std::fmt;
 
 use coord::name::{DataCentre, VmName};
--- /dev/null
+++ b/crates/cumindoor/src/settings/options.rs
@@ -0,0 +1,53 @@
+//! What the serving code needs of the settings.
+
+use super::Settings;
+use crate::ini::Bytes;
+use crate::serve::{HopTimes, Limits, ServeOptions};
+
+impl Settings {
+    /// Returns the options of the callers' listener and the request path.
+    #[must_use]
+    pub fn serve_options(&self) -> ServeOptions {
+        let options = ServeOptions::new(self.vm.name.clone(), self.callers.address.0);
+        ServeOptions {
+            stop_limit: self.vm.stop_limit.0,
+            limits: self.limits(),
+            times: self.hop_times(),
+            ..options
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        let callers = &self.callers;
+        Limits {
+            connections: callers.connections.0 as usize,
+            header_bytes: size(callers.head_limit),
+            headers: callers.header_limit.0 as usize,
+            header_time: callers.head_time.0,
+            body_bytes: size(callers.body_limit),
+            body_time: callers.body_time.0,
+            plain_bytes: callers.plain_body_limit.0,
+            write_stall: callers.write_stall.0,
+            ..Limits::default()
+        }
+    }
+
+    fn hop_times(&self) -> HopTimes {
+        let hops = &self.hops;
+        HopTimes {
+            connect: hops.connect.0,
+            quiet: hops.quiet.0,
+            probe: hops.probe.0,
+            stall: hops.stall.0,
+            import: hops.import.0,
+            cancel: hops.cancel.0,
+            cancel_total: hops.cancel_total.0,
+            plain: hops.plain.0,
+        }
+    }
+}
+
+/// Returns a size that has to fit into memory; its bound in the key table is far lower.
+fn size(bytes: Bytes) -> usize {
+    usize::try_from(bytes.0).unwrap_or(usize::MAX)
+}
