Add bench policy: the scheduler against fake engines in virtual time

Cause: the policy has no figures. Change: cases of both users, of the published paper and of the target; fakes with prefix caches, result eviction, limited links, lagged reports and lost events; three simple policies and a relaxed upper bound; table, JSON and SVG.

--- /dev/null
+++ b/crates/cumindoor/src/bench/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+fn short(name: &str) -> Case {
+    let case = cases(name).unwrap().swap_remove(0);
+    Case {
+        seconds: 30,
+        warm: 5,
+        ..case
+    }
+}
+
+/// Guards against figures that cannot be repeated: one seed must give one result.
+#[test]
+fn a_seed_gives_the_same_figures_twice() {
+    let case = short("celeste/110/upstream-dies");
+    let requests = arrivals::draw(&case, 7);
+
+    let first = one_run(&case, Policy::Cumindoor, 7, &requests);
+    let second = one_run(&case, Policy::Cumindoor, 7, &requests);
+
+    let json = |row: &Row| serde_json::to_string(row).unwrap();
+    assert_eq!(json(&first), json(&second));
+}
+
+/// Guards against a fault that changes the arrivals, which would make its figures incomparable.
+#[test]
+fn a_fault_does_not_change_the_arrivals() {
+    let plain = arrivals::draw(&short("souk/90"), 3);
+    let faulty = arrivals::draw(&short("souk/90/data-centre-dies"), 3);
+
+    assert_eq!(format!("{plain:?}"), format!("{faulty:?}"));
+}
+
+/// Guards against a bound that is none, and against an owner that loses requests in a take-over.
+#[test]
+fn no_policy_passes_the_bound_under_faults() {
+    for name in ["celeste/90/data-centre-dies", "souk/110/vm-dies"] {
+        let case = short(name);
+        let requests = arrivals::draw(&case, 5);
+
+        let bound = one_run(&case, Policy::Bound, 5, &requests);
+        let own = one_run(&case, Policy::Cumindoor, 5, &requests);
+
+        assert!(own.goodput_share <= bound.goodput_share, "{name}");
+        assert!(own.goodput_share > 0.5, "{name}: {}", own.goodput_share);
+    }
+}
+
+/// Guards against a mistyped case that silently runs nothing.
+#[test]
+fn an_unknown_case_is_an_error() {
+    let error = cases("celeste/95").unwrap_err();
+
+    assert!(error.to_string().contains("celeste/95"));
+}
--- /dev/null
+++ b/crates/cumindoor/src/lib.rs
@@ -0,0 +1,3 @@
+//! The router: everything between callers and upstreams. See `docs/design.md`.
+
+pub mod bench;
