--- a/crates/cumindoor/src/bench/case.rs
+++ b/crates/cumindoor/src/bench/case.rs
@@ -117,9 +117,9 @@
         if self.engines.iter().any(|(r, _)| *r == Role::Prefill) {
             return (engines / prefill).min(slots / stream);
         }
-        // A prefill delays the streams beside it: rate * stream * (1 + delay * rate) = slots.
+        // A prefill delays the streams beside it: rate * stream = slots * (1 - delay * rate).
         let delay = DISTURBANCE * prefill / engines;
-        let shared = ((1.0 + 4.0 * delay * slots / stream).sqrt() - 1.0) / (2.0 * delay);
+        let shared = slots / stream / (1.0 + delay * slots / stream);
         (engines / prefill).min(shared)
     }
 }
