Keep a preferred engine for each prefix

Cause: after its blocks were evicted, a prefix was computed wherever an engine was idle, chosen by hashing; some engines had many more prefixes than others. Change: a prefix keeps its engine; a new one goes to engines within 1.25 times the mean number of prefixes; a prompt away from its home is charged with the blocks that it evicts. The bound of closed loops lets callers run alone.

--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod estimate;
 mod fleet;
+mod homes;
 mod job;
 mod links;
 mod place;
@@ -26,6 +27,7 @@
 use self::dispatch::Isolation;
 use self::estimate::Estimates;
 use self::fleet::Fleet;
+use self::homes::Homes;
 use self::job::{Entry, Phase};
 use self::links::Links;
 use self::prefix::PrefixIndex;
@@ -60,6 +62,7 @@
     /// Slots that each class holds, in the order of [`Class`].
     in_use: [u32; 2],
     prefixes: PrefixIndex,
+    homes: Homes,
     links: Links,
     estimates: Estimates,
     budget: Budget,
@@ -90,6 +93,7 @@
             isolation: None,
             in_use: [0; 2],
             prefixes: PrefixIndex::new(options.cache_blocks),
+            homes: Homes::default(),
             links: Links::default(),
             estimates: Estimates::new(&options),
             budget: Budget::new(BudgetOptions::default(), Time::ZERO),
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -112,6 +112,7 @@
         self.dequeue(id, true);
         if let Some(entry) = self.jobs.get(&id) {
             let bytes = self.bytes(entry);
+            self.homes.used(now, &entry.job.prefix, choice.prefill);
             self.promise(bytes, choice.prefill);
         }
         self.fleet.slots[choice.prefill].prefill_started(now, id, choice.time);
--- a/crates/coord/src/sched/engines.rs
+++ b/crates/coord/src/sched/engines.rs
@@ -36,6 +36,7 @@
         self.fleet.slots[index].health = Health::Down;
         self.fleet.slots[index].foreign = 0;
         self.prefixes.clear(index);
+        self.homes.clear(index);
         let mut actions = Vec::new();
         for id in self.computing_on(index) {
             self.vacate(now, id);
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -27,6 +27,17 @@
 /// Work that earlier jobs will bring to engines for which they wait.
 pub(super) type Planned = [Duration; MAX_ENGINES];
 
+/// What is known about a prompt's prefix.
+struct Found {
+    matches: Matches,
+    /// Leading blocks that the best engine holds.
+    held: u16,
+    /// The open engine that the prefix had before.
+    home: Option<usize>,
+    /// Open engines that compute prompts.
+    engines: usize,
+}
+
 /// Where a job should run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Choice {
@@ -47,21 +58,33 @@
         self.fleet.slots.iter().any(|s| takes_prompt(s, now))
     }
 
+    fn find(&self, now: Time, prefix: &[u64]) -> Found {
+        let matches = self.prefixes.matches(prefix);
+        let open = |i: &usize| self.fleet.slots[*i].open(now);
+        let slots = self.fleet.slots.iter();
+        Found {
+            held: matches.iter().copied().max().unwrap_or(0),
+            matches,
+            home: self.homes.of(prefix).filter(open),
+            engines: slots
+                .filter(|s| s.open(now) && s.prefills_prompts())
+                .count(),
+        }
+    }
+
     /// Returns the engines on which a job should run, or `None` if none is open.
     pub(super) fn place(&self, now: Time, entry: &Entry, planned: &Planned) -> Option<Choice> {
-        let matches = self.prefixes.matches(&entry.job.prefix);
-        let held = matches.iter().copied().max().unwrap_or(0);
+        let found = self.find(now, &entry.job.prefix);
         let key = entry.job.prefix.first().copied().unwrap_or_default();
         let mut best: Option<((Duration, u64), Choice)> = None;
         for (index, slot) in self.fleet.slots.iter().enumerate() {
             if !slot.open(now) || !slot.prefills_prompts() {
                 continue;
             }
-            let choice = self.rate(entry, index, &matches);
+            let choice = self.rate(entry, index, &found.matches);
             let start =
                 slot.busy_until.since(now) + planned.get(index).copied().unwrap_or_default();
-            let copy = self.copy_penalty(index, held, &matches);
-            let score = start + choice.time + copy;
+            let score = start + choice.time + self.eviction_cost(index, &found, &choice);
             // Equal engines are told apart by rendezvous, so a new prefix finds the same engine
             // again after its blocks were evicted.
             let tie = || u64::MAX - rendezvous_score(key, slot.engine.name.as_str());
@@ -99,17 +122,22 @@
         }
     }
 
-    /// Returns the cost of a further copy of a prefix that another engine holds.
+    /// Returns what a prompt on this engine costs the prefixes of others.
     ///
-    /// The copy evicts as many blocks of other prefixes, which have to be computed again. A
-    /// cache that is not full evicts nothing.
-    fn copy_penalty(&self, index: usize, held: u16, matches: &Matches) -> Duration {
-        let own = matches.get(index).copied().unwrap_or(0);
-        let copied = u32::from(held.saturating_sub(own));
-        if copied == 0 || !self.prefixes.full(index) {
+    /// A further copy evicts as many blocks, which have to be computed again; so does a prefix
+    /// away from its home. A cache that is not full evicts nothing.
+    fn eviction_cost(&self, index: usize, found: &Found, choice: &Choice) -> Duration {
+        if !self.prefixes.full(index) {
             return Duration::ZERO;
         }
-        self.estimates.compute(copied * self.options.block_tokens)
+        let own = found.matches.get(index).copied().unwrap_or(0);
+        let copied = u32::from(found.held.saturating_sub(own));
+        let copy = self.estimates.compute(copied * self.options.block_tokens);
+        let astray = match found.home {
+            Some(home) => home != index && own == 0,
+            None => self.homes.crowded(index, found.engines),
+        };
+        if astray { copy.max(choice.time) } else { copy }
     }
 
     /// Returns the engine whose slot a prefill on `prefill` of `time` may count on.
--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -230,6 +230,7 @@
     /// Drops what is remembered longer than it is needed.
     pub(super) fn tidy(&mut self, now: Time) {
         self.ended.retain(|_, at| now.since(*at) < ENDED_MEMORY);
+        self.homes.tidy(now);
         self.dead.retain(|_, at| now.since(*at) < DEAD_MEMORY);
     }
 }
--- a/crates/cumindoor/src/bench/bound.rs
+++ b/crates/cumindoor/src/bench/bound.rs
@@ -26,11 +26,10 @@
         let own: Vec<usize> = (0..requests.len())
             .filter(|i| requests[*i].cell == cell)
             .collect();
-        let own = if let Load::Closed(_) = case.load {
-            own[..own.len().min(2_000)].to_vec()
-        } else {
-            own
-        };
+        if let Load::Closed(callers) = case.load {
+            Pool::new(case, cell).run_closed(requests, callers, &mut tracks);
+            continue;
+        }
         Pool::new(case, cell).run(requests, &own, &mut tracks);
         limit_slots(case, cell, requests, &own, &mut tracks);
     }
@@ -83,6 +82,27 @@
         self.advance(f64::MAX, requests, tracks);
     }
 
+    /// Lets each caller send its next request after its answer, as if it were alone.
+    fn run_closed(mut self, requests: &[Request], callers: usize, tracks: &mut [Track]) {
+        let mut free = vec![CALLER_HOP.as_secs_f64(); callers];
+        for (index, request) in requests.iter().enumerate() {
+            let caller = index % callers;
+            let sent = Time::from_micros((free[caller] * 1e6) as u64);
+            self.now = free[caller] + self.work(request);
+            tracks[index].sent = sent;
+            self.finish(
+                index,
+                &Request {
+                    at: sent,
+                    ..request.clone()
+                },
+                &mut tracks[index],
+            );
+            let end = tracks[index].end.unwrap_or(sent);
+            free[caller] = end.as_micros() as f64 / 1e6;
+        }
+    }
+
     fn kind(&self, request: &Request) -> &'a super::case::Kind {
         &self.case.cells[self.cell].kinds[request.kind]
     }
@@ -217,9 +237,6 @@
     own: &[usize],
     tracks: &mut [Track],
 ) {
-    if let Load::Closed(_) = case.load {
-        return;
-    }
     let seconds = |at| alive(case, cell, f64::from(at), |r| r != Role::Prefill) as f64;
     let latest = case.cells[cell]
         .kinds
--- a/crates/cumindoor/src/bench/report.rs
+++ b/crates/cumindoor/src/bench/report.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use super::arrivals::Request;
-use super::case::{Case, Kind, Load};
+use super::case::{Case, Kind};
 use super::sim::Track;
 
 /// 50th, 95th and 99th percentile in milliseconds.
@@ -108,8 +108,7 @@
     let (mut prompt, mut cached, mut used, mut wasted) = (0, 0, 0, 0);
     let (mut first, mut prefills) = (0, 0);
     for (request, track) in requests.iter().zip(tracks) {
-        let closed_bound = policy == "bound" && matches!(case.load, Load::Closed(_));
-        if !closed_bound && (track.sent < warm || track.sent > end) {
+        if track.sent < warm || track.sent > end {
             continue;
         }
         prompt += track.prompt;
@@ -118,7 +117,7 @@
         wasted += track.wasted + track.pending;
         first += u64::from(track.prefills > 0);
         prefills += u64::from(track.prefills);
-        if track.gone || track.sent == Time::ZERO && !closed_bound {
+        if track.gone {
             continue;
         }
         let kind = &case.cells[request.cell].kinds[request.kind];
