--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -10,6 +10,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+use crate::bench;
 use crate::ini::{Setting, Span};
 use crate::status;
 
@@ -46,6 +47,8 @@
                             wrong."
     )]
     Status(StatusArgs),
+    /// Measure parts of the router
+    Bench(bench::BenchArgs),
     /// Run one stand-in of an external system until SIGTERM
     #[command(hide = true)]
     Standin(standin::StandinArgs),
@@ -94,6 +97,7 @@
     let result = match Cli::parse().command {
         Command::Check(args) => return check::run(&args.files, args.print),
         Command::Status(args) => block_on(show_status(args)),
+        Command::Bench(args) => bench::run(&args),
         Command::Standin(args) => block_on(standin::run(args)),
     };
     match result {
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design.md` for the modules and their interfaces.
 
+pub mod bench;
 pub mod check;
 pub mod cli;
 pub mod document;
