--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -10,6 +10,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+use crate::bench;
 use crate::ini::{Setting, Span};
 use crate::{demo, status};
 
@@ -53,6 +54,8 @@
                             wrong."
     )]
     Status(StatusArgs),
+    /// Measure parts of the router
+    Bench(bench::BenchArgs),
     /// Run one stand-in of an external system until SIGTERM
     #[command(hide = true)]
     Standin(standin::StandinArgs),
@@ -109,6 +112,7 @@
         Command::Check(args) => return check::run(&args.files, args.print),
         Command::Demo(args) => block_on(demo::run(args.keep)),
         Command::Status(args) => block_on(show_status(args)),
+        Command::Bench(args) => bench::run(&args),
         Command::Standin(args) => block_on(standin::run(args)),
     };
     match result {
