Let a stand-in's server and its handler not keep each other alive

Cause: the handler refers to the engine's state, which refers to the server for its address and for crashes, and the server refers to the handler. Stand-ins that were dropped stayed in memory, which matters to tests that start many. Change: the state keeps a weak reference. Result: the tests of the stand-ins and the router pass; the memory was not measured.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -48,7 +48,7 @@
             })
         };
         let server = Server::spawn(port, handler).await?;
-        shared.set_server(server.clone());
+        shared.set_server(server.downgrade());
         let sampling = CancellationToken::new();
         calls::sample_first(&shared);
         let sampler = calls::sample_load(shared.clone());
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -13,7 +13,7 @@
 use super::line::Line;
 use super::options::{EngineOptions, Fault, Role};
 use super::wire::Load;
-use crate::server::{Server, lock};
+use crate::server::{WeakServer, lock};
 use crate::text;
 
 /// How long a cancelled id is remembered.
@@ -194,7 +194,7 @@
     /// Notified when a fault switch changes.
     pub changed: Notify,
     state: Mutex<State>,
-    server: OnceLock<Server>,
+    server: OnceLock<WeakServer>,
 }
 
 impl Shared {
@@ -230,7 +230,7 @@
         lock(&self.state)
     }
 
-    pub fn set_server(&self, server: Server) {
+    pub fn set_server(&self, server: WeakServer) {
         let _ = self.server.set(server);
     }
 
@@ -251,7 +251,8 @@
         }
         let shared = self.clone();
         tokio::spawn(async move {
-            let Some(server) = shared.server.get() else {
+            let server = shared.server.get().and_then(WeakServer::upgrade);
+            let Some(server) = server else {
                 return;
             };
             server.die().await;
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http::{self, Answer, Body, Closed, error_answer, json_answer};
-use crate::server::{Handler, Server, lock};
+use crate::server::{Handler, Server, WeakServer, lock};
 
 /// Key under which runs without an `Idempotency-Key` are counted.
 const NO_KEY: &str = "";
@@ -60,7 +60,7 @@
 struct Context {
     work: Duration,
     state: Arc<Mutex<State>>,
-    server: std::sync::OnceLock<Server>,
+    server: std::sync::OnceLock<WeakServer>,
 }
 
 impl Plain {
@@ -87,7 +87,7 @@
             })
         };
         let server = Server::spawn(options.port, handler).await?;
-        let _ = context.server.set(server.clone());
+        let _ = context.server.set(server.downgrade());
         Ok(Self { server, state })
     }
 
@@ -208,7 +208,7 @@
     }
     let context = context.clone();
     tokio::spawn(async move {
-        if let Some(server) = context.server.get() {
+        if let Some(server) = context.server.get().and_then(WeakServer::upgrade) {
             server.die().await;
         }
     });
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -71,6 +71,22 @@
 #[derive(Clone)]
 pub(crate) struct Server(Arc<Inner>);
 
+/// A server as its own handler refers to it, so that the two do not keep each other alive.
+pub(crate) struct WeakServer {
+    addr: SocketAddr,
+    inner: Weak<Inner>,
+}
+
+impl WeakServer {
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) fn upgrade(&self) -> Option<Server> {
+        self.inner.upgrade().map(Server)
+    }
+}
+
 impl Server {
     /// Listens on `port` of the loopback address (0: a free one).
     pub(crate) async fn spawn(port: u16, handler: Handler) -> io::Result<Self> {
@@ -101,6 +117,13 @@
         self.0.addr
     }
 
+    pub(crate) fn downgrade(&self) -> WeakServer {
+        WeakServer {
+            addr: self.0.addr,
+            inner: Arc::downgrade(&self.0),
+        }
+    }
+
     /// Closes every connection and refuses new ones until [`Self::revive`].
     pub(crate) async fn die(&self) {
         let mut life = self.0.life.lock().await;
