Rate engines in integer microseconds, once per pass over the queue

Cause: one request's four calls took 131 us at 64 engines and 42,000 waiting organisations, half of it in conversions of floating-point times. Change: open engines are surveyed once per pass; block tables use the block hashes as they are; an engine of both roles without a slot is rated by the wait for one; a tick examines 16 waiting jobs per class for expiry. Adds the criterion benchmark `decision`.

--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -18,7 +18,7 @@
 const RESUME_LIMIT: Duration = Duration::from_secs(10);
 
 /// Jobs examined for expiry in one tick; the rest follow in the next ones.
-const EXPIRY_BATCH: usize = 64;
+const EXPIRY_BATCH: usize = 16;
 
 impl Scheduler {
     /// Returns a refusal if the job's first token cannot be expected before its deadline.
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -4,8 +4,7 @@
 
 use super::Scheduler;
 use super::job::{Entry, Phase};
-use super::place::{Choice, Planned};
-use super::prefix::MAX_ENGINES;
+use super::place::{Candidates, Choice};
 use super::types::{Action, Class, JobId, Role};
 use crate::time::Time;
 
@@ -36,58 +35,60 @@
         let mut actions = self.start_ready(now);
         self.requeue_due(now);
         self.start_suspect(now, &mut actions);
-        let mut planned = [Duration::ZERO; MAX_ENGINES];
-        while self.any_prefill(now) {
-            let started = self.start_some(now, &mut planned, &mut actions);
-            if !started {
-                break;
-            }
-            planned = [Duration::ZERO; MAX_ENGINES];
-        }
+        while self.any_prefill(now) && self.start_some(now, &mut actions) {}
         actions
     }
 
     /// Looks at the first jobs in order; returns true if one of them was started.
-    fn start_some(&mut self, now: Time, planned: &mut Planned, out: &mut Vec<Action>) -> bool {
+    fn start_some(&mut self, now: Time, out: &mut Vec<Action>) -> bool {
         let mut started = false;
+        let mut surveys = [
+            self.survey(now, Class::Interactive),
+            self.survey(now, Class::Patient),
+        ];
         for id in self.candidates() {
-            let Some(choice) = self.choose(now, id, planned) else {
+            let Some((choice, slot)) = self.choose(now, id, &surveys) else {
                 continue;
             };
-            if let (true, Some(decode)) = (choice.now, choice.decode) {
+            if let Some(decode) = slot {
                 out.push(self.start(now, id, choice, decode));
                 started = true;
-                if !self.any_prefill(now) {
-                    break;
-                }
-            } else if let Some(time) = planned.get_mut(choice.prefill) {
-                *time += choice.time;
+            }
+            for engines in &mut surveys {
+                Self::plan(engines, &choice);
+            }
+            if !surveys.iter().flatten().any(super::place::Candidate::free) {
+                break;
             }
         }
         started
     }
 
-    /// Returns the engines of a waiting job, with its slot if slot and link have room.
-    fn choose(&self, now: Time, id: JobId, planned: &Planned) -> Option<Choice> {
+    /// Returns the engine of a waiting job, with its slot if engine, slot and link have room.
+    fn choose(
+        &self,
+        now: Time,
+        id: JobId,
+        surveys: &[Candidates; 2],
+    ) -> Option<(Choice, Option<usize>)> {
         let entry = self.jobs.get(&id)?;
-        let choice = self.place(now, entry, planned)?;
-        let room = choice.now && self.link_fits(entry, &choice);
         let class = entry.job.class;
+        let choice = self.place(now, entry, &surveys[class as usize])?;
+        let room = choice.free && self.link_fits(entry, &choice);
         let decode = room.then(|| self.slot_for(now, class, &choice)).flatten();
-        Some(Choice { decode, ..choice })
+        Some((choice, decode))
     }
 
     /// Returns the first waiting jobs of both classes in the order in which they may start.
     fn candidates(&self) -> Vec<JobId> {
         let [interactive, patient] = &self.queues;
-        let total = self.fleet.slots.iter().map(|s| s.engine.slots).sum::<u32>();
-        let guaranteed = (total / PATIENT_SHARE).max(1);
+        let guaranteed = (self.fleet.total_slots() / PATIENT_SHARE).max(1);
         let owed = guaranteed.saturating_sub(self.in_use[Class::Patient as usize]) as usize;
         let mut ids = patient.first(owed.min(WINDOW / 2));
-        ids.extend(interactive.first(WINDOW));
+        let ahead = ids.len();
+        ids.extend(interactive.first(WINDOW - ahead));
         let rest = patient.first(WINDOW);
-        let passed = ids.len();
-        ids.extend(rest.into_iter().skip(passed.min(owed)));
+        ids.extend(rest.into_iter().skip(ahead));
         ids.truncate(WINDOW);
         ids
     }
@@ -100,7 +101,7 @@
         if class == Class::Interactive || !recent {
             return 0;
         }
-        let total = self.fleet.slots.iter().map(|s| s.engine.slots).sum::<u32>();
+        let total = self.fleet.total_slots();
         if self.in_use[Class::Patient as usize] < (total / PATIENT_SHARE).max(1) {
             return 0;
         }
@@ -115,7 +116,11 @@
             self.homes.used(now, &entry.job.prefix, choice.prefill);
             self.promise(bytes, choice.prefill);
         }
-        self.fleet.slots[choice.prefill].prefill_started(now, id, choice.time);
+        self.fleet.slots[choice.prefill].prefill_started(
+            now,
+            id,
+            Duration::from_micros(choice.time),
+        );
         self.fleet.slots[decode].reserved += 1;
         let mut attempt = super::Attempt::default();
         if let Some(entry) = self.jobs.get_mut(&id) {
@@ -259,10 +264,9 @@
         let work = entry.job.prompt_tokens;
         Choice {
             prefill,
-            decode: None,
             work,
-            time: self.estimates.prefill(work),
-            now: true,
+            time: self.estimates.prefill_micros(work),
+            free: true,
         }
     }
 }
--- a/crates/coord/src/sched/estimate.rs
+++ b/crates/coord/src/sched/estimate.rs
@@ -8,7 +8,10 @@
 const WEIGHT: f64 = 0.02;
 
 /// Time that a prefill takes besides its tokens: messages and one step.
-const PREFILL_OVERHEAD: Duration = Duration::from_millis(5);
+const PREFILL_OVERHEAD_US: u64 = 5_000;
+
+/// Fraction bits of the time per token in microseconds.
+const FRACTION_BITS: u32 = 10;
 
 /// A stream's expected duration before the first one has ended, in steps.
 const FIRST_STREAM_STEPS: u32 = 200;
@@ -23,29 +26,44 @@
     /// Seconds that a stream holds its slot.
     stream: f64,
     rate: f64,
+    /// Microseconds per token, with [`FRACTION_BITS`] fraction bits.
+    token: u64,
     link: f64,
 }
 
 impl Estimates {
     /// Starts from the configured rates.
     pub(super) fn new(options: &SchedOptions) -> Self {
-        Self {
+        let mut new = Self {
             slowness: 1.0,
             fresh: 1.0,
             stream: (options.step * FIRST_STREAM_STEPS).as_secs_f64(),
             rate: f64::from(options.prefill_rate.max(1)),
+            token: 0,
             link: real(options.link_rate.max(1)),
-        }
+        };
+        new.set_token();
+        new
     }
 
     /// Returns how long a prefill of `work` uncached tokens takes.
     pub(super) fn prefill(&self, work: u32) -> Duration {
-        PREFILL_OVERHEAD + seconds(f64::from(work) / self.rate * self.slowness)
+        Duration::from_micros(self.prefill_micros(work))
+    }
+
+    /// Returns how long a prefill of `work` uncached tokens takes, in microseconds.
+    pub(super) fn prefill_micros(&self, work: u32) -> u64 {
+        PREFILL_OVERHEAD_US + self.micros(work)
     }
 
-    /// Returns how long the computation of `work` tokens takes without overhead.
-    pub(super) fn compute(&self, work: u32) -> Duration {
-        seconds(f64::from(work) / self.rate * self.slowness)
+    /// Returns how long the computation of `work` tokens takes without overhead, in microseconds.
+    pub(super) fn micros(&self, work: u32) -> u64 {
+        (u64::from(work) * self.token) >> FRACTION_BITS
+    }
+
+    /// Returns the microseconds until one of `streams` streams has ended.
+    pub(super) fn next_slot(&self, streams: u32) -> u64 {
+        u64::from(whole(self.stream * 1e6 / f64::from(streams.max(1))))
     }
 
     /// Returns how long `bytes` take on an empty link.
@@ -75,12 +93,19 @@
 
     /// Learns from a finished prefill of `work` tokens out of `prompt`.
     pub(super) fn prefilled(&mut self, prompt: u32, work: u32, took: Duration) {
-        let nominal = PREFILL_OVERHEAD.as_secs_f64() + f64::from(work) / self.rate;
+        let nominal = real(PREFILL_OVERHEAD_US) / 1e6 + f64::from(work) / self.rate;
         let ratio = (took.as_secs_f64() / nominal).clamp(0.2, 5.0);
         average(&mut self.slowness, ratio);
+        self.set_token();
         average(&mut self.fresh, f64::from(work) / f64::from(prompt.max(1)));
     }
 
+    /// Derives the time per token from the averages.
+    fn set_token(&mut self) {
+        let micros = 1e6 / self.rate * self.slowness;
+        self.token = u64::from(whole(micros * f64::from(1 << FRACTION_BITS)));
+    }
+
     /// Learns from a finished stream.
     pub(super) fn streamed(&mut self, took: Duration) {
         average(&mut self.stream, took.as_secs_f64().max(0.001));
--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -190,6 +190,12 @@
         self.names.get(name).copied()
     }
 
+    /// Returns the decode slots of all engines that are not down.
+    pub(super) fn total_slots(&self) -> u32 {
+        let there = self.slots.iter().filter(|s| s.health != Health::Down);
+        there.map(|s| s.engine.slots).sum()
+    }
+
     /// Returns an engine's name.
     pub(super) fn name(&self, index: usize) -> Upstream {
         self.slots[index].engine.name.clone()
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -9,7 +9,7 @@
 use super::Scheduler;
 use super::fleet::Slot;
 use super::job::Entry;
-use super::prefix::{MAX_ENGINES, Matches};
+use super::prefix::Matches;
 use super::types::{Class, Role};
 use crate::hash::rendezvous_score;
 use crate::time::Time;
@@ -24,8 +24,30 @@
 /// Share of the time until eviction that a finished prefill may wait for a decode slot.
 const READY_SHARE: f64 = 0.4;
 
-/// Work that earlier jobs will bring to engines for which they wait.
-pub(super) type Planned = [Duration; MAX_ENGINES];
+/// Open prefill engines as they look during one pass over the queue.
+///
+/// Times are in microseconds: a pass rates every engine for several jobs, and integer arithmetic
+/// keeps it within the time limit of a decision.
+pub(super) type Candidates = Vec<Candidate>;
+
+/// One open prefill engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    index: usize,
+    /// Time until its prefills end, work that earlier jobs will bring included.
+    wait: u64,
+    /// True if it takes a prompt now and no earlier job waits for it.
+    free: bool,
+    /// True if a new block evicts another one.
+    full: bool,
+}
+
+impl Candidate {
+    /// Returns true if the engine takes a prompt now.
+    pub(super) fn free(&self) -> bool {
+        self.free
+    }
+}
 
 /// What is known about a prompt's prefix.
 struct Found {
@@ -42,14 +64,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Choice {
     pub(super) prefill: usize,
-    /// The engine whose slot is reserved; `None` while no slot is expected.
-    pub(super) decode: Option<usize>,
     /// Prompt tokens that are not cached there.
     pub(super) work: u32,
-    /// Expected duration of the prefill.
-    pub(super) time: Duration,
-    /// True if the prefill may start now.
-    pub(super) now: bool,
+    /// Expected duration of the prefill in microseconds.
+    pub(super) time: u64,
+    /// True if the engine takes the prompt now.
+    pub(super) free: bool,
 }
 
 impl Scheduler {
@@ -58,67 +78,85 @@
         self.fleet.slots.iter().any(|s| takes_prompt(s, now))
     }
 
-    fn find(&self, now: Time, prefix: &[u64]) -> Found {
+    /// Returns the open prefill engines.
+    pub(super) fn survey(&self, now: Time, class: Class) -> Candidates {
+        let reserve = self.reserve(now, class);
+        let slots = self.fleet.slots.iter().enumerate();
+        let open = slots.filter(|(_, s)| s.prefills_prompts() && s.open(now));
+        let candidate = |(index, slot): (usize, &Slot)| {
+            // An engine of both roles must have a slot itself.
+            let blocked = slot.engine.role == Role::Both && slot.free() <= reserve;
+            let busy = slot.busy_until.as_micros().saturating_sub(now.as_micros());
+            Candidate {
+                index,
+                wait: busy
+                    + if blocked {
+                        self.estimates.next_slot(slot.used)
+                    } else {
+                        0
+                    },
+                free: takes_prompt(slot, now) && !blocked,
+                full: self.prefixes.full(index),
+            }
+        };
+        open.map(candidate).collect()
+    }
+
+    /// Lets later jobs see that an earlier one waits for its engine.
+    pub(super) fn plan(engines: &mut Candidates, choice: &Choice) {
+        if let Some(engine) = engines.iter_mut().find(|e| e.index == choice.prefill) {
+            engine.wait += choice.time;
+            engine.free = false;
+        }
+    }
+
+    fn find(&self, now: Time, prefix: &[u64], engines: usize) -> Found {
         let matches = self.prefixes.matches(prefix);
         let open = |i: &usize| self.fleet.slots[*i].open(now);
-        let slots = self.fleet.slots.iter();
         Found {
             held: matches.iter().copied().max().unwrap_or(0),
             matches,
             home: self.homes.of(prefix).filter(open),
-            engines: slots
-                .filter(|s| s.open(now) && s.prefills_prompts())
-                .count(),
+            engines,
         }
     }
 
-    /// Returns the engines on which a job should run, or `None` if none is open.
-    pub(super) fn place(&self, now: Time, entry: &Entry, planned: &Planned) -> Option<Choice> {
-        let found = self.find(now, &entry.job.prefix);
-        let key = entry.job.prefix.first().copied().unwrap_or_default();
-        let mut best: Option<((Duration, u64), Choice)> = None;
-        for (index, slot) in self.fleet.slots.iter().enumerate() {
-            if !slot.open(now) || !slot.prefills_prompts() {
-                continue;
-            }
-            let choice = self.rate(entry, index, &found.matches);
-            let start =
-                slot.busy_until.since(now) + planned.get(index).copied().unwrap_or_default();
-            let score = start + choice.time + self.eviction_cost(index, &found, &choice);
-            // Equal engines are told apart by rendezvous, so a new prefix finds the same engine
-            // again after its blocks were evicted.
-            let tie = || u64::MAX - rendezvous_score(key, slot.engine.name.as_str());
+    /// Returns the engine on which a job should run, or `None` if none is open.
+    pub(super) fn place(&self, now: Time, entry: &Entry, engines: &Candidates) -> Option<Choice> {
+        let found = self.find(now, &entry.job.prefix, engines.len());
+        let mut best: Option<(u64, Choice)> = None;
+        for engine in engines {
+            let choice = self.rate(entry, engine, &found);
+            let score = engine.wait + choice.time + self.eviction_cost(engine, &found, &choice);
             let better = match &best {
                 None => true,
-                Some(((least, _), _)) if score != *least => score < *least,
-                Some(((_, least), _)) => tie() < *least,
+                Some((least, _)) if score != *least => score < *least,
+                Some((_, other)) => self.preferred(entry, choice.prefill, other.prefill),
             };
             if better {
-                let now_free =
-                    takes_prompt(slot, now) && planned[index.min(MAX_ENGINES - 1)].is_zero();
-                best = Some((
-                    (score, tie()),
-                    Choice {
-                        now: now_free,
-                        ..choice
-                    },
-                ));
+                best = Some((score, choice));
             }
         }
         best.map(|(_, choice)| choice)
     }
 
-    /// Returns what a job costs on one engine, and the slot that it would use.
-    fn rate(&self, entry: &Entry, index: usize, matches: &Matches) -> Choice {
-        let blocks = u32::from(matches.get(index).copied().unwrap_or(0));
+    /// Tells equal engines apart by rendezvous, so that a new prefix finds the same one again.
+    fn preferred(&self, entry: &Entry, one: usize, other: usize) -> bool {
+        let key = entry.job.prefix.first().copied().unwrap_or_default();
+        let name = |i: usize| self.fleet.slots[i].engine.name.as_str();
+        rendezvous_score(key, name(one)) > rendezvous_score(key, name(other))
+    }
+
+    /// Returns what a job costs on one engine.
+    fn rate(&self, entry: &Entry, engine: &Candidate, found: &Found) -> Choice {
+        let blocks = u32::from(found.own(engine.index));
         let cached = blocks * self.options.block_tokens;
         let work = entry.job.prompt_tokens.saturating_sub(cached);
         Choice {
-            prefill: index,
-            decode: None,
+            prefill: engine.index,
             work,
-            time: self.estimates.prefill(work),
-            now: false,
+            time: self.estimates.prefill_micros(work),
+            free: engine.free,
         }
     }
 
@@ -126,16 +164,16 @@
     ///
     /// A further copy evicts as many blocks, which have to be computed again; so does a prefix
     /// away from its home. A cache that is not full evicts nothing.
-    fn eviction_cost(&self, index: usize, found: &Found, choice: &Choice) -> Duration {
-        if !self.prefixes.full(index) {
-            return Duration::ZERO;
+    fn eviction_cost(&self, engine: &Candidate, found: &Found, choice: &Choice) -> u64 {
+        if !engine.full {
+            return 0;
         }
-        let own = found.matches.get(index).copied().unwrap_or(0);
+        let own = found.own(engine.index);
         let copied = u32::from(found.held.saturating_sub(own));
-        let copy = self.estimates.compute(copied * self.options.block_tokens);
+        let copy = self.estimates.micros(copied * self.options.block_tokens);
         let astray = match found.home {
-            Some(home) => home != index && own == 0,
-            None => self.homes.crowded(index, found.engines),
+            Some(home) => home != engine.index && own == 0,
+            None => self.homes.crowded(engine.index, found.engines),
         };
         if astray { copy.max(choice.time) } else { copy }
     }
@@ -144,7 +182,7 @@
     pub(super) fn slot_for(&self, now: Time, class: Class, choice: &Choice) -> Option<usize> {
         let source = &self.fleet.slots[choice.prefill];
         if source.engine.role == Role::Both {
-            return (source.free() > self.reserve(now, class)).then_some(choice.prefill);
+            return Some(choice.prefill);
         }
         let open = || {
             self.fleet
@@ -158,7 +196,8 @@
             .map(|(_, s)| s.used + s.reserved + s.foreign)
             .sum::<u32>();
         let streams = open().map(|(_, s)| s.used).sum::<u32>();
-        let horizon = choice.time + self.options.prefill_ttl.mul_f64(READY_SHARE);
+        let horizon =
+            Duration::from_micros(choice.time) + self.options.prefill_ttl.mul_f64(READY_SHARE);
         let freed = self.estimates.freed(streams, horizon);
         let fits = taken + self.reserve(now, class) < total + freed;
         let emptiest =
@@ -195,6 +234,13 @@
     }
 }
 
+impl Found {
+    /// Returns the leading blocks that an engine holds.
+    fn own(&self, engine: usize) -> u16 {
+        self.matches.get(engine).copied().unwrap_or(0)
+    }
+}
+
 /// Returns true if the engine takes a prompt now.
 fn takes_prompt(slot: &Slot, now: Time) -> bool {
     let soon = slot.busy_until <= now + LOOKAHEAD;
--- a/crates/coord/src/sched/prefix.rs
+++ b/crates/coord/src/sched/prefix.rs
@@ -5,8 +5,10 @@
 //! each prefill reports. The last source repairs the belief when events are late or lost.
 
 use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
 
+use crate::hash::hash64;
 use crate::time::Time;
 
 /// Engines that the index can tell apart: one bit of a mask each.
@@ -18,9 +20,29 @@
 /// An eviction event for a block that was used later than this ago is ignored as late.
 const EVENT_LAG: Duration = Duration::from_secs(2);
 
+/// Blocks are named by hashes already, so the tables use them as they are.
+#[derive(Debug, Default)]
+struct Plain(u64);
+
+impl Hasher for Plain {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = hash64(bytes);
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = value;
+    }
+}
+
+type Table<V> = HashMap<u64, V, BuildHasherDefault<Plain>>;
+
 #[derive(Debug, Default)]
 struct Mirror {
-    blocks: HashMap<u64, (u64, Time)>,
+    blocks: Table<(u64, Time)>,
     order: BTreeMap<u64, u64>,
     seq: u64,
 }
@@ -28,7 +50,7 @@
 /// The believed contents of all engines' caches.
 #[derive(Debug, Default)]
 pub(super) struct PrefixIndex {
-    holders: HashMap<u64, u64>,
+    holders: Table<u64>,
     mirrors: Vec<Mirror>,
     limit: usize,
 }
--- /dev/null
+++ b/crates/cumindoor/benches/decision.rs
@@ -0,0 +1,144 @@
+//! Time of one scheduling decision at 64 engines and 42,000 organisations with waiting work.
+//!
+//! The target is 20 µs for one decision (`docs/design.md`, section 2).
+
+use std::collections::VecDeque;
+use std::hint::black_box;
+use std::time::Duration;
+
+use coord::hash::hash64;
+use coord::name::VmName;
+use coord::sched::{
+    Action, Attempt, Class, Engine, Job, JobId, Prefilled, Role, SchedOptions, Scheduler,
+};
+use coord::time::Time;
+use criterion::{Criterion, criterion_group, criterion_main};
+
+const ORGANISATIONS: u64 = 42_000;
+const ENGINES: usize = 64;
+const PROMPT_TOKENS: u32 = 16_000;
+
+/// Time between two decisions.
+const STEP: Duration = Duration::from_micros(500);
+
+/// A cell under full load, with engines that answer at once.
+struct Cell {
+    sched: Scheduler,
+    now: Time,
+    next: u64,
+    prefills: VecDeque<(JobId, Attempt)>,
+    streams: VecDeque<(JobId, Attempt)>,
+}
+
+impl Cell {
+    fn new() -> Self {
+        let options = SchedOptions {
+            queue_limit: 1_000_000,
+            cache_blocks: 600,
+            link_rate: 1_000_000_000_000,
+            ..SchedOptions::default()
+        };
+        let mut sched = Scheduler::new(options, 1);
+        for index in 0..ENGINES {
+            let prefill = index % 2 == 0;
+            let engine = Engine {
+                name: format!("engine-{index}").into(),
+                data_centre: format!("dc-{}", index % 8).into(),
+                role: if prefill { Role::Prefill } else { Role::Decode },
+                slots: if prefill { 0 } else { 20 },
+            };
+            sched.engine_up(Time::ZERO, engine);
+        }
+        let mut cell = Self {
+            sched,
+            now: Time::ZERO,
+            next: 0,
+            prefills: VecDeque::new(),
+            streams: VecDeque::new(),
+        };
+        for _ in 0..ORGANISATIONS {
+            cell.submit();
+        }
+        cell
+    }
+
+    fn submit(&mut self) {
+        let vm: VmName = "vm-1".into();
+        let number = self.next;
+        self.next += 1;
+        let block = |i: u64| {
+            let group = if i < 8 { number % 200 } else { number };
+            hash64(&[group.to_le_bytes(), i.to_le_bytes()].concat())
+        };
+        let job = Job {
+            id: JobId::new(&vm, u128::from(number)),
+            vm,
+            organisation: format!("org-{}", number % ORGANISATIONS).into(),
+            service: "svc".into(),
+            class: [Class::Interactive, Class::Patient][(number % 2) as usize],
+            deadline: self.now + Duration::from_hours(24),
+            token_target: Duration::from_millis(26),
+            prompt_tokens: PROMPT_TOKENS,
+            max_tokens: 500,
+            prefix: (0..16).map(block).collect(),
+            fingerprint: u128::from(number),
+            once: false,
+            offset: 0,
+            suspect: false,
+        };
+        let actions = self.sched.submit(self.now, job);
+        self.note(actions);
+    }
+
+    fn note(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::StartPrefill { id, attempt, .. } => self.prefills.push_back((id, attempt)),
+                Action::StartDecode { id, attempt, .. } => self.streams.push_back((id, attempt)),
+                Action::Refuse { .. } | Action::Cancel { .. } => {}
+            }
+        }
+    }
+
+    /// One request's way through the scheduler: four calls, two of which start work.
+    fn request(&mut self) {
+        self.now = self.now + STEP;
+        self.submit();
+        if let Some((id, attempt)) = self.prefills.pop_front() {
+            let done = Prefilled {
+                prompt_tokens: PROMPT_TOKENS,
+                cached_tokens: 8_000,
+            };
+            let actions = self.sched.prefill_done(self.now, id, attempt, done);
+            self.note(actions);
+        }
+        if let Some((id, attempt)) = self.streams.pop_front() {
+            let actions = self.sched.decode_started(self.now, id, attempt);
+            self.note(actions);
+            let actions = self.sched.finished(self.now, id, attempt);
+            self.note(actions);
+        }
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut cell = Cell::new();
+    for _ in 0..10_000 {
+        cell.request();
+    }
+    criterion.bench_function(
+        "request: submit, prefill_done, decode_started, finished",
+        |b| {
+            b.iter(|| cell.request());
+        },
+    );
+    criterion.bench_function("tick", |b| {
+        b.iter(|| {
+            let actions = cell.sched.tick(cell.now);
+            cell.note(black_box(actions));
+        });
+    });
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
