Number organisations in the queue and survey engines once for both classes

Cause: ordered sets of names compared strings, and a tick went through all ids that had ended in the last 5 s. Change: an organisation with waiting jobs or a debt has a number; ended ids are dropped from the front of a queue; one survey holds both classes' slot waits.

--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -19,7 +19,7 @@
 mod results;
 mod types;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -71,7 +71,9 @@
     /// When interactive work was last submitted; its reserve is kept for a while after that.
     interactive_at: Option<Time>,
     /// Jobs that ended lately: a lagged load report may still name them.
-    ended: BTreeMap<JobId, Time>,
+    ended: BTreeSet<JobId>,
+    /// The same ids in the order of their ends.
+    ended_at: VecDeque<(Time, JobId)>,
     /// Tags of VMs that died; their unknown jobs are cancelled where reports show them.
     dead: BTreeMap<u32, Time>,
     /// Until then a new owner takes no unreported engine for empty.
@@ -100,7 +102,8 @@
             backoff: Backoff::default(),
             retries: 0,
             interactive_at: None,
-            ended: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            ended_at: VecDeque::new(),
             dead: BTreeMap::new(),
             confirm_until: Time::ZERO,
             options,
@@ -193,7 +196,8 @@
         }
         let known = self.jobs.remove(&id).is_some();
         if known {
-            self.ended.insert(id, now);
+            self.ended.insert(id);
+            self.ended_at.push_back((now, id));
         }
         known
     }
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -42,22 +42,17 @@
     /// Looks at the first jobs in order; returns true if one of them was started.
     fn start_some(&mut self, now: Time, out: &mut Vec<Action>) -> bool {
         let mut started = false;
-        let mut surveys = [
-            self.survey(now, Class::Interactive),
-            self.survey(now, Class::Patient),
-        ];
+        let mut engines = self.survey(now);
         for id in self.candidates() {
-            let Some((choice, slot)) = self.choose(now, id, &surveys) else {
+            let Some((choice, slot)) = self.choose(now, id, &engines) else {
                 continue;
             };
             if let Some(decode) = slot {
                 out.push(self.start(now, id, choice, decode));
                 started = true;
             }
-            for engines in &mut surveys {
-                Self::plan(engines, &choice);
-            }
-            if !surveys.iter().flatten().any(super::place::Candidate::free) {
+            Self::plan(&mut engines, &choice);
+            if !engines.iter().any(super::place::Candidate::free) {
                 break;
             }
         }
@@ -69,11 +64,11 @@
         &self,
         now: Time,
         id: JobId,
-        surveys: &[Candidates; 2],
+        engines: &Candidates,
     ) -> Option<(Choice, Option<usize>)> {
         let entry = self.jobs.get(&id)?;
         let class = entry.job.class;
-        let choice = self.place(now, entry, &surveys[class as usize])?;
+        let choice = self.place(now, entry, engines)?;
         let room = choice.free && self.link_fits(entry, &choice);
         let decode = room.then(|| self.slot_for(now, class, &choice)).flatten();
         Some((choice, decode))
--- a/crates/coord/src/sched/engines.rs
+++ b/crates/coord/src/sched/engines.rs
@@ -69,7 +69,7 @@
         let Some(index) = self.fleet.index(name) else {
             return Vec::new();
         };
-        let unknown = |id: &&JobId| !self.jobs.contains_key(id) && !self.ended.contains_key(id);
+        let unknown = |id: &&JobId| !self.jobs.contains_key(id) && !self.ended.contains(id);
         let foreign: Vec<JobId> = report.held.iter().filter(unknown).copied().collect();
         let dead = foreign
             .iter()
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -36,6 +36,8 @@
     index: usize,
     /// Time until its prefills end, work that earlier jobs will bring included.
     wait: u64,
+    /// Time until a slot is free for a job of each class; 0 unless its prompts stay there.
+    slot: [u64; 2],
     /// True if it takes a prompt now and no earlier job waits for it.
     free: bool,
     /// True if a new block evicts another one.
@@ -79,23 +81,27 @@
     }
 
     /// Returns the open prefill engines.
-    pub(super) fn survey(&self, now: Time, class: Class) -> Candidates {
-        let reserve = self.reserve(now, class);
+    pub(super) fn survey(&self, now: Time) -> Candidates {
+        let reserve = [Class::Interactive, Class::Patient].map(|c| self.reserve(now, c));
         let slots = self.fleet.slots.iter().enumerate();
         let open = slots.filter(|(_, s)| s.prefills_prompts() && s.open(now));
         let candidate = |(index, slot): (usize, &Slot)| {
             // An engine of both roles must have a slot itself.
-            let blocked = slot.engine.role == Role::Both && slot.free() <= reserve;
+            let both = slot.engine.role == Role::Both;
+            let blocked = |reserve: u32| both && slot.free() <= reserve;
+            let next = |reserve| {
+                if blocked(reserve) {
+                    self.estimates.next_slot(slot.used)
+                } else {
+                    0
+                }
+            };
             let busy = slot.busy_until.as_micros().saturating_sub(now.as_micros());
             Candidate {
                 index,
-                wait: busy
-                    + if blocked {
-                        self.estimates.next_slot(slot.used)
-                    } else {
-                        0
-                    },
-                free: takes_prompt(slot, now) && !blocked,
+                wait: busy,
+                slot: reserve.map(next),
+                free: takes_prompt(slot, now),
                 full: self.prefixes.full(index),
             }
         };
@@ -125,9 +131,13 @@
     pub(super) fn place(&self, now: Time, entry: &Entry, engines: &Candidates) -> Option<Choice> {
         let found = self.find(now, &entry.job.prefix, engines.len());
         let mut best: Option<(u64, Choice)> = None;
+        let class = entry.job.class as usize;
         for engine in engines {
             let choice = self.rate(entry, engine, &found);
-            let score = engine.wait + choice.time + self.eviction_cost(engine, &found, &choice);
+            let score = engine.wait
+                + engine.slot[class]
+                + choice.time
+                + self.eviction_cost(engine, &found, &choice);
             let better = match &best {
                 None => true,
                 Some((least, _)) if score != *least => score < *least,
@@ -156,7 +166,7 @@
             prefill: engine.index,
             work,
             time: self.estimates.prefill_micros(work),
-            free: engine.free,
+            free: engine.free && engine.slot[entry.job.class as usize] == 0,
         }
     }
 
--- a/crates/coord/src/sched/queue.rs
+++ b/crates/coord/src/sched/queue.rs
@@ -6,7 +6,7 @@
 //! first job, so without overload the whole class runs in deadline order. Rounds in which no
 //! organisation has a turn are skipped, so an operation costs O(log n) organisations.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::estimate::real;
 use super::types::{Job, JobId};
@@ -22,6 +22,7 @@
 /// What is kept for an organisation that waits or owes tokens.
 #[derive(Debug, Default)]
 struct Account {
+    name: Option<Organisation>,
     waiting: BTreeMap<(Time, JobId), u32>,
     /// The round of the next turn.
     round: u64,
@@ -37,14 +38,61 @@
     }
 }
 
+/// Numbers of the organisations that have an account, so that the ordered sets hold numbers
+/// and compare no names.
+#[derive(Debug, Default)]
+struct Accounts {
+    numbers: HashMap<Organisation, u32>,
+    list: Vec<Account>,
+    free: Vec<u32>,
+}
+
+impl Accounts {
+    fn number(&self, name: &Organisation) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    fn get(&self, number: u32) -> &Account {
+        &self.list[number as usize]
+    }
+
+    fn get_mut(&mut self, number: u32) -> &mut Account {
+        &mut self.list[number as usize]
+    }
+
+    /// Returns the number of an organisation, which gets an account if it has none.
+    fn open(&mut self, name: &Organisation) -> u32 {
+        if let Some(number) = self.number(name) {
+            return number;
+        }
+        let number = self.free.pop().unwrap_or_else(|| {
+            self.list.push(Account::default());
+            u32::try_from(self.list.len() - 1).unwrap_or(u32::MAX)
+        });
+        *self.get_mut(number) = Account {
+            name: Some(name.clone()),
+            ..Account::default()
+        };
+        self.numbers.insert(name.clone(), number);
+        number
+    }
+
+    fn close(&mut self, number: u32) {
+        if let Some(name) = self.get_mut(number).name.take() {
+            self.numbers.remove(&name);
+            self.free.push(number);
+        }
+    }
+}
+
 /// The queue of one class.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    accounts: BTreeMap<Organisation, Account>,
+    accounts: Accounts,
     /// One entry for each organisation with waiting jobs.
-    turns: BTreeSet<(u64, Time, Organisation)>,
+    turns: BTreeSet<(u64, Time, u32)>,
     /// Organisations without waiting jobs that owe tokens.
-    owing: BTreeSet<(u64, Organisation)>,
+    owing: BTreeSet<(u64, u32)>,
     /// All waiting jobs by deadline.
     due: BTreeSet<(Time, JobId)>,
     len: usize,
@@ -77,17 +125,18 @@
     ///
     /// At most an equal share of the other organisations' work runs before it.
     pub(super) fn tokens_ahead(&self, organisation: &Organisation, cost: u32) -> u64 {
-        let own = self.accounts.get(organisation).map_or(0, |a| a.tokens);
+        let number = self.accounts.number(organisation);
+        let own = number.map_or(0, |n| self.accounts.get(n).tokens);
         let share = (own + u64::from(cost)).saturating_mul(self.turns.len() as u64 + 1);
         self.tokens.min(share.max(own))
     }
 
     /// Adds a job.
     pub(super) fn push(&mut self, job: &Job, deadline: Time, cost: u32) {
-        let name = &job.organisation;
-        self.unlist(name);
+        let number = self.accounts.open(&job.organisation);
+        self.unlist(number);
         let round = self.round;
-        let account = self.accounts.entry(name.clone()).or_default();
+        let account = self.accounts.get_mut(number);
         if account.round < round {
             account.round = round;
             account.balance = 0;
@@ -101,7 +150,7 @@
             self.len += 1;
             self.due.insert((deadline, job.id));
         }
-        self.list(name);
+        self.list(number);
     }
 
     /// Removes a job without a charge; returns false if it did not wait.
@@ -115,49 +164,47 @@
     }
 
     fn take(&mut self, name: &Organisation, deadline: Time, id: JobId, charge: bool) -> bool {
-        self.unlist(name);
-        let Some(account) = self.accounts.get_mut(name) else {
+        if !self.due.remove(&(deadline, id)) {
+            return false;
+        }
+        let Some(number) = self.accounts.number(name) else {
             return false;
         };
-        let cost = account.waiting.remove(&(deadline, id));
-        if let Some(cost) = cost {
+        self.unlist(number);
+        let account = self.accounts.get_mut(number);
+        if let Some(cost) = account.waiting.remove(&(deadline, id)) {
             account.tokens -= u64::from(cost);
             self.tokens -= u64::from(cost);
             self.len -= 1;
-            self.due.remove(&(deadline, id));
             if charge {
                 spend(account, cost);
             }
         }
-        self.list(name);
+        self.list(number);
         self.advance();
-        cost.is_some()
+        true
     }
 
     /// Returns up to `limit` waiting jobs in the order in which they should start.
     pub(super) fn first(&self, limit: usize) -> Vec<JobId> {
-        let accounts = self.turns.iter().filter_map(|t| self.accounts.get(&t.2));
+        let accounts = self.turns.iter().map(|t| self.accounts.get(t.2));
         let jobs = accounts.flat_map(|a| a.waiting.keys().take(limit));
         jobs.take(limit).map(|(_, id)| *id).collect()
     }
 
-    fn unlist(&mut self, name: &Organisation) {
-        let Some(account) = self.accounts.get(name) else {
-            return;
-        };
+    fn unlist(&mut self, number: u32) {
+        let account = self.accounts.get(number);
         match account.first() {
-            Some(first) => self.turns.remove(&(account.round, first, name.clone())),
-            None => self.owing.remove(&(account.round, name.clone())),
+            Some(first) => self.turns.remove(&(account.round, first, number)),
+            None => self.owing.remove(&(account.round, number)),
         };
     }
 
-    fn list(&mut self, name: &Organisation) {
-        let Some(account) = self.accounts.get(name) else {
-            return;
-        };
+    fn list(&mut self, number: u32) {
+        let account = self.accounts.get(number);
         match account.first() {
-            Some(first) => self.turns.insert((account.round, first, name.clone())),
-            None => self.owing.insert((account.round, name.clone())),
+            Some(first) => self.turns.insert((account.round, first, number)),
+            None => self.owing.insert((account.round, number)),
         };
     }
 
@@ -167,11 +214,11 @@
             Some((round, ..)) => self.round = self.round.max(*round),
             None => self.round += 1,
         }
-        while let Some((round, name)) = self.owing.first() {
-            if !self.turns.is_empty() && *round > self.round {
+        while let Some((round, number)) = self.owing.first().copied() {
+            if !self.turns.is_empty() && round > self.round {
                 break;
             }
-            self.accounts.remove(name);
+            self.accounts.close(number);
             self.owing.pop_first();
         }
     }
--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -229,7 +229,13 @@
 
     /// Drops what is remembered longer than it is needed.
     pub(super) fn tidy(&mut self, now: Time) {
-        self.ended.retain(|_, at| now.since(*at) < ENDED_MEMORY);
+        while let Some((at, id)) = self.ended_at.front().copied() {
+            if now.since(at) < ENDED_MEMORY {
+                break;
+            }
+            self.ended.remove(&id);
+            self.ended_at.pop_front();
+        }
         self.homes.tidy(now);
         self.dead.retain(|_, at| now.since(*at) < DEAD_MEMORY);
     }
