Cover failures, take-over and isolation; avoid overdue engines

Cause: three faults found by the new tests: an engine whose prefill is overdue was rated as idle and drew every new prompt, a short closure of all engines made interactive jobs fail as "no upstream", and a new owner counted the whole lease time as waiting time. Change: an overdue prefill is expected to take as long again; only the published state decides about "no upstream"; unconfirmed engines count as open soon.

--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -6,6 +6,7 @@
 
 use super::Scheduler;
 use super::estimate::real;
+use super::fleet::Slot;
 use super::job::{Entry, Phase};
 use super::types::{Action, Class, Failure, JobId, Reason};
 use crate::time::Time;
@@ -33,13 +34,8 @@
             return Some(self.refusal(id, Reason::QueueFull, Some(wait)));
         }
         let patient = entry.job.class == Class::Patient;
-        if !patient
-            && !self
-                .fleet
-                .slots
-                .iter()
-                .any(|s| s.prefills_prompts() && s.open(now))
-        {
+        let there = |s: &Slot| s.prefills_prompts() && s.live();
+        if !patient && !self.fleet.slots.iter().any(there) {
             return Some(self.refusal(id, Reason::NoUpstream, Some(RESUME_LIMIT)));
         }
         let first = now + self.wait(now, entry) + entry.least;
@@ -72,16 +68,13 @@
             tokens += other.tokens();
             jobs += real(other.len() as u64);
         }
-        let open = || self.fleet.slots.iter().filter(|s| s.open(now));
-        let engines = open().filter(|s| s.prefills_prompts()).count();
-        let slots = open()
+        let live = || self.fleet.slots.iter().filter(|s| s.live());
+        let engines = live().filter(|s| s.prefills_prompts()).count();
+        let slots = live()
             .filter(|s| s.decodes())
             .map(|s| s.engine.slots)
             .sum::<u32>();
-        let free = open()
-            .filter(|s| s.decodes())
-            .map(super::fleet::Slot::free)
-            .sum::<u32>();
+        let free = live().filter(|s| s.decodes()).map(Slot::free).sum::<u32>();
         let for_prefill = self.estimates.backlog(tokens, engines) + self.soonest(now);
         let for_slot = self
             .estimates
@@ -89,16 +82,14 @@
         for_prefill.max(for_slot)
     }
 
-    /// Returns the time until the first prefill engine is expected to be idle.
+    /// Returns the time until the first prefill engine is expected to be open and idle.
     fn soonest(&self, now: Time) -> Duration {
-        let open = self
-            .fleet
-            .slots
-            .iter()
-            .filter(|s| s.open(now) && s.prefills_prompts());
-        open.map(|s| s.busy_until.since(now))
-            .min()
-            .unwrap_or_default()
+        let slots = self.fleet.slots.iter();
+        let live = slots.filter(|s| s.live() && s.prefills_prompts());
+        // An unconfirmed engine of a new owner opens with its first report, which is soon.
+        let closed = |s: &Slot| if s.failures > 0 { s.closed_until } else { now };
+        let wait = |s: &Slot| s.busy(now).max(closed(s).since(now));
+        live.map(wait).min().unwrap_or_default()
     }
 
     /// Refuses waiting jobs whose deadline can no longer be met.
--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -79,6 +79,17 @@
         self.used == 0 && self.reserved == 0 && self.prefills.is_empty()
     }
 
+    /// Returns the expected time until the started prefills end.
+    ///
+    /// An overdue prefill is expected to take as long again, so that a stuck engine is avoided
+    /// more and more.
+    pub(super) fn busy(&self, now: Time) -> Duration {
+        if self.prefills.is_empty() {
+            return Duration::ZERO;
+        }
+        self.busy_until.since(now) + now.since(self.busy_until)
+    }
+
     /// Adds a prefill that is expected to take `time`.
     pub(super) fn prefill_started(&mut self, now: Time, id: JobId, time: Duration) {
         self.busy_until = self.busy_until.max(now) + time;
@@ -103,6 +114,11 @@
         self.closed_until = self.closed_until.max(now + pause);
     }
 
+    /// Returns true if the engine takes new work, now or after a closure.
+    pub(super) fn live(&self) -> bool {
+        self.health == Health::Live
+    }
+
     /// Returns true if new work may be placed here.
     pub(super) fn open(&self, now: Time) -> bool {
         self.health == Health::Live && self.closed_until <= now && !self.isolated
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -96,10 +96,9 @@
                     0
                 }
             };
-            let busy = slot.busy_until.as_micros().saturating_sub(now.as_micros());
             Candidate {
                 index,
-                wait: busy,
+                wait: micros(slot.busy(now)),
                 slot: reserve.map(next),
                 free: takes_prompt(slot, now),
                 full: self.prefixes.full(index),
@@ -251,9 +250,13 @@
     }
 }
 
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Returns true if the engine takes a prompt now.
 fn takes_prompt(slot: &Slot, now: Time) -> bool {
-    let soon = slot.busy_until <= now + LOOKAHEAD;
+    let soon = slot.busy(now) <= LOOKAHEAD;
     let room = slot.prefills.len() < MAX_PREFILLS && slot.full_until <= now;
     slot.open(now) && slot.prefills_prompts() && soon && room
 }
--- /dev/null
+++ b/crates/coord/tests/sched_failure.rs
@@ -0,0 +1,323 @@
+//! Failures of engines, transfers and VMs.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{at, cell, decodes, engine, job, patient, prefills};
+use coord::sched::{
+    Action, Attempt, EngineReport, Failure, Job, JobId, Prefilled, Reason, Role, SchedOptions,
+    Scheduler, Stage,
+};
+
+const DONE: Prefilled = Prefilled {
+    prompt_tokens: 1_000,
+    cached_tokens: 0,
+};
+
+/// Starts a job's decode on a cell; returns the attempt of the stream.
+fn stream(sched: &mut Scheduler, one: &Job) -> Attempt {
+    let first = sched.submit(at(0), one.clone());
+    let started = sched.prefill_done(at(30), one.id, prefills(&first)[0].1, DONE);
+    let attempt = decodes(&started)[0].1;
+    sched.decode_started(at(40), one.id, attempt);
+    attempt
+}
+
+fn refusal(actions: &[Action]) -> Option<Reason> {
+    actions.iter().find_map(|a| match a {
+        Action::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+/// Guards against a cut stream that starts from its beginning, or is refused for a deadline that
+/// its first token has met already.
+#[test]
+fn a_cut_stream_goes_on_with_the_delivered_tokens_in_its_prompt() {
+    let mut sched = cell(1, 2, 4);
+    let one = job(at(0), 1);
+    let attempt = stream(&mut sched, &one);
+
+    sched.decode_failed(at(5_000), one.id, attempt, Failure::Lost, 60);
+    let again = sched.tick(at(5_100));
+
+    assert_eq!(prefills(&again).len(), 1);
+    assert_eq!(refusal(&again), None);
+}
+
+/// Guards against a once-only request that runs twice (H5).
+#[test]
+fn a_once_only_job_is_not_started_again_after_its_dispatch() {
+    let mut sched = cell(2, 2, 4);
+    let one = Job {
+        once: true,
+        ..job(at(0), 1)
+    };
+    let first = sched.submit(at(0), one.clone());
+
+    let failed = sched.prefill_failed(at(10), one.id, prefills(&first)[0].1, Failure::Lost);
+
+    assert_eq!(refusal(&failed), Some(Reason::Unknown));
+    assert!(prefills(&sched.tick(at(1_000))).is_empty());
+}
+
+/// Guards against a once-only request refused as unknown although the engine did no work.
+#[test]
+fn a_full_engine_does_not_end_a_once_only_job() {
+    let mut sched = cell(1, 1, 4);
+    let one = Job {
+        once: true,
+        ..job(at(0), 1)
+    };
+    let first = sched.submit(at(0), one.clone());
+
+    let failed = sched.prefill_failed(at(10), one.id, prefills(&first)[0].1, Failure::Full);
+    let again = sched.tick(at(100));
+
+    assert_eq!(refusal(&failed), None);
+    assert_eq!(prefills(&again).len(), 1);
+}
+
+/// Guards against a late result of an abandoned attempt that starts a second stream (H2).
+#[test]
+fn a_result_of_an_earlier_attempt_is_ignored() {
+    let mut sched = cell(2, 1, 4);
+    let one = job(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+    let old = prefills(&first)[0].1;
+    sched.prefill_failed(at(10), one.id, old, Failure::Lost);
+    let again = sched.tick(at(100));
+    assert_eq!(prefills(&again).len(), 1);
+
+    let late = sched.prefill_done(at(110), one.id, old, DONE);
+
+    assert!(decodes(&late).is_empty());
+}
+
+/// Guards against every job trying a dead engine until the published list names it.
+#[test]
+fn an_engine_that_failed_is_closed_for_a_while() {
+    let mut sched = cell(2, 1, 20);
+    let one = job(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+    let (_, attempt, dead) = prefills(&first)[0].clone();
+
+    sched.prefill_failed(at(1), one.id, attempt, Failure::Lost);
+    let next = sched.submit(at(2), job(at(2), 2));
+
+    assert_ne!(prefills(&next)[0].2, dead);
+}
+
+/// Guards against prefills that wait for an answer of an engine that the list calls dead.
+#[test]
+fn prefills_of_a_dead_engine_start_again_elsewhere() {
+    let mut sched = cell(2, 1, 20);
+    let one = job(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+    let dead = prefills(&first)[0].2.clone();
+
+    sched.engine_down(at(5), &dead.as_str().into());
+    let again = sched.tick(at(100));
+
+    assert_eq!(prefills(&again).len(), 1);
+    assert_ne!(prefills(&again)[0].2, dead);
+}
+
+/// Guards against new work on an engine that is leaving (H6), and against its streams being cut
+/// (H7).
+#[test]
+fn a_leaving_engine_finishes_its_work_and_gets_no_more() {
+    let mut sched = cell(1, 1, 4);
+    let one = job(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+
+    sched.engine_leaving(at(10), &"p0".into());
+    let started = sched.prefill_done(at(30), one.id, prefills(&first)[0].1, DONE);
+    let second = sched.submit(at(31), job(at(31), 2));
+
+    assert_eq!(decodes(&started).len(), 1);
+    assert_eq!(refusal(&second), Some(Reason::NoUpstream));
+}
+
+/// Guards against retries that multiply the load when many engines fail: interactive work is
+/// refused once the budget is spent.
+#[test]
+fn interactive_retries_stop_at_the_budget() {
+    let mut sched = cell(8, 8, 20);
+    let mut refused = 0;
+    for number in 0..8 {
+        let one = job(at(0), number);
+        let first = sched.submit(at(0), one.clone());
+        let attempt = prefills(&first)[0].1;
+        let failed = sched.prefill_failed(at(1), one.id, attempt, Failure::Stalled);
+        refused += u32::from(refusal(&failed) == Some(Reason::RetryBudget));
+    }
+
+    assert_eq!(refused, 7, "without successes the floor pays for one retry");
+}
+
+/// Guards against a patient job that is lost to an empty retry budget.
+#[test]
+fn a_patient_job_waits_for_the_budget() {
+    let mut sched = cell(8, 8, 20);
+    let mut started = 0;
+    for number in 0..4 {
+        let one = patient(at(0), number);
+        let first = sched.submit(at(0), one.clone());
+        let attempt = prefills(&first)[0].1;
+        let failed = sched.prefill_failed(at(1), one.id, attempt, Failure::Stalled);
+        assert_eq!(refusal(&failed), None);
+    }
+    for second in 1..30 {
+        started += prefills(&sched.tick(at(second * 1_000))).len();
+    }
+
+    assert_eq!(started, 4);
+}
+
+/// Guards against engine memory held by the requests of a dead VM (H1), also by those that the
+/// owner never heard of.
+#[test]
+fn a_dead_vms_work_is_cancelled_wherever_it_shows() {
+    let mut sched = cell(1, 1, 4);
+    let one = job(at(0), 1);
+    stream(&mut sched, &one);
+    let unknown = JobId::new(&"vm-1".into(), 99);
+    let other = JobId::new(&"vm-2".into(), 99);
+
+    let known = sched.vm_down(at(100), &"vm-1".into());
+    let report = EngineReport {
+        held: vec![unknown, other],
+        queue: 0,
+    };
+    let shown = sched.load_report(at(200), &"d0".into(), &report);
+
+    let cancel = |id| Action::Cancel {
+        id,
+        upstream: "d0".into(),
+    };
+    assert_eq!(known, vec![cancel(one.id)]);
+    assert_eq!(shown, vec![cancel(unknown)]);
+}
+
+/// Guards against slots that are used twice because another owner's work is not counted.
+#[test]
+fn slots_held_by_unknown_jobs_are_not_given_away() {
+    let mut sched = cell(1, 1, 1);
+    let report = EngineReport {
+        held: vec![JobId::new(&"vm-2".into(), 5)],
+        queue: 0,
+    };
+    sched.load_report(at(0), &"d0".into(), &report);
+
+    let waiting = sched.submit(at(1), job(at(1), 1));
+    let freed = sched.load_report(at(500), &"d0".into(), &EngineReport::default());
+
+    assert!(prefills(&waiting).is_empty());
+    assert_eq!(prefills(&freed).len(), 1);
+}
+
+/// Guards against a lagged report that takes a slot of a job which has just ended.
+#[test]
+fn a_stale_report_does_not_bring_an_ended_job_back() {
+    let mut sched = cell(1, 1, 1);
+    let one = job(at(0), 1);
+    let attempt = stream(&mut sched, &one);
+    sched.finished(at(300), one.id, attempt);
+
+    let report = EngineReport {
+        held: vec![one.id],
+        queue: 0,
+    };
+    sched.load_report(at(400), &"d0".into(), &report);
+    let next = sched.submit(at(401), job(at(401), 2));
+
+    assert_eq!(prefills(&next).len(), 1);
+}
+
+/// Guards against a new owner that grants slots which running streams hold, and against one that
+/// cuts them.
+#[test]
+fn a_new_owner_counts_registered_streams_and_waits_for_reports() {
+    let mut sched = Scheduler::new(SchedOptions::default(), 1);
+    sched.take_over(at(0), Duration::from_secs(3));
+    sched.engine_up(at(0), engine("p0", Role::Prefill, 0));
+    sched.engine_up(at(0), engine("d0", Role::Decode, 1));
+    let running = job(at(0), 1);
+    let stage = Stage::Decode {
+        source: "p0".into(),
+        decode: "d0".into(),
+    };
+
+    sched.resume(at(1), running.clone(), Attempt(2), &stage);
+    let early = sched.submit(at(2), job(at(2), 2));
+    let ended = sched.finished(at(500), running.id, Attempt(2));
+    sched.load_report(at(600), &"p0".into(), &EngineReport::default());
+    let confirmed = sched.load_report(at(600), &"d0".into(), &EngineReport::default());
+
+    assert!(early.is_empty(), "neither started nor refused: {early:?}");
+    assert!(ended.is_empty());
+    assert_eq!(prefills(&confirmed).len(), 1);
+}
+
+/// Guards against a suspect that takes other requests down with its engine.
+#[test]
+fn a_suspect_runs_alone() {
+    let mut sched = cell(2, 2, 4);
+    let first = sched.submit(at(0), job(at(0), 1));
+    assert_eq!(prefills(&first).len(), 1);
+    let suspect = Job {
+        suspect: true,
+        ..patient(at(1), 2)
+    };
+
+    let started = prefills(&sched.submit(at(1), suspect.clone()));
+    let beside = prefills(&sched.submit(at(2), job(at(2), 3)));
+    let second = Job {
+        suspect: true,
+        ..patient(at(3), 4)
+    };
+    let other = sched.submit(at(3), second);
+
+    assert_eq!(started.len(), 1, "one pair of engines is empty");
+    assert!(beside.iter().all(|(_, _, name)| *name != started[0].2));
+    assert!(prefills(&other).is_empty(), "one suspect at a time");
+}
+
+/// Guards against a poison request that stays in the queue after its second charge.
+#[test]
+fn a_forbidden_fingerprint_is_refused() {
+    let mut sched = cell(1, 1, 1);
+    sched.submit(at(0), patient(at(0), 1));
+    let waiting = patient(at(0), 2);
+    sched.submit(at(0), waiting.clone());
+
+    let actions = sched.forbid(at(1), waiting.fingerprint, Duration::from_mins(10));
+
+    assert_eq!(refusal(&actions), Some(Reason::Poison));
+    assert_eq!(sched.status(at(1)).patient, 0);
+}
+
+/// Guards against a prefill whose result is evicted while it waits for a slot: it must be
+/// computed again instead of being imported.
+#[test]
+fn a_result_that_waited_too_long_is_computed_again() {
+    let mut sched = cell(1, 1, 1);
+    let one = patient(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+    let foreign = EngineReport {
+        held: vec![JobId::new(&"vm-2".into(), 5)],
+        queue: 0,
+    };
+    sched.load_report(at(10), &"d0".into(), &foreign);
+    let done = sched.prefill_done(at(30), one.id, prefills(&first)[0].1, DONE);
+    assert!(decodes(&done).is_empty());
+
+    sched.tick(at(900));
+    sched.load_report(at(1_000), &"d0".into(), &EngineReport::default());
+    let again = sched.tick(at(1_100));
+
+    assert_eq!(sched.status(at(1_100)).retries, 1);
+    assert!(prefills(&again).len() + sched.status(at(1_100)).running >= 1);
+}
