Add once-only claims with a seeded exploration of their faults

Cause: a once-only request has to run at most once while VMs restart with empty memory and see different lists. Change: module `claim` with claimant, granter, records, lists and duplicate suppression; docs/decisions/once-only.md has rules, proof, alternatives and cost; section 6.3 follows it. Late dispatch, copied, contested and released records and the age of version-7 keys have direct tests.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every part is a state machine without I/O, clock or randomness of its own, so that each
 //! failure can be reproduced in virtual time. See `docs/design.md`.
 
+pub mod claim;
 pub mod hash;
 pub mod name;
 pub mod sched;
--- /dev/null
+++ b/crates/coord/tests/common/world.rs
@@ -0,0 +1,209 @@
+//! A small world in virtual time: VMs with clocks of their own and a network that loses, delays,
+//! doubles and reorders messages. One seed gives one run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coord::name::VmName;
+use coord::time::Time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Longest time in milliseconds that a late message is under way.
+const LATE: u64 = 4_000;
+
+/// A VM's state as the world sees it. Instants of the world are [`Time`] values as well.
+pub struct Node {
+    /// Error of the clock rate in millionths, at most 1% either way.
+    rate: i64,
+    offset: Duration,
+    /// Number of starts, which is the incarnation.
+    pub starts: u64,
+    /// False while the VM is dead.
+    pub up: bool,
+    /// The VM does nothing before this instant.
+    pub paused: Time,
+    side: u8,
+}
+
+impl Node {
+    /// Converts an instant of the world to the VM's own clock, which also runs during pauses.
+    pub fn local(&self, now: Time) -> Time {
+        let parts = u64::try_from(1_000_000 + self.rate).expect("rate above -100%");
+        Time::from_micros(now.as_micros() / 1_000 * parts / 1_000) + self.offset
+    }
+}
+
+/// What happens at one instant.
+pub enum Event<M> {
+    /// A message arrives.
+    Deliver { from: usize, to: usize, message: M },
+    /// A step of a VM that was scheduled by the test.
+    Step { node: usize, starts: u64, step: u64 },
+}
+
+/// The VMs, the network and the schedule.
+pub struct World<M> {
+    pub rng: ChaCha8Rng,
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    queue: BTreeMap<(Time, u64), Event<M>>,
+    sequence: u64,
+    /// Shares of messages that are lost, doubled and late.
+    pub lost: f64,
+    pub doubled: f64,
+    pub late: f64,
+    healed: Time,
+}
+
+impl<M: Clone> World<M> {
+    /// Creates `size` VMs whose clocks differ in offset and by up to 1% in rate.
+    pub fn new(seed: u64, size: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let node = |rng: &mut ChaCha8Rng| Node {
+            rate: rng.random_range(-10_000..=10_000),
+            offset: Duration::from_millis(rng.random_range(0..1_000_000)),
+            starts: 1,
+            up: true,
+            paused: Time::ZERO,
+            side: 0,
+        };
+        Self {
+            nodes: (0..size).map(|_| node(&mut rng)).collect(),
+            rng,
+            now: Time::ZERO,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            lost: 0.0,
+            doubled: 0.0,
+            late: 0.0,
+            healed: Time::ZERO,
+        }
+    }
+
+    /// Draws a duration between two numbers of milliseconds.
+    pub fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(from * 1_000..=to * 1_000))
+    }
+
+    /// Draws whether something with probability `p` happens.
+    pub fn chance(&mut self, p: f64) -> bool {
+        self.rng.random_bool(p)
+    }
+
+    /// Draws a VM.
+    pub fn any(&mut self) -> usize {
+        self.rng.random_range(0..self.nodes.len())
+    }
+
+    /// Returns the instant on a VM's own clock.
+    pub fn local(&self, node: usize) -> Time {
+        self.nodes[node].local(self.now)
+    }
+
+    /// Returns whether the VM acts now.
+    pub fn acts(&self, node: usize) -> bool {
+        self.nodes[node].up && self.nodes[node].paused <= self.now
+    }
+
+    fn push(&mut self, at: Time, event: Event<M>) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    /// Schedules a step of a VM's present start.
+    pub fn step(&mut self, node: usize, after: Duration, step: u64) {
+        let starts = self.nodes[node].starts;
+        self.push(self.now + after, Event::Step { node, starts, step });
+    }
+
+    /// Sends a message through the faulty network.
+    pub fn send(&mut self, from: usize, to: usize, message: M) {
+        let cut = self.now < self.healed && self.nodes[from].side != self.nodes[to].side;
+        if cut || self.chance(self.lost) {
+            return;
+        }
+        let copies = if self.chance(self.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut delay = self.millis(0, 3);
+            if self.chance(self.late) {
+                delay = self.millis(1, LATE);
+            }
+            let message = message.clone();
+            self.push(self.now + delay, Event::Deliver { from, to, message });
+        }
+    }
+
+    /// Advances to the next event; `None` when `end` is reached.
+    ///
+    /// Events of a paused VM wait until it goes on, those of a dead VM or an earlier start vanish.
+    pub fn next(&mut self, end: Time) -> Option<Event<M>> {
+        loop {
+            let entry = self.queue.first_entry()?;
+            let (at, _) = *entry.key();
+            if at > end {
+                self.now = end;
+                return None;
+            }
+            let event = entry.remove();
+            self.now = at;
+            let node = match &event {
+                Event::Deliver { to, .. } => *to,
+                Event::Step { node, .. } => *node,
+            };
+            let starts = self.nodes[node].starts;
+            let old = matches!(&event, Event::Step { starts: s, .. } if *s != starts);
+            if !self.nodes[node].up || old {
+                continue;
+            }
+            let paused = self.nodes[node].paused;
+            if paused > self.now {
+                self.push(paused, event);
+                continue;
+            }
+            return Some(event);
+        }
+    }
+
+    /// Stops a VM's process; its memory is gone.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].up = false;
+    }
+
+    /// Starts a VM's process again.
+    pub fn start(&mut self, node: usize) {
+        let vm = &mut self.nodes[node];
+        vm.up = true;
+        vm.starts += 1;
+        vm.paused = self.now;
+    }
+
+    /// Pauses a VM's process.
+    pub fn pause(&mut self, node: usize, span: Duration) {
+        self.nodes[node].paused = self.now + span;
+    }
+
+    /// Splits the VMs at random into two sides that lose contact.
+    pub fn split(&mut self, span: Duration) {
+        for node in 0..self.nodes.len() {
+            self.nodes[node].side = self.rng.random_range(0..2);
+        }
+        self.healed = self.now + span;
+    }
+
+    /// Draws the network's quality anew.
+    pub fn weather(&mut self) {
+        let bad = self.rng.random_range(0.0..0.3);
+        (self.lost, self.doubled, self.late) = (bad, bad, bad);
+    }
+}
+
+/// Returns the name of the VM with this number.
+pub fn name(node: usize) -> VmName {
+    VmName::from(format!("vm-{node:02}"))
+}
+
+/// Returns the number of the VM with this name.
+pub fn number(name: &VmName) -> usize {
+    name.as_str()[3..].parse().expect("the world's own name")
+}
