--- a/crates/cumindoor/benches/relay/router.rs
+++ b/crates/cumindoor/benches/relay/router.rs
@@ -29,6 +29,7 @@
         token_target: Duration::from_millis(26),
         request_limit: Duration::from_hours(1),
         once: false,
+        once_paths: Vec::new(),
         open_limit: 100_000,
     };
     let upstream = UpstreamSpec {
--- a/crates/cumindoor/src/document/specs.rs
+++ b/crates/cumindoor/src/document/specs.rs
@@ -41,6 +41,7 @@
         token_target: keys.itl_target.0,
         request_limit: keys.deadline.0,
         once: keys.once,
+        once_paths: Vec::new(),
         open_limit: keys.open_limit.0 as usize,
     }
 }
@@ -54,9 +55,8 @@
         first_token: keys.deadline.0,
         token_target: keys.deadline.0,
         request_limit: keys.deadline.0,
-        // The entry has no paths yet, so one once-only path protects the whole service. The
-        // other paths lose their retries, but nothing runs twice.
-        once: keys.once || !keys.once_paths.is_empty(),
+        once: keys.once,
+        once_paths: keys.once_paths.clone(),
         open_limit: keys.open_limit.0 as usize,
     }
 }
--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -28,6 +28,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often idle connections to upstreams are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// How often gauges are taken and counters are sent.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// A running router; dropping it ends it at once, [`Server::stop`] does so gracefully.
 pub struct Server {
@@ -93,6 +95,8 @@
         children.push(Spec::task("idle-connections", move || {
             sweep(Arc::clone(&context))
         }));
+        let measured = Arc::clone(shared);
+        children.push(Spec::task("metrics", move || report(Arc::clone(&measured))));
         children.extend(tasks);
         let root = Spec::group("router", Strategy::One, children);
         let (supervisor, mut changes) = Supervisor::spawn(root, Restarts::default());
@@ -197,6 +201,20 @@
     }
 }
 
+/// Sends what is measured at intervals, and counters that wait for a full packet.
+async fn report(shared: Arc<Shared>) -> eyre::Result<()> {
+    let context = &shared.context;
+    let gauge = |name, value: usize| context.telemetry.gauge(name, value as u64);
+    loop {
+        tokio::time::sleep(REPORT_PERIOD).await;
+        gauge("caller.connections", shared.connections.len());
+        gauge("request.running", context.live.len());
+        gauge("cancel.pending", context.canceller.pending());
+        gauge("upstream.idle-connections", context.engines.pool().idle());
+        context.telemetry.flush();
+    }
+}
+
 async fn sweep(context: Arc<Context>) -> eyre::Result<()> {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
--- a/crates/cumindoor/src/serve/caller/handler.rs
+++ b/crates/cumindoor/src/serve/caller/handler.rs
@@ -6,13 +6,14 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, StatusCode};
+use serde_json::json;
 
 use super::answer::{self, Answer};
 use super::parse::{self, Form};
 use super::{Shared, body};
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
-use crate::serve::route::{self, Ask};
+use crate::serve::route::{self, Ask, claims};
 use crate::serve::spec::{ServiceKind, ServiceSpec};
 
 /// The header that names the organisation.
@@ -25,6 +26,7 @@
     let answered = match request.uri().path() {
         "/v1/chat/completions" => model(shared, Form::Chat, request).await,
         "/v1/completions" => model(shared, Form::Completion, request).await,
+        "/v1/models" => models(shared, &request),
         _ => pass(shared, request).await,
     };
     answered.unwrap_or_else(|refusal| answer::refuse(&refusal))
@@ -41,7 +43,8 @@
     let organisation = organisation(request.headers())?;
     let trace = text_header(request.headers(), "traceparent");
     let context = &shared.context;
-    let bytes = body::read(request.into_body(), &context.options.limits).await?;
+    let (parts, body) = request.into_parts();
+    let bytes = body::read(body, &context.options.limits).await?;
     let mut parsed = parse::parse(form, &bytes)?;
     drop(bytes);
 
@@ -51,15 +54,34 @@
         .filter(|spec| spec.kind == ServiceKind::Model)
         .ok_or_else(|| no_service(&organisation, &parsed.model))?;
     let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    let claim = claims::claim(context, &spec, spec.once, &parts.headers).await?;
     let ask = Ask {
         prompt: std::mem::take(&mut parsed.prompt),
         max_tokens: parsed.max_tokens,
         trace,
     };
-    let events = route::start(context, spec, ask, guard);
+    let events = route::start(context, spec, ask, (guard, claim));
     Ok(answer::respond(&parsed, events).await)
 }
 
+/// Lists the organisation's services of model engines, as client libraries ask for them.
+fn models(shared: &Shared, request: &Request<Incoming>) -> Result<Answer, Refusal> {
+    let organisation = organisation(request.headers())?;
+    let names = shared
+        .context
+        .table
+        .names(&organisation, ServiceKind::Model);
+    let entry = |name: &Service| {
+        json!({
+            "id": name.as_str(), "object": "model", "created": 0,
+            "owned_by": organisation.as_str(),
+        })
+    };
+    let data: Vec<_> = names.iter().map(entry).collect();
+    let body = json!({"object": "list", "data": data}).to_string();
+    Ok(answer::json_response(StatusCode::OK, body))
+}
+
 async fn pass(shared: &Shared, request: Request<Incoming>) -> Result<Answer, Refusal> {
     let organisation = organisation(request.headers())?;
     let path = request.uri().path();
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -21,7 +21,7 @@
 
 use crate::serve::engine::{Connected, OutBody, SendError, full_body};
 use crate::serve::refusal::Refusal;
-use crate::serve::route::{Context, OpenGuard};
+use crate::serve::route::{Context, OpenGuard, claims};
 use crate::serve::spec::{ServiceSpec, UpstreamSpec};
 use crate::serve::telemetry;
 use bodies::Fault;
@@ -60,7 +60,9 @@
     if let Ok(trace) = trace.parse() {
         parts.headers.insert(TRACE, trace);
     }
-    let mut payload = payload(context, spec, body).await?;
+    let once = spec.is_once(parts.uri.path());
+    let mut payload = payload(context, once, body).await?;
+    let mut claim = claims::claim(context, spec, once, &parts.headers).await?;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut last = None;
     while tried.len() < TRIES {
@@ -69,6 +71,8 @@
             break;
         };
         tried.push(upstream.name.clone());
+        // From here on the caller may go away while bytes are on their way.
+        claim.set_dispatched(true);
         match attempt(context, &upstream, &parts, payload, until).await {
             Ok(connected) => {
                 let load = context.balance.enter(&upstream.name);
@@ -76,8 +80,9 @@
             }
             Err(failed) => {
                 context.telemetry.count("plain.failed");
+                claim.set_dispatched(failed.sent);
                 context.balance.failed(&upstream.name);
-                let repeat = !spec.once || !failed.sent;
+                let repeat = !once || !failed.sent;
                 last = Some(failed.refusal);
                 match failed.payload {
                     Some(kept) if repeat => payload = kept,
@@ -117,18 +122,14 @@
     })
 }
 
-async fn payload(
-    context: &Context,
-    spec: &ServiceSpec,
-    body: Incoming,
-) -> Result<Payload, Refusal> {
+async fn payload(context: &Context, once: bool, body: Incoming) -> Result<Payload, Refusal> {
     let limits = &context.options.limits;
     let hint = body.size_hint();
     if hint.lower() > limits.plain_bytes {
         return Err(bodies::too_large(limits));
     }
     let small = hint.exact().is_some_and(|bytes| bytes <= KEPT_BYTES);
-    if body.is_end_stream() || (small && !spec.once) {
+    if body.is_end_stream() || (small && !once) {
         let bytes = bodies::read(body, limits).await?;
         return Ok(Payload::Kept(bytes));
     }
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -4,6 +4,7 @@
 //! [`Event`]s; when the caller goes away, the receiver is dropped and the task cancels
 //! everything that the request holds on engines.
 
+pub mod claims;
 pub mod context;
 mod decode;
 mod job;
@@ -22,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Sleep, sleep};
 
+pub use claims::{Claim, ClaimKey, Claims, LocalClaims};
 pub use context::{Context, Live, Open, OpenGuard};
 pub use job::Ask;
 
@@ -67,7 +69,7 @@
     context: &Arc<Context>,
     spec: Arc<ServiceSpec>,
     mut ask: Ask,
-    guard: OpenGuard,
+    guards: (OpenGuard, Claim),
 ) -> mpsc::Receiver<Event> {
     let (events, receiver) = mpsc::channel(EVENT_QUEUE);
     let (span, trace) = telemetry::hop("request", ask.trace.as_deref());
@@ -89,7 +91,8 @@
         dispatched: false,
         current: None,
         started: Instant::now(),
-        _guard: guard,
+        claim: guards.1,
+        _guard: guards.0,
         _span: span,
     };
     context.runs.spawn(run.drive());
@@ -188,6 +191,7 @@
     /// The engine that is being waited for.
     current: Option<Upstream>,
     started: Instant,
+    claim: Claim,
     _guard: OpenGuard,
     _span: Span,
 }
@@ -216,6 +220,12 @@
         drop(events.send(last).await);
     }
 
+    /// Notes whether an engine may have done some of the work.
+    fn set_dispatched(&mut self, dispatched: bool) {
+        self.dispatched = dispatched;
+        self.claim.set_dispatched(dispatched);
+    }
+
     fn count_end(&self, name: &str) {
         let telemetry = &self.context.telemetry;
         telemetry.count(name);
--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -7,6 +7,7 @@
 use coord::sched::JobId;
 use tokio_util::task::TaskTracker;
 
+use super::claims::{Claims, LocalClaims};
 use crate::serve::cell::{Cell, Clock};
 use crate::serve::engine::EngineClient;
 use crate::serve::engine::cancel::Canceller;
@@ -36,6 +37,8 @@
     pub balance: Balance,
     /// Requests that run on this VM now.
     pub live: Live,
+    /// Claims on idempotency keys of once-only requests; [`LocalClaims`] unless replaced.
+    pub claims: Arc<dyn Claims>,
     /// Counters and timers.
     pub telemetry: Telemetry,
 }
@@ -62,6 +65,7 @@
             open: Open::default(),
             balance: Balance::default(),
             live: Live::default(),
+            claims: Arc::new(LocalClaims::default()),
             telemetry,
         }
     }
--- a/crates/cumindoor/src/serve/route/decode.rs
+++ b/crates/cumindoor/src/serve/route/decode.rs
@@ -28,7 +28,7 @@
         let before = self.dispatched;
         self.asked.add(upstream.clone(), address, call.id.clone());
         self.current = Some(upstream.clone());
-        self.dispatched = true;
+        self.set_dispatched(true);
 
         match self.stream(address, &call).await {
             Ok(usage) => {
--- a/crates/cumindoor/src/serve/route/prefill.rs
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -29,7 +29,7 @@
         let before = self.dispatched;
         self.asked.add(upstream.clone(), address, id.clone());
         self.current = Some(upstream.clone());
-        self.dispatched = true;
+        self.set_dispatched(true);
 
         let engines = self.context.engines.clone();
         let (span, trace) = telemetry::hop("prefill", self.ask.trace.as_deref());
@@ -114,7 +114,7 @@
     ) {
         if error.not_run() {
             self.asked.settle(upstream, id);
-            self.dispatched = dispatched_before;
+            self.set_dispatched(dispatched_before);
             return;
         }
         self.asked.cancel(upstream, id);
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -9,6 +9,8 @@
 use coord::sched::{Class, Engine, Role};
 use tokio::sync::watch;
 
+use crate::ini::PathPrefix;
+
 /// How the upstreams of a service are called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServiceKind {
@@ -35,12 +37,22 @@
     pub token_target: Duration,
     /// The longest that one request may take in all.
     pub request_limit: Duration,
-    /// True if its calls must run at most once.
+    /// True if all its calls must run at most once.
     pub once: bool,
+    /// Paths below the service's own whose calls must run at most once.
+    pub once_paths: Vec<PathPrefix>,
     /// Requests that the organisation may have open on this VM at once.
     pub open_limit: usize,
 }
 
+impl ServiceSpec {
+    /// Returns true if a call of `path`, below the service's own, must run at most once.
+    #[must_use]
+    pub fn is_once(&self, path: &str) -> bool {
+        self.once || self.once_paths.iter().any(|once| once.covers(path))
+    }
+}
+
 /// One upstream of the published list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamSpec {
--- a/crates/cumindoor/src/serve/telemetry.rs
+++ b/crates/cumindoor/src/serve/telemetry.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, StatsdClient, Timed};
 
 pub use sink::{MemorySink, Snapshot, Timing};
 pub use trace::{TraceLog, hop, init_tracing};
@@ -36,6 +36,9 @@
 
     /// Returns counters that are sent to a statsd server over UDP and also kept in memory.
     ///
+    /// They are sent in packets; [`Self::flush`] sends one that is not full. The socket never
+    /// blocks: a packet that does not fit into its buffer is lost.
+    ///
     /// # Errors
     ///
     /// Returns an error if no UDP socket can be opened.
@@ -49,7 +52,7 @@
         socket.set_nonblocking(true)?;
         let udp = BufferedUdpMetricSink::from(server, socket)?;
         let memory = MemorySink::default();
-        let both = sink::Both::new(memory.clone(), QueuingMetricSink::from(udp));
+        let both = sink::Both::new(memory.clone(), udp);
         Ok(Self {
             client: Arc::new(StatsdClient::from_sink(PREFIX, both)),
             memory: Some(memory),
@@ -78,6 +81,11 @@
         let _ = self.client.gauge(name, value);
     }
 
+    /// Sends what is still buffered.
+    pub fn flush(&self) {
+        let _ = self.client.flush();
+    }
+
     /// Returns the sums so far.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
--- a/crates/cumindoor/src/settings/options.rs
+++ b/crates/cumindoor/src/settings/options.rs
@@ -43,6 +43,7 @@
             cancel: hops.cancel.0,
             cancel_total: hops.cancel_total.0,
             plain: hops.plain.0,
+            ..HopTimes::default()
         }
     }
 }
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -53,6 +53,7 @@
         token_target: Duration::from_secs(1),
         request_limit: PATIENCE,
         once: false,
+        once_paths: Vec::new(),
         open_limit: 10_000,
     }
 }
--- a/crates/cumindoor/tests/serve_model.rs
+++ b/crates/cumindoor/tests/serve_model.rs
@@ -34,3 +34,15 @@
     assert_eq!(json["usage"]["completion_tokens"], 12);
     assert_eq!(json["object"], "chat.completion");
 }
+
+/// Guards against client libraries that find no models, and names of other organisations.
+#[tokio::test]
+async fn lists_the_models_of_an_organisation() {
+    let fleet = Plan::default().start().await;
+
+    let answer = common::post(fleet.server.addr(), "/v1/models", &[], String::new()).await;
+    let json = answer.json().await;
+
+    assert_eq!(json["data"].as_array().map(Vec::len), Some(1));
+    assert_eq!(json["data"][0]["id"], "chat");
+}
--- a/crates/cumindoor/tests/serve_panics.rs
+++ b/crates/cumindoor/tests/serve_panics.rs
@@ -10,6 +10,7 @@
 #[case("callers")]
 #[case("cancels")]
 #[case("idle-connections")]
+#[case("metrics")]
 #[case("engine-list")]
 #[case("schedulers")]
 #[case("engine-load")]
--- a/crates/cumindoor/tests/serve_plain.rs
+++ b/crates/cumindoor/tests/serve_plain.rs
@@ -120,3 +120,51 @@
         assert_eq!(answer.status, 200);
     }
 }
+
+/// Guards against a once-only call that runs a second time because its caller sent it again.
+#[tokio::test]
+async fn a_repeated_key_runs_once() {
+    let fleet = start(true, 2).await;
+
+    let first = call(&fleet, "same").await;
+    let second = call(&fleet, "same").await;
+    let (first_status, second_status) = (first.status, second.status);
+    let error = second.json().await["error"].clone();
+
+    assert_eq!(first_status, 200);
+    assert_eq!(second_status, 409);
+    assert_eq!(error["kind"], "unknown");
+    assert_eq!(runs(&fleet, "same"), 1);
+}
+
+/// Guards against a key that stays taken although its call never left the router.
+#[tokio::test]
+async fn a_key_is_free_again_if_nothing_was_sent() {
+    let fleet = start(true, 1).await;
+    fleet.plains[0].die().await;
+    let first = call(&fleet, "free").await.status;
+    fleet.plains[0].revive().await.unwrap();
+
+    let second = call(&fleet, "free").await.status;
+
+    assert_eq!(first, 503);
+    assert_eq!(second, 200);
+    assert_eq!(runs(&fleet, "free"), 1);
+}
+
+/// Guards against a once-only path that is repeated because its service allows repeats.
+#[tokio::test]
+async fn a_once_only_path_is_not_repeated() {
+    let mut plan = Plan::default();
+    plan.services[1].once_paths = vec![cumindoor::ini::PathPrefix("/orders".into())];
+    plan.plains = 2;
+    let fleet = plan.start().await;
+    for plain in &fleet.plains {
+        plain.fault(|fault| fault.fail_after = true);
+    }
+
+    let error = call(&fleet, "path").await.json().await["error"].clone();
+
+    assert_eq!(error["kind"], "unknown");
+    assert_eq!(runs(&fleet, "path"), 1);
+}
