Remember cancels that overtake their job, give up unanswered prefills

Cause: a caller that left before its job reached the owner sent the cancel first; the job then ran for nobody. Links were closed too early: all promised bytes were taken to leave at once. Change: a cancel of an unknown job is remembered; a prefill without an answer is cancelled and started elsewhere after 3 s and five expected durations; a link is simulated transfer by transfer in the order in which prefills end.

--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -72,7 +72,9 @@
     interactive_at: Option<Time>,
     /// Jobs that ended lately: a lagged load report may still name them.
     ended: BTreeSet<JobId>,
-    /// The same ids in the order of their ends.
+    /// Jobs that were cancelled before they were submitted: the messages changed places.
+    cancelled: BTreeSet<JobId>,
+    /// The ids of both sets in the order of their ends.
     ended_at: VecDeque<(Time, JobId)>,
     /// Tags of VMs that died; their unknown jobs are cancelled where reports show them.
     dead: BTreeMap<u32, Time>,
@@ -103,6 +105,7 @@
             retries: 0,
             interactive_at: None,
             ended: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
             ended_at: VecDeque::new(),
             dead: BTreeMap::new(),
             confirm_until: Time::ZERO,
@@ -114,7 +117,7 @@
     ///
     /// A job that is known already is not accepted a second time: the first one goes on.
     pub fn submit(&mut self, now: Time, job: Job) -> Vec<Action> {
-        if self.jobs.contains_key(&job.id) {
+        if self.jobs.contains_key(&job.id) || self.cancelled.contains(&job.id) {
             return Vec::new();
         }
         if job.class == Class::Interactive {
@@ -132,10 +135,15 @@
     }
 
     /// Drops a job whose caller is gone and frees what it holds.
+    ///
+    /// A cancel that overtakes its job is remembered for some seconds, so that the job does not
+    /// run for nobody.
     pub fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
         let mut actions = self.abandon(now, id);
         if self.forget(now, id) {
             actions.extend(self.dispatch(now));
+        } else if !self.ended.contains(&id) && self.cancelled.insert(id) {
+            self.ended_at.push_back((now, id));
         }
         actions
     }
--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -18,6 +18,11 @@
 /// How long a cut stream waits for a new engine before it ends with an error.
 const RESUME_LIMIT: Duration = Duration::from_secs(10);
 
+/// A prefill without an answer is given up this long, and this many expected durations, after
+/// its expected end: later than the entry VM gives up (design, section 7).
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+const ANSWER_FACTOR: u32 = 5;
+
 /// Jobs examined for expiry in one tick; the rest follow in the next ones.
 const EXPIRY_BATCH: usize = 16;
 
@@ -101,6 +106,7 @@
         let refusals = ids.into_iter().filter_map(|id| self.expire_one(now, id));
         let mut actions: Vec<Action> = refusals.collect();
         actions.extend(self.evict_ready(now));
+        actions.extend(self.give_up_prefills(now));
         actions
     }
 
@@ -117,6 +123,30 @@
         actions
     }
 
+    /// Starts prefills again for which no answer came.
+    ///
+    /// The entry VM gives up first and reports it; this covers a report that was lost, which
+    /// would keep the engine closed to other prompts.
+    fn give_up_prefills(&mut self, now: Time) -> Vec<Action> {
+        let late = |s: &Slot| {
+            let expected = s.prefills.iter().map(|(_, time)| *time).sum::<Duration>();
+            now.since(s.busy_until) > ANSWER_LIMIT + expected * ANSWER_FACTOR
+        };
+        let slots = self.fleet.slots.iter().filter(|s| late(s));
+        let ids: Vec<JobId> = slots.flat_map(|s| &s.prefills).map(|p| p.0).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            let held = self.jobs.get(&id).map_or_else(Vec::new, Entry::holds);
+            actions.extend(self.cancel_on(id, &held));
+            for index in held {
+                self.fleet.slots[index].failed(now);
+            }
+            self.vacate(now, id);
+            actions.extend(self.again(now, id, Failure::Lost));
+        }
+        actions
+    }
+
     fn expire_one(&mut self, now: Time, id: JobId) -> Option<Action> {
         let entry = self.jobs.get(&id)?;
         let (limit, reason) = if entry.resumed() {
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -69,7 +69,7 @@
         let entry = self.jobs.get(&id)?;
         let class = entry.job.class;
         let choice = self.place(now, entry, engines)?;
-        let room = choice.free && self.link_fits(entry, &choice);
+        let room = choice.free && self.link_fits(now, entry, &choice);
         let decode = room.then(|| self.slot_for(now, class, &choice)).flatten();
         Some((choice, decode))
     }
@@ -106,16 +106,13 @@
     /// Starts a job's prefill and reserves its slot and its link room.
     pub(super) fn start(&mut self, now: Time, id: JobId, choice: Choice, decode: usize) -> Action {
         self.dequeue(id, true);
+        let time = Duration::from_micros(choice.time);
+        self.fleet.slots[choice.prefill].prefill_started(now, id, time);
         if let Some(entry) = self.jobs.get(&id) {
             let bytes = self.bytes(entry);
             self.homes.used(now, &entry.job.prefix, choice.prefill);
-            self.promise(bytes, choice.prefill);
+            self.promise(id, bytes, choice.prefill);
         }
-        self.fleet.slots[choice.prefill].prefill_started(
-            now,
-            id,
-            Duration::from_micros(choice.time),
-        );
         self.fleet.slots[decode].reserved += 1;
         let mut attempt = super::Attempt::default();
         if let Some(entry) = self.jobs.get_mut(&id) {
@@ -137,11 +134,13 @@
         }
     }
 
-    /// Reserves link room for a result of `bytes` on the engine `source`.
-    pub(super) fn promise(&mut self, bytes: u64, source: usize) {
-        let engine = &self.fleet.slots[source].engine;
-        if engine.role != Role::Both {
-            self.links.reserve(&engine.data_centre, bytes);
+    /// Reserves link room for the last prefill that was started on the engine `source`.
+    pub(super) fn promise(&mut self, id: JobId, bytes: u64, source: usize) {
+        let slot = &self.fleet.slots[source];
+        let ready = slot.busy_until;
+        if slot.engine.role != Role::Both {
+            self.links
+                .reserve(&slot.engine.data_centre, id, ready, bytes);
         }
     }
 
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -9,6 +9,7 @@
 use super::Scheduler;
 use super::fleet::Slot;
 use super::job::Entry;
+use super::links::LinkLimits;
 use super::prefix::Matches;
 use super::types::{Class, Role};
 use crate::hash::rendezvous_score;
@@ -214,15 +215,19 @@
         emptiest.map(|(index, _)| index).filter(|_| fits)
     }
 
-    /// Returns the link room that the job needs if it runs on `choice`, and whether there is any.
-    pub(super) fn link_fits(&self, entry: &Entry, choice: &Choice) -> bool {
-        let source = &self.fleet.slots[choice.prefill].engine;
-        if source.role == Role::Both {
+    /// Returns true if the link has room for the job's result.
+    pub(super) fn link_fits(&self, now: Time, entry: &Entry, choice: &Choice) -> bool {
+        let slot = &self.fleet.slots[choice.prefill];
+        if slot.engine.role == Role::Both {
             return true;
         }
-        let (rate, ttl) = (self.options.link_rate, self.options.prefill_ttl);
-        self.links
-            .fits(&source.data_centre, self.bytes(entry), rate, ttl)
+        let limits = LinkLimits {
+            rate: self.options.link_rate,
+            ttl: self.options.prefill_ttl,
+        };
+        let ready = now + slot.busy(now) + Duration::from_micros(choice.time);
+        let (from, bytes) = (&slot.engine.data_centre, self.bytes(entry));
+        self.links.fits(now, from, ready, bytes, limits)
     }
 
     /// Returns the free slot of any open engine for a finished prefill, the reserved one first.
--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -74,8 +74,7 @@
     /// A VM is dead: its callers are gone, so its jobs are dropped and freed on the engines.
     pub fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
         self.dead.insert(JobId::tag_of(vm), now);
-        let own = self.jobs.values().filter(|e| e.job.vm == *vm);
-        let ids: Vec<JobId> = own.map(|e| e.job.id).collect();
+        let ids = self.jobs_of(vm);
         let mut actions = Vec::new();
         for id in ids {
             actions.extend(self.abandon(now, id));
@@ -128,7 +127,7 @@
                 let decode = self.fleet.expect(now, decode);
                 self.fleet.slots[prefill].prefill_started(now, id, entry.least);
                 self.fleet.slots[decode].reserved += 1;
-                self.promise(self.bytes(entry), prefill);
+                self.promise(id, self.bytes(entry), prefill);
                 Phase::Prefill { prefill, decode }
             }
             Stage::Decode { source, decode } => {
@@ -175,6 +174,13 @@
             .collect()
     }
 
+    /// Returns the jobs that reached a VM, to be compared with those that the VM reports.
+    #[must_use]
+    pub fn jobs_of(&self, vm: &VmName) -> Vec<JobId> {
+        let own = self.jobs.values().filter(|e| e.job.vm == *vm);
+        own.map(|e| e.job.id).collect()
+    }
+
     /// Returns the jobs on an engine with their fingerprints, to be charged when it dies.
     #[must_use]
     pub fn running_on(&self, upstream: &Upstream) -> Vec<(JobId, u128)> {
@@ -234,6 +240,7 @@
                 break;
             }
             self.ended.remove(&id);
+            self.cancelled.remove(&id);
             self.ended_at.pop_front();
         }
         self.homes.tidy(now);
--- a/crates/coord/src/sched/results.rs
+++ b/crates/coord/src/sched/results.rs
@@ -19,6 +19,8 @@
         };
         self.fleet.slots[prefill].prefill_ended(now, id);
         self.fleet.slots[prefill].failures = 0;
+        let from = &self.fleet.slots[prefill].engine.data_centre;
+        self.links.ready(now, from, id);
         self.learn(now, id, prefill, done);
         if let Some(entry) = self.jobs.get_mut(&id) {
             entry.since = now;
@@ -169,11 +171,10 @@
         let Some(entry) = self.jobs.get(&id) else {
             return;
         };
-        let bytes = self.bytes(entry);
         if let Some(source) = entry.phase.link_source() {
             let engine = &self.fleet.slots[source].engine;
             if engine.role != Role::Both {
-                self.links.release(&engine.data_centre, bytes);
+                self.links.release(&engine.data_centre, id);
             }
         }
     }
