--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -17,6 +17,7 @@
 mod queue;
 mod recover;
 mod results;
+mod retries;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -56,6 +57,8 @@
     ready: BTreeSet<(Time, JobId)>,
     /// Jobs whose retry is due at an instant.
     backoffs: BTreeSet<(Time, JobId)>,
+    /// Patient jobs whose retry the budget has not paid yet, oldest first.
+    unpaid: VecDeque<JobId>,
     /// Waiting jobs that must run alone.
     suspects: BTreeSet<JobId>,
     isolation: Option<Isolation>,
@@ -93,6 +96,7 @@
             queues: [Queue::default(), Queue::default()],
             ready: BTreeSet::new(),
             backoffs: BTreeSet::new(),
+            unpaid: VecDeque::new(),
             suspects: BTreeSet::new(),
             isolation: None,
             in_use: [0; 2],
--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -7,7 +7,7 @@
 use super::Scheduler;
 use super::estimate::real;
 use super::fleet::Slot;
-use super::job::{Entry, Phase};
+use super::job::Entry;
 use super::types::{Action, Class, Failure, JobId, Reason};
 use crate::time::Time;
 
@@ -101,7 +101,11 @@
     pub(super) fn expire(&mut self, now: Time) -> Vec<Action> {
         let waiting = self.queues.iter().flat_map(|q| q.earliest(EXPIRY_BATCH));
         let delayed = self.backoffs.iter().map(|(_, id)| *id);
-        let all = waiting.chain(delayed).chain(self.suspects.iter().copied());
+        let unpaid = self.unpaid.iter().take(EXPIRY_BATCH).copied();
+        let all = waiting
+            .chain(delayed)
+            .chain(unpaid)
+            .chain(self.suspects.iter().copied());
         let ids: Vec<JobId> = all.collect();
         let refusals = ids.into_iter().filter_map(|id| self.expire_one(now, id));
         let mut actions: Vec<Action> = refusals.collect();
@@ -163,14 +167,6 @@
         Some(self.refusal(id, reason, Some(wait)))
     }
 
-    /// Takes a job that holds nothing out of its queue or its backoff.
-    pub(super) fn withdraw(&mut self, id: JobId) {
-        self.dequeue(id, false);
-        if let Some(Phase::Backoff { until }) = self.jobs.get(&id).map(|e| e.phase) {
-            self.backoffs.remove(&(until, id));
-        }
-    }
-
     /// Builds a refusal with a jittered time, so that refused callers do not return together.
     pub(super) fn refusal(&mut self, id: JobId, reason: Reason, wait: Option<Duration>) -> Action {
         let jitter = self.rng.random_range(1.0..1.5);
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -184,17 +184,6 @@
         })
     }
 
-    /// Returns jobs to their queue whose backoff is over.
-    fn requeue_due(&mut self, now: Time) {
-        while let Some((until, id)) = self.backoffs.first().copied() {
-            if until > now {
-                return;
-            }
-            self.backoffs.pop_first();
-            self.requeue(now, id);
-        }
-    }
-
     /// Starts the isolated suspect when its engines are empty, or chooses engines for one.
     fn start_suspect(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.isolation.is_none() {
--- a/crates/coord/src/sched/job.rs
+++ b/crates/coord/src/sched/job.rs
@@ -10,6 +10,8 @@
 pub(super) enum Phase {
     /// In the queue of its class.
     Waiting,
+    /// Out of the queue until the retry budget has credit.
+    Unpaid,
     /// Out of the queue until the backoff of a retry ends.
     Backoff { until: Time },
     /// The prefill runs, with a decode slot and link room reserved.
@@ -60,8 +62,6 @@
     pub(super) since: Time,
     /// Prompt tokens that the prefill has to compute, as estimated at its start.
     pub(super) work: u32,
-    /// True if the budget has not paid for the planned retry yet.
-    pub(super) unpaid: bool,
     /// Time from its start on idle engines to the first token, as estimated at submission.
     pub(super) least: Duration,
 }
@@ -77,7 +77,6 @@
             retries: 0,
             since: now,
             work: 0,
-            unpaid: false,
             least: Duration::ZERO,
         }
     }
@@ -90,7 +89,7 @@
     /// Returns the engines on which the job holds something.
     pub(super) fn holds(&self) -> Vec<usize> {
         match self.phase {
-            Phase::Waiting | Phase::Backoff { .. } => Vec::new(),
+            Phase::Waiting | Phase::Unpaid | Phase::Backoff { .. } => Vec::new(),
             Phase::Prefill { prefill, .. } => vec![prefill],
             Phase::Ready { source, .. } => vec![source],
             Phase::Decode {
--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -1,20 +1,17 @@
-//! Retries, lost VMs and the take-over of a cell by a new owner.
+//! Lost VMs, suspects and the take-over of a cell by a new owner.
 
 use std::time::Duration;
 
 use super::Scheduler;
 use super::fleet::Health;
 use super::job::{Entry, Phase};
-use super::types::{Action, Attempt, Class, Job, JobId, Reason, Stage};
+use super::types::{Action, Attempt, Job, JobId, Reason, Stage};
 use crate::name::{Upstream, VmName};
 use crate::time::Time;
 
 /// An engine that reported to be full is not tried for this long unless one of its jobs ends.
 pub(super) const FULL_PAUSE: Duration = Duration::from_millis(20);
 
-/// A patient job asks the retry budget again after this time.
-const BUDGET_PAUSE: Duration = Duration::from_secs(1);
-
 /// How long ids of ended jobs are remembered, against lagged load reports.
 const ENDED_MEMORY: Duration = Duration::from_secs(5);
 
@@ -22,55 +19,6 @@
 const DEAD_MEMORY: Duration = Duration::from_mins(1);
 
 impl Scheduler {
-    /// Plans a retry if the budget has credit.
-    ///
-    /// An interactive caller without credit is refused at once. A patient job is never lost to
-    /// the budget: it waits for credit until its deadline.
-    pub(super) fn retry(&mut self, now: Time, id: JobId) -> Vec<Action> {
-        let Some(entry) = self.jobs.get(&id) else {
-            return Vec::new();
-        };
-        let patient = entry.job.class == Class::Patient;
-        let count = entry.retries;
-        let paid = self.budget.try_spend(now);
-        if !paid && !patient {
-            self.forget(now, id);
-            return vec![self.refusal(id, Reason::RetryBudget, Some(BUDGET_PAUSE))];
-        }
-        let pause = self.backoff.pause(count, &mut self.rng);
-        let until = now + if paid { pause } else { BUDGET_PAUSE.max(pause) };
-        self.retries += u64::from(paid);
-        if let Some(entry) = self.jobs.get_mut(&id) {
-            entry.retries += 1;
-            entry.unpaid = !paid;
-            entry.phase = Phase::Backoff { until };
-        }
-        self.backoffs.insert((until, id));
-        Vec::new()
-    }
-
-    /// Returns a job to its queue after its backoff, once its retry is paid.
-    pub(super) fn requeue(&mut self, now: Time, id: JobId) {
-        let unpaid = self.jobs.get(&id).is_some_and(|e| e.unpaid);
-        if !unpaid {
-            self.enqueue(id);
-            return;
-        }
-        let paid = self.budget.try_spend(now);
-        let Some(entry) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        entry.unpaid = !paid;
-        if paid {
-            self.retries += 1;
-            self.enqueue(id);
-        } else {
-            let until = now + BUDGET_PAUSE;
-            entry.phase = Phase::Backoff { until };
-            self.backoffs.insert((until, id));
-        }
-    }
-
     /// A VM is dead: its callers are gone, so its jobs are dropped and freed on the engines.
     pub fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
         self.dead.insert(JobId::tag_of(vm), now);
--- a/crates/coord/src/sched/results.rs
+++ b/crates/coord/src/sched/results.rs
@@ -187,7 +187,7 @@
         let (phase, class) = (entry.phase, entry.job.class as usize);
         self.imported(id);
         match phase {
-            Phase::Waiting | Phase::Backoff { .. } => return,
+            Phase::Waiting | Phase::Unpaid | Phase::Backoff { .. } => return,
             Phase::Prefill { prefill, decode } => {
                 self.fleet.slots[prefill].prefill_ended(now, id);
                 self.fleet.slots[decode].reserved -= 1;
