Run membership and configuration on real connections

Cause: the state machines need connections, clocks and the platform.

Change: serve::platform reads documents and the list with watches, limits and reuse of one connection each; a failed or late connection is dropped. serve::cluster runs the state machines against peers and the platform and publishes view, documents, list, readiness and trust over tokio::sync::watch. The list is distributed between VMs as one document for each entry. The task can be run again after it stopped; documents already published never go back.

--- /dev/null
+++ b/crates/cumindoor/src/serve/cluster/task.rs
@@ -0,0 +1,340 @@
+//! The loop that joins the state machines with connections and clocks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coord::config::{self, Answer, Config};
+use coord::member::{self, Members};
+use coord::name::VmName;
+use coord::time::Time;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::part::Incoming;
+use super::published::Listed;
+use super::{ClusterCall, ClusterPart, LIST_PREFIX, Shared, listing};
+use crate::serve::platform::Listing;
+
+/// The time between two ticks; `coord::member` takes a much longer gap for a pause.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The time after which a call to a peer is given up. Answers later than this are of no use to
+/// the probes, which fail after 600 ms.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// The number of calls to peers under way. Further messages are dropped, like lost ones.
+const MAX_CALLS: usize = 256;
+
+/// The waiting time of a read of the list, and the pause after it: two watchers in each data
+/// centre make about one read a second each.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+const LIST_PACE: Duration = Duration::from_millis(500);
+
+enum Event {
+    Reply(VmName, ClusterCall),
+    Answer(Option<Answer>),
+    List(Option<Listing>),
+    Nothing,
+}
+
+pub(super) struct Task {
+    shared: Arc<Shared>,
+    origin: Instant,
+    members: Members,
+    config: Config,
+    listed: Listed,
+    /// The highest revision of any entry of the list.
+    revision: u64,
+    /// The revision of the list last read from the platform.
+    read: u64,
+    reading: bool,
+    /// When the list is read next; `None` while it is being read.
+    next_list: Option<Instant>,
+    trusted: bool,
+    left: bool,
+    calls: JoinSet<Event>,
+}
+
+/// Messages to send, by receiver.
+#[derive(Default)]
+struct Outbox {
+    calls: BTreeMap<VmName, ClusterCall>,
+    addresses: BTreeMap<VmName, SocketAddr>,
+}
+
+impl Task {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        let options = &shared.options;
+        let now = Time::ZERO;
+        let members = Members::new(shared.me(), options.members.clone(), options.seed, now);
+        let validator = listing::validator(Arc::clone(&options.validator));
+        let name = options.name.clone();
+        let config = Config::new(name, validator, options.config.clone(), options.seed, now);
+        Self {
+            origin: Instant::now(),
+            members,
+            config,
+            listed: Listed::default(),
+            revision: 0,
+            read: 0,
+            reading: false,
+            next_list: Some(Instant::now()),
+            trusted: false,
+            left: false,
+            calls: JoinSet::new(),
+            shared,
+        }
+    }
+
+    pub(super) async fn run(&mut self, inbox: &mut mpsc::Receiver<Incoming>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.publish_view();
+        loop {
+            let mut outbox = Outbox::default();
+            tokio::select! {
+                _ = ticks.tick() => self.tick(&mut outbox),
+                Some(incoming) = inbox.recv() => self.incoming(incoming, &mut outbox),
+                Some(event) = self.calls.join_next() => {
+                    self.event(event.unwrap_or(Event::Nothing), &mut outbox);
+                }
+            }
+            self.send(outbox);
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    fn tick(&mut self, outbox: &mut Outbox) {
+        let now = self.now();
+        if self.shared.leaving.is_cancelled() && !self.left {
+            self.left = true;
+            let actions = self.members.leave(now);
+            self.member_actions(actions, outbox);
+        }
+        let actions = self.members.tick(now);
+        self.member_actions(actions, outbox);
+        let actions = self.config.tick(now);
+        self.config_actions(actions, outbox);
+        self.read_list();
+        self.publish_trust();
+    }
+
+    fn incoming(&mut self, incoming: Incoming, outbox: &mut Outbox) {
+        self.messages(&incoming.from, incoming.call, outbox);
+        // What goes back to the caller travels in the reply.
+        let reply = outbox.calls.remove(&incoming.from).unwrap_or_default();
+        let _ = incoming.reply.send(reply);
+    }
+
+    fn event(&mut self, event: Event, outbox: &mut Outbox) {
+        let now = self.now();
+        match event {
+            Event::Reply(from, call) => self.messages(&from, call, outbox),
+            Event::Answer(answer) => {
+                self.reading = false;
+                match answer {
+                    Some(answer) => {
+                        let actions = self.config.answer(now, &answer);
+                        self.config_actions(actions, outbox);
+                    }
+                    None => self.config.failed(now),
+                }
+            }
+            Event::List(listing) => {
+                self.next_list = Some(Instant::now() + LIST_PACE);
+                if let Some(listing) = listing {
+                    self.list(&listing, outbox);
+                }
+            }
+            Event::Nothing => {}
+        }
+    }
+
+    fn messages(&mut self, from: &VmName, call: ClusterCall, outbox: &mut Outbox) {
+        for packet in call.members {
+            let actions = self.members.receive(self.now(), packet);
+            self.member_actions(actions, outbox);
+        }
+        for message in call.config {
+            let actions = self.config.receive(self.now(), from, message);
+            self.config_actions(actions, outbox);
+        }
+        self.publish_trust();
+    }
+
+    fn member_actions(&mut self, actions: Vec<member::Action>, outbox: &mut Outbox) {
+        for action in actions {
+            match action {
+                member::Action::Send { to, addr, packet } => {
+                    outbox.addresses.insert(to.clone(), addr);
+                    outbox.calls.entry(to).or_default().members.push(packet);
+                }
+                member::Action::Changed => self.publish_view(),
+            }
+        }
+    }
+
+    fn config_actions(&mut self, actions: Vec<config::Action>, outbox: &mut Outbox) {
+        let mut changed = Vec::new();
+        for action in actions {
+            match action {
+                config::Action::Send { to, message } => {
+                    outbox.calls.entry(to).or_default().config.push(message);
+                }
+                config::Action::Read { since, wait } => self.read(since, wait),
+                config::Action::InForce { name, revision } => changed.push((name, revision)),
+                config::Action::Rejected { name, revision } => self.log_rejected(&name, revision),
+                config::Action::Ready => {
+                    log::info!(
+                        "the configuration is complete up to {}",
+                        self.config.cursor()
+                    );
+                    self.shared.published.ready.send_replace(true);
+                    self.publish_list(outbox);
+                }
+            }
+        }
+        if !changed.is_empty() {
+            self.publish_documents(changed, outbox);
+        }
+    }
+
+    fn log_rejected(&self, name: &str, revision: u64) {
+        let rejected = self
+            .config
+            .store()
+            .rejected()
+            .find(|(held, _)| held.as_ref() == name);
+        let findings = rejected.map(|(_, rejected)| rejected.findings.join("; "));
+        let findings = findings.unwrap_or_default();
+        log::warn!("revision {revision} of {name} is malformed and not in force: {findings}");
+    }
+
+    fn read(&mut self, since: u64, wait: Duration) {
+        // The first answer may take longer than the state machine waits for it.
+        if std::mem::replace(&mut self.reading, true) {
+            return;
+        }
+        let platform = Arc::clone(&self.shared.platform);
+        self.calls.spawn(async move {
+            let answer = platform.documents(since, wait).await;
+            Event::Answer(answer.inspect_err(|error| log::debug!("{error:#}")).ok())
+        });
+    }
+
+    /// Reads the list on the VMs that read documents, and on a VM that knows no other yet.
+    fn read_list(&mut self) {
+        let joined = self.members.view().members.len() > 1;
+        let due = self.next_list.is_some_and(|next| Instant::now() >= next);
+        let reader = !joined || !self.config.ready() || self.config.watching();
+        if !due || !reader {
+            return;
+        }
+        self.next_list = None;
+        let platform = Arc::clone(&self.shared.platform);
+        let since = self.read;
+        self.calls.spawn(async move {
+            let listing = platform.vms(since, LIST_WAIT).await;
+            Event::List(listing.inspect_err(|error| log::debug!("{error:#}")).ok())
+        });
+    }
+
+    fn list(&mut self, listing: &Listing, outbox: &mut Outbox) {
+        // A stale replica, or the end of a waiting read without a change.
+        if listing.revision < self.read || listing.revision == self.read && self.config.ready() {
+            return;
+        }
+        let now = self.now();
+        // A booting VM takes the list for itself only: its peers' entries may be older than this
+        // revision although their texts are the same.
+        let vms = listing::members(listing.vms.iter());
+        let actions = self.members.list(now, listing.revision, &vms);
+        self.member_actions(actions, outbox);
+        if self.config.ready() {
+            self.read = listing.revision;
+            let documents = listing::documents(listing);
+            let actions = self
+                .config
+                .snapshot(now, LIST_PREFIX, listing.revision, &documents);
+            self.config_actions(actions, outbox);
+        }
+    }
+
+    fn publish_documents(&mut self, changed: Vec<(Arc<str>, u64)>, outbox: &mut Outbox) {
+        let mut documents = self.shared.published.documents.borrow().clone();
+        let mut list = false;
+        for (name, revision) in changed {
+            let text = self.config.store().get(&name).map(|(_, text)| text);
+            if listing::apply(&mut self.listed, &name, text.as_deref()) {
+                self.revision = self.revision.max(revision);
+                list = true;
+            } else {
+                documents.set(&name, revision, text);
+            }
+        }
+        self.shared.published.documents.send_replace(documents);
+        // A booting VM has a part of the list only, which would look like removals.
+        if list && self.config.ready() {
+            self.publish_list(outbox);
+        }
+    }
+
+    fn publish_list(&mut self, outbox: &mut Outbox) {
+        if self.listed.vms.is_empty() {
+            return;
+        }
+        let listed = Arc::new(self.listed.clone());
+        self.shared.published.listed.send_replace(listed);
+        let vms = listing::members(self.listed.vms.values());
+        let actions = self.members.list(self.now(), self.revision, &vms);
+        self.member_actions(actions, outbox);
+    }
+
+    fn publish_view(&mut self) {
+        let view = self.members.view();
+        self.config.view(&view, self.trusted);
+        let others = view
+            .members
+            .iter()
+            .filter(|(vm, _)| **vm != self.shared.options.name);
+        let directory = others
+            .map(|(vm, member)| (vm.clone(), member.addr))
+            .collect();
+        self.shared.peers.set_directory(directory);
+        self.shared.published.view.send_replace(view);
+    }
+
+    fn publish_trust(&mut self) {
+        let trusted = self.members.trusted(self.now());
+        self.shared.published.set_trusted(trusted);
+        if trusted != self.trusted {
+            self.trusted = trusted;
+            self.config.view(&self.members.view(), trusted);
+        }
+    }
+
+    fn send(&mut self, outbox: Outbox) {
+        for (to, call) in outbox.calls {
+            let addr = outbox.addresses.get(&to).copied();
+            let Some(addr) = addr.or_else(|| self.shared.peers.address(&to)) else {
+                continue;
+            };
+            if self.calls.len() >= MAX_CALLS {
+                return;
+            }
+            let peers = self.shared.peers.clone();
+            self.calls.spawn(async move {
+                match peers.call_at::<ClusterPart>(addr, &call, CALL_LIMIT).await {
+                    Ok(reply) => Event::Reply(to, reply),
+                    Err(_) => Event::Nothing,
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/platform.rs
@@ -0,0 +1,186 @@
+//! Client of the platform: the configuration service and the list of VMs and upstreams
+//! (`docs/design.md`, section 4).
+//!
+//! A read that waits at the platform is a watch. Each read has a time limit; a connection whose
+//! read failed or ran out of time is not used again, because it may be silent for ever.
+
+mod wire;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::config::Answer;
+use coord::name::{DataCentre, Service, Upstream, VmName};
+use eyre::WrapErr;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+/// The largest answer in bytes: 42,000 documents of 1.5 KB.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// The time beyond the waiting time within which an answer must be complete.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// The time within which the first answer with all documents must be complete. It is far above
+/// [`GRACE`], because 42,000 documents have tens of megabytes.
+const FULL_GRACE: Duration = Duration::from_secs(30);
+
+/// Whether the platform is about to remove a VM or an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It stays.
+    Live,
+    /// It gets no new work.
+    Leaving,
+}
+
+/// What an upstream can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamRole {
+    /// An engine for prefill.
+    Prefill,
+    /// An engine for decode.
+    Decode,
+    /// An engine for both.
+    Both,
+    /// A plain service.
+    Plain,
+}
+
+/// One VM of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedVm {
+    /// The VM.
+    pub name: VmName,
+    /// Its data centre.
+    pub zone: DataCentre,
+    /// The address of its peer port.
+    pub peer: SocketAddr,
+    /// Whether it stays.
+    pub presence: Presence,
+}
+
+/// One upstream of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedUpstream {
+    /// The upstream.
+    pub name: Upstream,
+    /// The service that it runs.
+    pub service: Service,
+    /// What it can do.
+    pub role: UpstreamRole,
+    /// Its data centre.
+    pub zone: DataCentre,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it stays.
+    pub presence: Presence,
+}
+
+/// The list of VMs and upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The list's revision; a stale replica may answer an older one.
+    pub revision: u64,
+    /// The VMs.
+    pub vms: Vec<ListedVm>,
+    /// The upstreams.
+    pub upstreams: Vec<ListedUpstream>,
+}
+
+/// A client with one connection for documents and one for the list.
+#[derive(Debug)]
+pub struct Platform {
+    addr: SocketAddr,
+    documents: Mutex<Option<SendRequest<Empty<Bytes>>>>,
+    list: Mutex<Option<SendRequest<Empty<Bytes>>>>,
+}
+
+impl Platform {
+    /// Returns a client that connects with the first read.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            documents: Mutex::default(),
+            list: Mutex::default(),
+        }
+    }
+
+    /// Reads the documents that changed after `since`; waits up to `wait` for a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service cannot be reached, is too slow or answers something else.
+    pub async fn documents(&self, since: u64, wait: Duration) -> eyre::Result<Answer> {
+        let path = format!("/v1/documents?since={since}&wait_ms={}", wait.as_millis());
+        let grace = if since == 0 { FULL_GRACE } else { GRACE };
+        let answer: wire::Documents = self.read(&self.documents, &path, wait + grace).await?;
+        Ok(answer.into_answer(since))
+    }
+
+    /// Reads the list of VMs and upstreams; waits up to `wait` for a revision above `since`.
+    ///
+    /// # Errors
+    ///
+    /// As [`documents`](Self::documents).
+    pub async fn vms(&self, since: u64, wait: Duration) -> eyre::Result<Listing> {
+        let path = format!("/v1/vms?since={since}&wait_ms={}", wait.as_millis());
+        let answer: wire::Listing = self.read(&self.list, &path, wait + GRACE).await?;
+        Ok(answer.into())
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        connection: &Mutex<Option<SendRequest<Empty<Bytes>>>>,
+        path: &str,
+        limit: Duration,
+    ) -> eyre::Result<T> {
+        let mut connection = connection.lock().await;
+        // Taken out, so that a failure or the end of this future drops the connection.
+        let open = connection.take();
+        let reading = tokio::time::timeout(limit, self.exchange(open, path));
+        let place = || format!("cannot read {path} from the platform at {}", self.addr);
+        let (sender, body) = reading.await.wrap_err_with(place)?.wrap_err_with(place)?;
+        *connection = Some(sender);
+        serde_json::from_slice(&body).wrap_err_with(place)
+    }
+
+    async fn exchange(
+        &self,
+        open: Option<SendRequest<Empty<Bytes>>>,
+        path: &str,
+    ) -> eyre::Result<(SendRequest<Empty<Bytes>>, Bytes)> {
+        let mut sender = match open {
+            Some(sender) if !sender.is_closed() => sender,
+            _ => self.connect().await?,
+        };
+        sender.ready().await?;
+        let request = Request::get(path)
+            .header(HOST, self.addr.to_string())
+            .body(Empty::new())?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER)
+            .collect()
+            .await;
+        let body = body.map_err(|error| eyre::eyre!(error))?.to_bytes();
+        eyre::ensure!(status.is_success(), "the answer has status {status}");
+        Ok((sender, body))
+    }
+
+    async fn connect(&self) -> eyre::Result<SendRequest<Empty<Bytes>>> {
+        let stream = TcpStream::connect(self.addr).await?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        // The task ends when the sender is dropped or the connection closes.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/platform/wire.rs
@@ -0,0 +1,203 @@
+//! The serialised form of the platform's answers, and of the list's entries between VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use coord::config::{Answer, Document};
+use serde::{Deserialize, Serialize};
+
+use super::{ListedUpstream, ListedVm, Presence, UpstreamRole};
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Documents {
+    revision: u64,
+    documents: Vec<Entry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Entry {
+    name: Arc<str>,
+    revision: u64,
+    text: Option<Arc<str>>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Listing {
+    revision: u64,
+    vms: Vec<Vm>,
+    upstreams: Vec<Upstream>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Live,
+    Leaving,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Role {
+    Prefill,
+    Decode,
+    Both,
+    Plain,
+}
+
+/// One VM as the platform writes it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Vm {
+    name: Arc<str>,
+    data_centre: Arc<str>,
+    peer: SocketAddr,
+    state: State,
+}
+
+/// One upstream as the platform writes it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Upstream {
+    name: Arc<str>,
+    service: Arc<str>,
+    role: Role,
+    data_centre: Arc<str>,
+    address: SocketAddr,
+    state: State,
+}
+
+impl Documents {
+    pub(super) fn into_answer(self, since: u64) -> Answer {
+        let documents = self.documents.into_iter().map(|entry| Document {
+            name: entry.name,
+            revision: entry.revision,
+            text: entry.text,
+            age: 0,
+        });
+        Answer {
+            since,
+            revision: self.revision,
+            documents: documents.collect(),
+        }
+    }
+}
+
+impl From<Listing> for super::Listing {
+    fn from(listing: Listing) -> Self {
+        Self {
+            revision: listing.revision,
+            vms: listing.vms.into_iter().map(Into::into).collect(),
+            upstreams: listing.upstreams.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl ListedVm {
+    /// Returns the entry as text, for the distribution between VMs.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let vm = Vm {
+            name: self.name.as_str().into(),
+            data_centre: self.zone.as_str().into(),
+            peer: self.peer,
+            state: self.presence.into(),
+        };
+        serde_json::to_string(&vm).unwrap_or_default()
+    }
+
+    /// Reads an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the place and the reason if the text is malformed.
+    pub fn from_text(text: &str) -> Result<Self, serde_json::Error> {
+        serde_json::from_str::<Vm>(text).map(Into::into)
+    }
+}
+
+impl ListedUpstream {
+    /// Returns the entry as text, for the distribution between VMs.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let upstream = Upstream {
+            name: self.name.as_str().into(),
+            service: self.service.as_str().into(),
+            role: self.role.into(),
+            data_centre: self.zone.as_str().into(),
+            address: self.address,
+            state: self.presence.into(),
+        };
+        serde_json::to_string(&upstream).unwrap_or_default()
+    }
+
+    /// Reads an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the place and the reason if the text is malformed.
+    pub fn from_text(text: &str) -> Result<Self, serde_json::Error> {
+        serde_json::from_str::<Upstream>(text).map(Into::into)
+    }
+}
+
+impl From<Vm> for ListedVm {
+    fn from(vm: Vm) -> Self {
+        Self {
+            name: vm.name.into(),
+            zone: vm.data_centre.into(),
+            peer: vm.peer,
+            presence: vm.state.into(),
+        }
+    }
+}
+
+impl From<Upstream> for ListedUpstream {
+    fn from(upstream: Upstream) -> Self {
+        Self {
+            name: upstream.name.into(),
+            service: upstream.service.into(),
+            role: upstream.role.into(),
+            zone: upstream.data_centre.into(),
+            address: upstream.address,
+            presence: upstream.state.into(),
+        }
+    }
+}
+
+impl From<State> for Presence {
+    fn from(state: State) -> Self {
+        match state {
+            State::Live => Self::Live,
+            State::Leaving => Self::Leaving,
+        }
+    }
+}
+
+impl From<Presence> for State {
+    fn from(presence: Presence) -> Self {
+        match presence {
+            Presence::Live => Self::Live,
+            Presence::Leaving => Self::Leaving,
+        }
+    }
+}
+
+impl From<Role> for UpstreamRole {
+    fn from(role: Role) -> Self {
+        match role {
+            Role::Prefill => Self::Prefill,
+            Role::Decode => Self::Decode,
+            Role::Both => Self::Both,
+            Role::Plain => Self::Plain,
+        }
+    }
+}
+
+impl From<UpstreamRole> for Role {
+    fn from(role: UpstreamRole) -> Self {
+        match role {
+            UpstreamRole::Prefill => Self::Prefill,
+            UpstreamRole::Decode => Self::Decode,
+            UpstreamRole::Both => Self::Both,
+            UpstreamRole::Plain => Self::Plain,
+        }
+    }
+}
