--- /dev/null
+++ b/crates/coord/tests/config.rs
@@ -0,0 +1,251 @@
+//! Distribution of documents, one transition at a time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::config::{
+    Action, Answer, Config, Document, KEEP_DELETED, Message, Offered, Options, Store, Validator,
+};
+use coord::member::View;
+use coord::time::Time;
+
+const NOW: Time = Time::from_millis(100_000_000);
+
+fn validator() -> Validator {
+    Arc::new(|name, text| match text.strip_prefix("bad") {
+        Some(rest) => Err(vec![format!("{name}: line 1: {rest}")]),
+        None => Ok(()),
+    })
+}
+
+fn store() -> Store {
+    Store::new(validator())
+}
+
+fn document(name: &str, revision: u64, text: &str) -> Document {
+    Document {
+        name: name.into(),
+        revision,
+        text: Some(text.into()),
+        age: 0,
+    }
+}
+
+fn config(name: &str) -> Config {
+    Config::new(name.into(), validator(), Options::default(), 1, NOW)
+}
+
+/// Passes `message` from `b` to `a`, and all that follows, until both are silent.
+fn talk(a: &mut Config, b: &mut Config, message: Message) {
+    let mut letters = vec![(true, message)];
+    while let Some((to_a, message)) = letters.pop() {
+        let (listener, from) = if to_a { (&mut *a, "b") } else { (&mut *b, "a") };
+        let actions = listener.receive(NOW, &from.into(), message);
+        for action in actions {
+            if let Action::Send { message, .. } = action {
+                letters.push((!to_a, message));
+            }
+        }
+    }
+}
+
+fn root(config: &Config) -> Message {
+    let (root, cursor) = (config.store().root(), config.cursor());
+    Message::Root {
+        root,
+        cursor,
+        ready: config.ready(),
+        reply: false,
+    }
+}
+
+fn answer(since: u64, revision: u64, documents: Vec<Document>) -> Answer {
+    Answer {
+        since,
+        revision,
+        documents,
+    }
+}
+
+/// Guards against a malformed text that replaces the last good one, and findings that are lost.
+#[test]
+fn the_last_good_text_stays_in_force() {
+    let mut store = store();
+    store.offer(NOW, &document("org", 1, "good"));
+
+    let offered = store.offer(NOW, &document("org", 2, "bad key"));
+
+    assert_eq!(offered, Offered::Rejected);
+    assert_eq!(store.get("org"), Some((1, "good".into())));
+    let findings: Vec<_> = store
+        .rejected()
+        .flat_map(|(_, r)| r.findings.clone())
+        .collect();
+    assert_eq!(findings, ["org: line 1:  key"]);
+}
+
+/// Guards against findings that stay after the text was corrected.
+#[test]
+fn a_corrected_text_ends_the_findings() {
+    let mut store = store();
+    store.offer(NOW, &document("org", 1, "bad"));
+
+    store.offer(NOW, &document("org", 2, "good"));
+
+    assert_eq!(
+        (store.rejected().count(), store.get("org").unwrap().0),
+        (0, 2)
+    );
+}
+
+/// Guards against a VM that got the malformed text first and never learns the good one before it.
+#[test]
+fn a_good_text_below_a_malformed_one_is_accepted_and_repaired() {
+    let (mut a, mut b) = (config("a"), config("b"));
+    a.answer(NOW, &answer(0, 2, vec![document("org", 2, "bad")]));
+    b.answer(NOW, &answer(0, 1, vec![document("org", 1, "good")]));
+    b.answer(NOW, &answer(1, 2, vec![document("org", 2, "bad")]));
+
+    let message = root(&b);
+    talk(&mut a, &mut b, message);
+
+    assert_eq!(a.store().get("org"), Some((1, "good".into())));
+    assert_eq!(a.store().root(), b.store().root());
+}
+
+/// Guards against a deleted document that an older copy brings back.
+#[test]
+fn a_deletion_is_remembered_and_forgotten_after_a_day() {
+    let mut store = store();
+    store.offer(NOW, &document("org", 1, "good"));
+    let deletion = Document {
+        name: "org".into(),
+        revision: 2,
+        text: None,
+        age: 0,
+    };
+    store.offer(NOW, &deletion);
+
+    let old = store.offer(NOW, &document("org", 1, "good"));
+    store.forget(NOW + KEEP_DELETED.checked_sub(Duration::from_secs(1)).unwrap());
+    let kept = store.len();
+    store.forget(NOW + KEEP_DELETED);
+
+    assert_eq!((old, kept, store.len()), (Offered::Stale, 1, 0));
+    assert!(store.digest().iter().all(|bucket| *bucket == 0));
+}
+
+/// Guards against deletions that live for ever by being copied from VM to VM.
+#[test]
+fn the_age_of_a_deletion_is_copied() {
+    let mut first = store();
+    first.offer(
+        NOW,
+        &Document {
+            name: "org".into(),
+            revision: 2,
+            text: None,
+            age: 0,
+        },
+    );
+    let copied = first.documents(NOW + KEEP_DELETED / 2, "org");
+
+    let mut second = store();
+    second.offer(NOW, &copied[0]);
+    second.forget(NOW + KEEP_DELETED / 2);
+
+    assert!(second.is_empty());
+}
+
+/// Guards against an answer to an old question that hides documents from the next reader.
+#[test]
+fn a_gap_does_not_move_the_cursor() {
+    let mut a = config("a");
+
+    a.answer(NOW, &answer(5, 9, vec![document("org", 9, "good")]));
+
+    assert_eq!((a.cursor(), a.store().get("org").unwrap().0), (0, 9));
+}
+
+/// Guards against a peer that restarted during a comparison and whose empty answers look like
+/// the end of it.
+#[test]
+fn a_peer_that_lost_its_memory_does_not_move_the_cursor() {
+    let (mut a, mut b) = (config("a"), config("b"));
+    b.answer(NOW, &answer(0, 7, vec![document("org", 7, "good")]));
+    let buckets = b.store().digest().to_vec();
+    let cursor = b.cursor();
+
+    talk(
+        &mut a,
+        &mut config("b"),
+        Message::Buckets {
+            buckets,
+            cursor,
+            ready: true,
+        },
+    );
+
+    assert_eq!(a.cursor(), 0);
+}
+
+/// Guards against a VM that serves before it has seen any peer or answer.
+#[test]
+fn a_vm_without_a_trusted_view_does_not_become_ready() {
+    let mut a = config("a");
+    a.view(&View::default(), false);
+
+    a.answer(NOW, &answer(0, 3, vec![document("org", 3, "good")]));
+
+    assert!(!a.ready());
+}
+
+/// Guards against a list read again that counts as a change of every entry.
+#[test]
+fn a_snapshot_changes_only_what_differs() {
+    let mut a = config("a");
+    let texts = |all: &[(&str, &str)]| -> BTreeMap<Arc<str>, Arc<str>> {
+        all.iter()
+            .map(|(name, text)| ((*name).into(), (*text).into()))
+            .collect()
+    };
+    a.snapshot(
+        NOW,
+        "@",
+        1,
+        &texts(&[("@vm/1", "x"), ("@vm/2", "y"), ("@vm/3", "z")]),
+    );
+
+    a.snapshot(NOW, "@", 2, &texts(&[("@vm/1", "x"), ("@vm/2", "changed")]));
+    a.snapshot(NOW, "@", 1, &texts(&[("@vm/2", "y"), ("@vm/3", "z")]));
+
+    let held = |name: &str| a.store().held(name).unwrap().latest;
+    assert_eq!([held("@vm/1"), held("@vm/2"), held("@vm/3")], [1, 2, 2]);
+    assert_eq!(a.store().get("@vm/3"), None);
+}
+
+/// Guards against large texts that each VM receives from several peers.
+#[test]
+fn a_large_text_is_announced_and_sent_once() {
+    let (mut a, mut b) = (config("a"), config("b"));
+    let text = "large ".repeat(1_000);
+    b.answer(NOW, &answer(0, 1, vec![document("org", 1, &text)]));
+    let held = b.store().held("org").unwrap();
+
+    let first = a.receive(
+        NOW,
+        &"b".into(),
+        Message::Announce {
+            held: vec![held.clone()],
+        },
+    );
+    let second = a.receive(NOW, &"c".into(), Message::Announce { held: vec![held] });
+
+    let names = vec!["org".into()];
+    let want = Action::Send {
+        to: "b".into(),
+        message: Message::Want { names },
+    };
+    assert_eq!((first, second.len()), (vec![want], 0));
+}
--- /dev/null
+++ b/crates/coord/tests/member.rs
@@ -0,0 +1,201 @@
+//! Membership, one transition at a time.
+
+use std::time::Duration;
+
+use coord::member::{
+    Action, Body, Health, Listed, MAX_NEWS, MAX_STATE, MAX_UPDATE_BYTES, Me, Members, Options,
+    Packet, Standing, Update, boot, incarnation,
+};
+use coord::name::Incarnation;
+use coord::time::Time;
+
+const NOW: Time = Time::from_millis(1_000);
+
+fn me(number: u16, boot: u64) -> Me {
+    Me {
+        name: format!("vm-{number}").into(),
+        zone: "east".into(),
+        addr: ([10, 0, 0, 1], number).into(),
+        boot,
+    }
+}
+
+fn members(number: u16) -> Members {
+    Members::new(me(number, 5), Options::default(), number.into(), NOW)
+}
+
+fn listed(number: u16) -> Listed {
+    Listed {
+        name: format!("vm-{number}").into(),
+        ..members(number).listed()
+    }
+}
+
+fn update(number: u16, at: Incarnation, health: Health) -> Update {
+    let Listed {
+        name, zone, addr, ..
+    } = listed(number);
+    Update {
+        name,
+        zone,
+        addr,
+        incarnation: at,
+        health,
+        leaving: false,
+    }
+}
+
+fn news(from: u16, updates: Vec<Update>) -> Packet {
+    Packet {
+        from: update(from, incarnation(5), Health::Alive),
+        body: Body::News,
+        updates,
+    }
+}
+
+fn standing(members: &Members, number: u16) -> Option<Standing> {
+    let view = members.view();
+    view.members
+        .get(&format!("vm-{number}").into())
+        .map(|member| member.standing)
+}
+
+fn packets(actions: &[Action]) -> impl Iterator<Item = &Packet> {
+    actions.iter().filter_map(|action| match action {
+        Action::Send { packet, .. } => Some(packet),
+        Action::Changed => None,
+    })
+}
+
+/// Guards against a restarted VM with an earlier wall clock that the fleet takes for the dead
+/// predecessor.
+#[test]
+fn a_restart_with_an_earlier_clock_overtakes_its_predecessor() {
+    let mut a = members(1);
+    let mut restarted = Members::new(me(2, 3), Options::default(), 9, NOW);
+    a.receive(NOW, news(3, vec![update(2, incarnation(9), Health::Alive)]));
+    a.receive(NOW, news(3, vec![update(2, incarnation(9), Health::Dead)]));
+    assert_eq!(standing(&a, 2), None);
+
+    let dead = update(2, incarnation(9), Health::Dead);
+    let actions = restarted.receive(NOW, news(3, vec![dead]));
+    for packet in packets(&actions) {
+        a.receive(NOW, packet.clone());
+    }
+
+    assert!(restarted.incarnation() > incarnation(9));
+    assert_eq!(boot(restarted.incarnation()), 9);
+    assert_eq!(standing(&a, 2), Some(Standing::Live));
+}
+
+/// Guards against late gossip that brings a dead member back.
+#[test]
+fn old_news_do_not_revive_a_dead_member() {
+    let mut a = members(1);
+    a.receive(NOW, news(3, vec![update(2, incarnation(5), Health::Alive)]));
+    a.receive(NOW, news(3, vec![update(2, incarnation(5), Health::Dead)]));
+
+    a.receive(NOW, news(3, vec![update(2, incarnation(5), Health::Alive)]));
+    a.receive(
+        NOW,
+        news(3, vec![update(2, incarnation(5), Health::Suspect)]),
+    );
+
+    assert_eq!(standing(&a, 2), None);
+}
+
+/// Guards against ownership for VMs that are stopping.
+#[test]
+fn a_leaving_vm_gets_no_ownership() {
+    let mut a = members(1);
+    let mut b = members(2);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+    b.list(NOW, 1, &[listed(1), listed(2)]);
+
+    for packet in packets(&b.leave(NOW + Duration::from_millis(60))) {
+        a.receive(NOW, packet.clone());
+    }
+
+    assert_eq!(standing(&a, 2), Some(Standing::Leaving));
+    assert_eq!(a.view().owners().len(), 1);
+}
+
+/// Guards against ownership for VMs that the platform removed, and against stale lists that
+/// bring them back.
+#[test]
+fn removals_of_the_list_take_ownership_and_stale_lists_do_not_return_it() {
+    let mut a = members(1);
+    a.list(NOW, 1, &[listed(1), listed(2), listed(3)]);
+
+    a.list(NOW, 3, &[listed(1), listed(3)]);
+    a.list(NOW, 2, &[listed(1), listed(2), listed(3)]);
+
+    assert_eq!(standing(&a, 2), Some(Standing::Leaving));
+    assert_eq!(standing(&a, 3), Some(Standing::Live));
+}
+
+/// Guards against a member learnt by gossip that a lagging list removes.
+#[test]
+fn a_list_that_has_not_shown_a_member_yet_does_not_remove_it() {
+    let mut a = members(1);
+    a.receive(NOW, news(2, Vec::new()));
+
+    a.list(NOW, 1, &[listed(1)]);
+
+    assert_eq!(standing(&a, 2), Some(Standing::Live));
+}
+
+/// Guards against messages that grow with the number of changes or with long names.
+#[test]
+fn messages_are_bounded() {
+    let mut a = members(1);
+    let mut now = NOW;
+    let mut largest = 0;
+    for round in 0..10 {
+        let change = |number| Update {
+            zone: "a data centre with a long name ".repeat(2).into(),
+            ..update(number, incarnation(5), Health::Alive)
+        };
+        let changes = (0..40)
+            .map(|number| change(2 + round * 40 + number))
+            .collect();
+        let actions = a.receive(now, news(1_000, changes));
+        now = now + Duration::from_millis(50);
+        for packet in packets(&actions).chain(packets(&a.tick(now))) {
+            let bytes: usize = packet.updates.iter().map(Update::size).sum();
+            assert!(bytes <= MAX_UPDATE_BYTES && packet.updates.len() <= MAX_NEWS);
+            if let Body::State { entries, .. } = &packet.body {
+                assert!(entries.len() <= MAX_STATE);
+            }
+            largest = largest.max(packet.updates.len());
+        }
+    }
+
+    assert!(largest > 8, "the bound was not tested");
+}
+
+/// Guards against a VM that acts in the moment after a pause, before its first tick.
+#[test]
+fn a_pause_is_seen_before_the_next_call() {
+    let mut a = members(1);
+    a.list(NOW, 1, &[listed(1)]);
+
+    let before = a.trusted(NOW + Duration::from_millis(600));
+    let after = a.trusted(NOW + Duration::from_millis(601));
+
+    assert!(before && !after);
+}
+
+/// Guards against statements that no process could refute.
+#[test]
+fn impossible_incarnations_are_ignored() {
+    let mut a = members(1);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+
+    a.receive(
+        NOW,
+        news(3, vec![update(2, Incarnation(u64::MAX), Health::Dead)]),
+    );
+
+    assert_eq!(standing(&a, 2), Some(Standing::Live));
+}
