Close idle peer connections

Cause: a peer that is gone without a word keeps its connection, and 700 of them would fill the bound of the listener.

Change: a connection without a call for one to two idle limits (1 min by default) is closed. A test sends a valid frame and one with a deadline beyond the clock's range; the second one closes its connection only.

Conclusion: connections of dead peers end after at most two minutes.

--- a/crates/cumindoor/src/serve/peer/listener.rs
+++ b/crates/cumindoor/src/serve/peer/listener.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -57,6 +58,9 @@
     pub calls: usize,
     /// The time within which the head of an HTTP request must arrive.
     pub head_limit: Duration,
+    /// The time without a call after which a connection is closed: its peer may have gone
+    /// without a word, and each open connection counts against `connections`.
+    pub idle_limit: Duration,
 }
 
 impl Default for ListenerOptions {
@@ -66,6 +70,7 @@
             connections: 700,
             calls: 64,
             head_limit: Duration::from_secs(5),
+            idle_limit: Duration::from_mins(1),
         }
     }
 }
@@ -221,24 +226,70 @@
 
     /// Answers calls until the connection closes; a malformed or oversized frame closes it.
     async fn frames(&self, io: Upgraded) {
+        let activity = Arc::new(Activity::default());
         let wire = Answers {
             router: self.router.clone(),
+            activity: Arc::clone(&activity),
         };
         let calls = BaseChannel::with_defaults(transport(TokioIo::new(io)))
             .max_concurrent_requests(self.options.calls)
             .execute(wire.serve());
         // A call that panics ends its own connection only: it runs inside this task.
-        calls.for_each_concurrent(None, |call| call).await;
+        tokio::select! {
+            () = calls.for_each_concurrent(None, |call| call) => {}
+            () = activity.idle(self.options.idle_limit) => {}
+        }
+    }
+}
+
+/// When a connection last carried a call.
+#[derive(Debug, Default)]
+struct Activity {
+    running: AtomicUsize,
+    calls: AtomicUsize,
+}
+
+impl Activity {
+    /// Returns when no call ran for between one and two times `limit`.
+    async fn idle(&self, limit: Duration) {
+        let mut seen = usize::MAX;
+        loop {
+            tokio::time::sleep(limit).await;
+            let calls = self.calls.load(Ordering::Acquire);
+            if calls == seen && self.running.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            seen = calls;
+        }
+    }
+}
+
+/// Counts a call for as long as it lives.
+struct CallGuard(Arc<Activity>);
+
+impl CallGuard {
+    fn new(activity: Arc<Activity>) -> Self {
+        activity.calls.fetch_add(1, Ordering::AcqRel);
+        activity.running.fetch_add(1, Ordering::AcqRel);
+        Self(activity)
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 #[derive(Clone)]
 struct Answers {
     router: Router,
+    activity: Arc<Activity>,
 }
 
 impl Wire for Answers {
     async fn call(self, context: tarpc::context::Context, envelope: Envelope) -> Answer {
+        let _running = CallGuard::new(Arc::clone(&self.activity));
         if envelope.span == 0 {
             return self.router.answer(envelope).await;
         }
--- a/crates/cumindoor/tests/peer.rs
+++ b/crates/cumindoor/tests/peer.rs
@@ -44,6 +44,26 @@
     }
 }
 
+/// The frame of a call of `echo`, as the transport writes it, with any deadline.
+fn frame(seconds: u64) -> Vec<u8> {
+    #[derive(serde::Serialize)]
+    enum Wire {
+        Call((Envelope,)),
+    }
+    #[derive(serde::Serialize)]
+    enum Message {
+        Request((Context, u64, Wire)),
+    }
+    type Envelope = (&'static str, &'static str, u64, bytes::Bytes);
+    type Context = ((u64, u32), ([u8; 16], u64, &'static str));
+    let envelope = ("vm-9", "echo", 0, bytes::Bytes::from_static(b"\xa1x"));
+    let context = ((seconds, 0), ([0; 16], 0, "Unsampled"));
+    let body = Message::Request((context, 1, Wire::Call((envelope,))));
+    let body = rmp_serde::to_vec(&body).unwrap();
+    let length = u32::try_from(body.len()).unwrap().to_be_bytes();
+    [&length[..], &body[..]].concat()
+}
+
 struct Absent;
 
 impl Part for Absent {
@@ -53,10 +73,12 @@
 }
 
 async fn server() -> Running {
+    server_with(ListenerOptions::default()).await
+}
+
+async fn server_with(options: ListenerOptions) -> Running {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Listener::bind(any, ListenerOptions::default())
-        .await
-        .unwrap();
+    let listener = Listener::bind(any, options).await.unwrap();
     let router = Router::new().with::<Echo>(Arc::new(EchoHandler));
     listener.spawn(router, Arc::new(NoHttp)).unwrap()
 }
@@ -203,6 +225,42 @@
     assert_eq!(after.unwrap(), "vm-1: after");
 }
 
+/// Guards against connections of peers that went without a word, which would use up the bound.
+#[tokio::test]
+async fn an_idle_connection_is_closed() {
+    let options = ListenerOptions {
+        idle_limit: Duration::from_millis(50),
+        ..ListenerOptions::default()
+    };
+    let server = server_with(options).await;
+    let mut idle = upgraded(server.addr()).await;
+
+    let end = tokio::time::timeout(LIMIT, idle.read_to_end(&mut Vec::new())).await;
+
+    assert!(end.is_ok(), "the connection stayed open");
+}
+
+/// Guards against a frame with a deadline beyond the range of the clock that stops more than its
+/// own connection.
+#[tokio::test]
+async fn an_impossible_deadline_closes_its_connection_only() {
+    let server = server().await;
+    let peers = client(PeersOptions::default());
+    let mut hostile = upgraded(server.addr()).await;
+
+    hostile.write_all(&frame(10)).await.unwrap();
+    let length = hostile.read_u32().await.unwrap();
+    let mut reply = vec![0; usize::try_from(length).unwrap()];
+    hostile.read_exact(&mut reply).await.unwrap();
+    hostile.write_all(&frame(u64::MAX)).await.unwrap();
+    let end = tokio::time::timeout(LIMIT, hostile.read_to_end(&mut Vec::new())).await;
+    let after = echo(&peers, server.addr(), "after").await;
+
+    assert!(String::from_utf8_lossy(&reply).contains("vm-9: x"));
+    assert!(end.is_ok(), "the connection stayed open");
+    assert_eq!(after.unwrap(), "vm-1: after");
+}
+
 /// Guards against a handler's panic that stops the listener or leaves its caller waiting.
 #[tokio::test]
 async fn a_panic_closes_its_connection_only() {
