--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -5,9 +5,11 @@
 
 pub mod caller;
 pub mod cell;
+pub mod cluster;
 pub mod engine;
 pub mod peer;
 pub mod plain;
+pub mod platform;
 pub mod refusal;
 pub mod route;
 pub mod spec;
