Add leases of engine slots with a seeded exploration

Change: module `lease`: the owner's table (renewal in one message per VM, expiry, death, new incarnation, waiting time of a new owner), the entry VM's holder (registration, renewal, ended slots), orphans from the engines' `held` lists.

--- /dev/null
+++ b/crates/coord/src/lease/table.rs
@@ -0,0 +1,227 @@
+//! The cell owner's table of leases.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::lease::{Cancel, LeaseOptions, Renew, Renewed, Slot, belongs_to};
+use crate::name::{Incarnation, Upstream, VmName};
+use crate::sched::JobId;
+use crate::time::Time;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    incarnation: Incarnation,
+    sequence: u64,
+    renewed: Time,
+    slots: BTreeSet<Slot>,
+    /// Slots granted since, that the VM's next list may lack because it was sent before.
+    fresh: BTreeMap<Slot, Time>,
+}
+
+/// The leases of one cell, at its owner.
+#[derive(Clone, Debug)]
+pub struct Leases {
+    options: LeaseOptions,
+    since: Time,
+    vms: BTreeMap<VmName, Entry>,
+    ended: BTreeMap<Slot, Time>,
+    free: BTreeMap<Upstream, u32>,
+    /// First report that shows a slot without a lease.
+    strays: BTreeMap<Slot, Time>,
+}
+
+impl Leases {
+    /// Starts the table of a VM that has just become the owner.
+    #[must_use]
+    pub const fn new(now: Time, options: LeaseOptions) -> Self {
+        Self {
+            options,
+            since: now,
+            vms: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            free: BTreeMap::new(),
+            strays: BTreeMap::new(),
+        }
+    }
+
+    /// Grants a slot when the scheduler starts a job on an engine.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        incarnation: Incarnation,
+        job: JobId,
+        upstream: Upstream,
+    ) {
+        let slot = Slot { job, upstream };
+        self.ended.remove(&slot);
+        let entry = self.vms.entry(vm.clone()).or_insert_with(|| Entry {
+            incarnation,
+            sequence: 0,
+            renewed: now,
+            slots: BTreeSet::new(),
+            fresh: BTreeMap::new(),
+        });
+        if entry.incarnation == incarnation {
+            entry.slots.insert(slot.clone());
+            entry.fresh.insert(slot, now);
+        }
+    }
+
+    /// Ends a lease whose job has left the engine.
+    pub fn end(&mut self, vm: &VmName, job: JobId, upstream: &Upstream) {
+        let upstream = upstream.clone();
+        let slot = Slot { job, upstream };
+        if let Some(entry) = self.vms.get_mut(vm) {
+            entry.slots.remove(&slot);
+            entry.fresh.remove(&slot);
+        }
+    }
+
+    /// Handles a renewal or registration; returns the answer and what it makes superfluous.
+    pub fn renew(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        renew: Renew,
+    ) -> (Option<Renewed>, Vec<Cancel>) {
+        let entry = self.vms.get(vm);
+        let old = entry
+            .is_some_and(|e| (renew.incarnation, renew.sequence) <= (e.incarnation, e.sequence));
+        if old {
+            return (None, Vec::new());
+        }
+        let mut cancels = Vec::new();
+        if entry.is_some_and(|entry| entry.incarnation < renew.incarnation) {
+            cancels = self.drop_vm(now, vm);
+        }
+        let is_ended = |slot: &Slot| self.ended.contains_key(slot);
+        let (ended, live): (Vec<Slot>, Vec<Slot>) = renew.slots.into_iter().partition(is_ended);
+        let mut slots: BTreeSet<Slot> = live.into_iter().collect();
+        let mut fresh = BTreeMap::new();
+        if let Some(entry) = self.vms.remove(vm) {
+            fresh = entry.fresh;
+            // A slot that the VM has not heard of within one TTL was never used by it.
+            fresh.retain(|slot, at| !slots.contains(slot) && now.since(*at) < self.options.ttl);
+        }
+        slots.extend(fresh.keys().cloned());
+        let (incarnation, sequence) = (renew.incarnation, renew.sequence);
+        let entry = Entry {
+            incarnation,
+            sequence,
+            renewed: now,
+            slots,
+            fresh,
+        };
+        self.vms.insert(vm.clone(), entry);
+        let answer = Renewed {
+            incarnation,
+            sequence,
+            ended,
+        };
+        (Some(answer), cancels)
+    }
+
+    /// Cancels the work of a VM that membership declared dead.
+    pub fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Cancel> {
+        self.drop_vm(now, vm)
+    }
+
+    /// Cancels the work of VMs whose leases have ended.
+    pub fn tick(&mut self, now: Time) -> Vec<Cancel> {
+        let (ttl, told) = (self.options.ttl, self.options.told);
+        self.ended.retain(|_, at| now.since(*at) < told);
+        let late = |entry: &Entry| now.since(entry.renewed) > ttl;
+        let expired = self.vms.iter().filter(|(_, entry)| late(entry));
+        let expired: Vec<VmName> = expired.map(|(vm, _)| vm.clone()).collect();
+        expired
+            .iter()
+            .flat_map(|vm| self.drop_vm(now, vm))
+            .collect()
+    }
+
+    /// Handles an engine's list of the jobs that hold its memory; `live` are the VMs that
+    /// membership considers alive. A VM that has just started must have taken over another VM's
+    /// view before it acts as owner; otherwise it detects a death anew and frees slots up to 2 s
+    /// later than 5 s after the death.
+    ///
+    /// A slot without a lease is cancelled at once if its VM is dead, also when the lease was with
+    /// an earlier owner; if its lease had ended here, because that cancellation was lost; and
+    /// otherwise when its VM has renewed without it for a whole TTL.
+    pub fn report(
+        &mut self,
+        now: Time,
+        upstream: &Upstream,
+        (held, total): (&[JobId], u32),
+        live: &[VmName],
+    ) -> Vec<Cancel> {
+        let used = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        self.free
+            .insert(upstream.clone(), total.saturating_sub(used));
+        let slot = |job: &JobId| Slot {
+            job: *job,
+            upstream: upstream.clone(),
+        };
+        self.strays
+            .retain(|stray, _| stray.upstream != *upstream || held.contains(&stray.job));
+        let mut cancels = Vec::new();
+        for slot in held.iter().map(slot) {
+            if self.vms.values().any(|entry| entry.slots.contains(&slot)) {
+                self.strays.remove(&slot);
+                continue;
+            }
+            let dead = !live.iter().any(|vm| belongs_to(slot.job, vm));
+            let first = *self.strays.entry(slot.clone()).or_insert(now);
+            let old = now.since(first) >= self.options.ttl && self.settled(now);
+            if dead || old || self.ended.contains_key(&slot) {
+                let Slot { job, upstream } = slot;
+                cancels.push(Cancel { job, upstream });
+            }
+        }
+        cancels
+    }
+
+    /// Returns the slots without a lease whose ids belong to `vm`, for [`Holder::held`] there: only
+    /// the VM itself knows whether they are its own or those of its predecessor.
+    ///
+    /// [`Holder::held`]: crate::lease::Holder::held
+    #[must_use]
+    pub fn unclaimed(&self, vm: &VmName) -> Vec<Slot> {
+        let strays = self.strays.keys();
+        strays
+            .filter(|slot| belongs_to(slot.job, vm))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns whether the VMs have had time to register with this owner: one TTL, plus twice the
+    /// clock-rate error of 1%.
+    #[must_use]
+    pub fn settled(&self, now: Time) -> bool {
+        now.since(self.since) >= self.options.ttl * 102 / 100
+    }
+
+    /// Returns how many of an engine's `total` slots may be granted.
+    ///
+    /// Until the VMs have registered, only the slots that the engine itself reported as free.
+    #[must_use]
+    pub fn grantable(&self, now: Time, upstream: &Upstream, total: u32) -> u32 {
+        let all = self.vms.values().flat_map(|entry| &entry.slots);
+        let leased = all.filter(|slot| slot.upstream == *upstream).count();
+        let free = total.saturating_sub(u32::try_from(leased).unwrap_or(u32::MAX));
+        if self.settled(now) {
+            return free;
+        }
+        free.min(self.free.get(upstream).copied().unwrap_or(0))
+    }
+
+    fn drop_vm(&mut self, now: Time, vm: &VmName) -> Vec<Cancel> {
+        let Some(entry) = self.vms.remove(vm) else {
+            return Vec::new();
+        };
+        let cancel = |Slot { job, upstream }| Cancel { job, upstream };
+        for slot in &entry.slots {
+            self.ended.insert(slot.clone(), now);
+        }
+        entry.slots.into_iter().map(cancel).collect()
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod claim;
 pub mod hash;
+pub mod lease;
 pub mod name;
 pub mod sched;
 pub mod time;
--- a/crates/coord/tests/common/world.rs
+++ b/crates/coord/tests/common/world.rs
@@ -35,6 +35,7 @@
 }
 
 /// What happens at one instant.
+#[allow(dead_code, reason = "each test file uses a part of the world")]
 pub enum Event<M> {
     /// A message arrives.
     Deliver { from: usize, to: usize, message: M },
@@ -92,6 +93,7 @@
     }
 
     /// Draws a VM.
+    #[allow(dead_code, reason = "each test file uses a part of the world")]
     pub fn any(&mut self) -> usize {
         self.rng.random_range(0..self.nodes.len())
     }
@@ -117,10 +119,21 @@
         self.push(self.now + after, Event::Step { node, starts, step });
     }
 
+    /// Returns whether a partition separates two VMs.
+    pub fn cut(&self, from: usize, to: usize) -> bool {
+        self.now < self.healed && self.nodes[from].side != self.nodes[to].side
+    }
+
+    /// Sends a message that arrives for certain within the given milliseconds.
+    #[allow(dead_code, reason = "each test file uses a part of the world")]
+    pub fn deliver(&mut self, from: usize, to: usize, message: M, within: u64) {
+        let at = self.now + self.millis(0, within);
+        self.push(at, Event::Deliver { from, to, message });
+    }
+
     /// Sends a message through the faulty network.
     pub fn send(&mut self, from: usize, to: usize, message: M) {
-        let cut = self.now < self.healed && self.nodes[from].side != self.nodes[to].side;
-        if cut || self.chance(self.lost) {
+        if self.cut(from, to) || self.chance(self.lost) {
             return;
         }
         let copies = if self.chance(self.doubled) { 2 } else { 1 };
--- /dev/null
+++ b/crates/coord/tests/lease.rs
@@ -0,0 +1,122 @@
+//! Single scenarios of leases.
+
+use std::time::Duration;
+
+use coord::lease::{
+    Cancel, Holder, HolderAction, LeaseOptions, Leases, Renew, Slot, belongs_to, job_id,
+};
+use coord::name::{Incarnation, Service, Upstream, VmName};
+use coord::time::Time;
+use proptest::prelude::*;
+
+fn slot(vm: &VmName, at: u128) -> Slot {
+    Slot {
+        job: job_id(vm, at),
+        upstream: Upstream::from("decode-1"),
+    }
+}
+
+fn renew(incarnation: u64, sequence: u64, slots: &[Slot]) -> Renew {
+    Renew {
+        incarnation: Incarnation(incarnation),
+        sequence,
+        slots: slots.to_vec(),
+    }
+}
+
+proptest! {
+    /// Guards against an id whose VM cannot be recognised.
+    #[test]
+    fn ids_name_their_vm(random: u128, text in "[a-z]{1,20}") {
+        let vm = VmName::from(text);
+
+        prop_assert!(belongs_to(job_id(&vm, random), &vm));
+    }
+}
+
+/// Guards against a new owner that hands out slots that other VMs use.
+#[test]
+fn a_new_owner_waits_for_registrations() {
+    let vm = VmName::from("vm-1");
+    let engine = Upstream::from("decode-1");
+    let mut leases = Leases::new(Time::ZERO, LeaseOptions::default());
+    let held = [slot(&vm, 1).job, slot(&vm, 2).job];
+
+    let unknown = leases.grantable(Time::ZERO, &engine, 20);
+    leases.report(Time::ZERO, &engine, (&held, 20), std::slice::from_ref(&vm));
+    let reported = leases.grantable(Time::ZERO, &engine, 20);
+    leases.renew(Time::ZERO, &vm, renew(1, 1, &[slot(&vm, 1)]));
+    let settled = leases.grantable(Time::from_millis(3_060), &engine, 20);
+
+    assert_eq!((unknown, reported, settled), (0, 18, 19));
+}
+
+/// Guards against an old renewal that arrives late and brings ended slots back.
+#[test]
+fn a_late_renewal_is_ignored() {
+    let vm = VmName::from("vm-1");
+    let mut leases = Leases::new(Time::ZERO, LeaseOptions::default());
+    leases.renew(Time::ZERO, &vm, renew(1, 2, &[]));
+
+    let (answer, _) = leases.renew(Time::ZERO, &vm, renew(1, 1, &[slot(&vm, 1)]));
+
+    assert_eq!(answer, None);
+    assert!(leases.vm_down(Time::ZERO, &vm).is_empty());
+}
+
+/// Guards against the predecessor's slots staying held after a restart.
+#[test]
+fn a_restart_frees_the_predecessors_slots() {
+    let vm = VmName::from("vm-1");
+    let Slot { job, upstream } = slot(&vm, 1);
+    let mut leases = Leases::new(Time::ZERO, LeaseOptions::default());
+    leases.renew(Time::ZERO, &vm, renew(1, 9, &[slot(&vm, 1)]));
+
+    let (_, cancels) = leases.renew(Time::ZERO, &vm, renew(2, 1, &[]));
+
+    assert_eq!(cancels, [Cancel { job, upstream }]);
+}
+
+/// Guards against a VM that resumes after a pause and is not told what was cancelled.
+#[test]
+fn a_paused_vm_is_told_what_ended() {
+    let (vm, owner, cell) = (
+        VmName::from("vm-1"),
+        VmName::from("vm-0"),
+        Service::from("s"),
+    );
+    let slot = slot(&vm, 1);
+    let mut holder = Holder::new(vm.clone(), Incarnation(1), LeaseOptions::default());
+    holder.started(&cell, slot.job, slot.upstream.clone());
+    holder.owner(&cell, Some(owner.clone()));
+    let mut leases = Leases::new(Time::ZERO, LeaseOptions::default());
+    let mut exchange = |at: Time| {
+        let Some(HolderAction::Renew { renew, .. }) = holder.tick(at).pop() else {
+            panic!("a renewal is due");
+        };
+        let (answer, _) = leases.renew(at, &vm, renew);
+        let told = holder.renewed(&cell, &owner, answer.expect("a new message"));
+        (told, leases.tick(at + Duration::from_millis(3_001)).len())
+    };
+
+    let before = exchange(Time::ZERO);
+    let after = exchange(Time::from_millis(6_000));
+
+    assert_eq!(before, (Vec::new(), 1));
+    assert_eq!(after.0, [HolderAction::Ended { slot }]);
+}
+
+/// Guards against a VM that cancels the jobs of another VM with the same hash, or its own.
+#[test]
+fn only_unknown_ids_of_the_own_hash_are_cancelled() {
+    let (me, other) = (VmName::from("vm-1"), VmName::from("vm-2"));
+    let mine = slot(&me, 1);
+    let mut holder = Holder::new(me.clone(), Incarnation(1), LeaseOptions::default());
+    holder.started(&Service::from("s"), mine.job, mine.upstream.clone());
+    let (stray, foreign) = (slot(&me, 2), slot(&other, 2));
+
+    let cancels = holder.held(&mine.upstream, &[mine.job, stray.job, foreign.job]);
+
+    let Slot { job, upstream } = stray;
+    assert_eq!(cancels, [Cancel { job, upstream }]);
+}
