Add poison requests and rate limits

Cause: one request may crash every upstream that runs it, and an organisation's limit holds for all VMs together.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod fence;
 pub mod hash;
 pub mod lease;
+pub mod limit;
 pub mod name;
+pub mod poison;
 pub mod sched;
 pub mod time;
