Probe an engine whose import does not start in time

Cause: a silent engine counted as a stalled transfer, so the scheduler kept it open, chose it again and spent the retry budget; seen as a 503 in 1 of 15 runs of the test of a silent engine at a load average above 20. Change: after the import's deadline the engine is asked over a fresh connection; without an answer that lists the request, it counts as lost.

--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -170,8 +170,10 @@
             check_status(status, &answer)?;
             Err(CallError::Lost(format!("unexpected status {status}")))
         };
-        let answered = timeout(self.times.import, exchange).await;
-        let connected = answered.map_err(|_| CallError::Stalled)??;
+        let connected = match timeout(self.times.import, exchange).await {
+            Ok(answered) => answered?,
+            Err(_) => return Err(self.stalled_or_lost(addr, &call.id).await),
+        };
         Ok(TokenStream::new(
             connected,
             self.clone(),
@@ -267,6 +269,17 @@
         }
     }
 
+    /// Tells a transfer without progress from an engine or a connection that is silent.
+    async fn stalled_or_lost(&self, addr: SocketAddr, id: &str) -> CallError {
+        match self.lists(addr, id).await {
+            Ok(()) => CallError::Stalled,
+            Err(text) => {
+                self.pool.forget(addr);
+                CallError::Lost(text)
+            }
+        }
+    }
+
     async fn lists(&self, addr: SocketAddr, id: &str) -> Result<(), String> {
         let load = self.load(addr).await;
         let load = load.map_err(|error| format!("silent, and no answer to a probe: {error}"))?;
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -202,8 +202,10 @@
         let addr = self.server.addr();
         let reading = tokio::spawn(async move {
             let answer = post(addr, "/v1/chat/completions", &[], body).await;
-            assert_eq!(answer.status, 200);
-            answer.events().await
+            let status = answer.status;
+            let events = answer.events().await;
+            assert_eq!(status, 200, "{events:?}");
+            events
         });
         let busy = self.busy_decode().await;
         // The import is over once no prefill engine holds the result.
@@ -327,6 +329,10 @@
     /// Reads a stream to its end.
     pub async fn events(mut self) -> Events {
         let mut events = Events::default();
+        if self.status != 200 {
+            events.error = Some(self.json().await["error"].clone());
+            return events;
+        }
         while let Some(event) = self.event().await {
             events.add(&event);
         }
