--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -6,7 +6,8 @@
 
 use super::Scheduler;
 use super::estimate::real;
-use super::job::{Entry, Phase};
+use super::fleet::Slot;
+use super::job::Entry;
 use super::types::{Action, Class, Failure, JobId, Reason};
 use crate::time::Time;
 
@@ -17,8 +18,13 @@
 /// How long a cut stream waits for a new engine before it ends with an error.
 const RESUME_LIMIT: Duration = Duration::from_secs(10);
 
+/// A prefill without an answer is given up this long, and this many expected durations, after
+/// its expected end: later than the entry VM gives up (design, section 7).
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+const ANSWER_FACTOR: u32 = 5;
+
 /// Jobs examined for expiry in one tick; the rest follow in the next ones.
-const EXPIRY_BATCH: usize = 64;
+const EXPIRY_BATCH: usize = 16;
 
 impl Scheduler {
     /// Returns a refusal if the job's first token cannot be expected before its deadline.
@@ -33,13 +39,8 @@
             return Some(self.refusal(id, Reason::QueueFull, Some(wait)));
         }
         let patient = entry.job.class == Class::Patient;
-        if !patient
-            && !self
-                .fleet
-                .slots
-                .iter()
-                .any(|s| s.prefills_prompts() && s.open(now))
-        {
+        let there = |s: &Slot| s.prefills_prompts() && s.live();
+        if !patient && !self.fleet.slots.iter().any(there) {
             return Some(self.refusal(id, Reason::NoUpstream, Some(RESUME_LIMIT)));
         }
         let first = now + self.wait(now, entry) + entry.least;
@@ -72,16 +73,13 @@
             tokens += other.tokens();
             jobs += real(other.len() as u64);
         }
-        let open = || self.fleet.slots.iter().filter(|s| s.open(now));
-        let engines = open().filter(|s| s.prefills_prompts()).count();
-        let slots = open()
+        let live = || self.fleet.slots.iter().filter(|s| s.live());
+        let engines = live().filter(|s| s.prefills_prompts()).count();
+        let slots = live()
             .filter(|s| s.decodes())
             .map(|s| s.engine.slots)
             .sum::<u32>();
-        let free = open()
-            .filter(|s| s.decodes())
-            .map(super::fleet::Slot::free)
-            .sum::<u32>();
+        let free = live().filter(|s| s.decodes()).map(Slot::free).sum::<u32>();
         let for_prefill = self.estimates.backlog(tokens, engines) + self.soonest(now);
         let for_slot = self
             .estimates
@@ -89,27 +87,30 @@
         for_prefill.max(for_slot)
     }
 
-    /// Returns the time until the first prefill engine is expected to be idle.
+    /// Returns the time until the first prefill engine is expected to be open and idle.
     fn soonest(&self, now: Time) -> Duration {
-        let open = self
-            .fleet
-            .slots
-            .iter()
-            .filter(|s| s.open(now) && s.prefills_prompts());
-        open.map(|s| s.busy_until.since(now))
-            .min()
-            .unwrap_or_default()
+        let slots = self.fleet.slots.iter();
+        let live = slots.filter(|s| s.live() && s.prefills_prompts());
+        // An unconfirmed engine of a new owner opens with its first report, which is soon.
+        let closed = |s: &Slot| if s.failures > 0 { s.closed_until } else { now };
+        let wait = |s: &Slot| s.busy(now).max(closed(s).since(now));
+        live.map(wait).min().unwrap_or_default()
     }
 
     /// Refuses waiting jobs whose deadline can no longer be met.
     pub(super) fn expire(&mut self, now: Time) -> Vec<Action> {
         let waiting = self.queues.iter().flat_map(|q| q.earliest(EXPIRY_BATCH));
         let delayed = self.backoffs.iter().map(|(_, id)| *id);
-        let all = waiting.chain(delayed).chain(self.suspects.iter().copied());
+        let unpaid = self.unpaid.iter().take(EXPIRY_BATCH).copied();
+        let all = waiting
+            .chain(delayed)
+            .chain(unpaid)
+            .chain(self.suspects.iter().copied());
         let ids: Vec<JobId> = all.collect();
         let refusals = ids.into_iter().filter_map(|id| self.expire_one(now, id));
         let mut actions: Vec<Action> = refusals.collect();
         actions.extend(self.evict_ready(now));
+        actions.extend(self.give_up_prefills(now));
         actions
     }
 
@@ -126,6 +127,30 @@
         actions
     }
 
+    /// Starts prefills again for which no answer came.
+    ///
+    /// The entry VM gives up first and reports it; this covers a report that was lost, which
+    /// would keep the engine closed to other prompts.
+    fn give_up_prefills(&mut self, now: Time) -> Vec<Action> {
+        let late = |s: &Slot| {
+            let expected = s.prefills.iter().map(|(_, time)| *time).sum::<Duration>();
+            now.since(s.busy_until) > ANSWER_LIMIT + expected * ANSWER_FACTOR
+        };
+        let slots = self.fleet.slots.iter().filter(|s| late(s));
+        let ids: Vec<JobId> = slots.flat_map(|s| &s.prefills).map(|p| p.0).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            let held = self.jobs.get(&id).map_or_else(Vec::new, Entry::holds);
+            actions.extend(self.cancel_on(id, &held));
+            for index in held {
+                self.fleet.slots[index].failed(now);
+            }
+            self.vacate(now, id);
+            actions.extend(self.again(now, id, Failure::Lost));
+        }
+        actions
+    }
+
     fn expire_one(&mut self, now: Time, id: JobId) -> Option<Action> {
         let entry = self.jobs.get(&id)?;
         let (limit, reason) = if entry.resumed() {
@@ -142,14 +167,6 @@
         Some(self.refusal(id, reason, Some(wait)))
     }
 
-    /// Takes a job that holds nothing out of its queue or its backoff.
-    pub(super) fn withdraw(&mut self, id: JobId) {
-        self.dequeue(id, false);
-        if let Some(Phase::Backoff { until }) = self.jobs.get(&id).map(|e| e.phase) {
-            self.backoffs.remove(&(until, id));
-        }
-    }
-
     /// Builds a refusal with a jittered time, so that refused callers do not return together.
     pub(super) fn refusal(&mut self, id: JobId, reason: Reason, wait: Option<Duration>) -> Action {
         let jitter = self.rng.random_range(1.0..1.5);
--- a/crates/coord/src/sched/engines.rs
+++ b/crates/coord/src/sched/engines.rs
@@ -36,6 +36,7 @@
         self.fleet.slots[index].health = Health::Down;
         self.fleet.slots[index].foreign = 0;
         self.prefixes.clear(index);
+        self.homes.clear(index);
         let mut actions = Vec::new();
         for id in self.computing_on(index) {
             self.vacate(now, id);
@@ -68,7 +69,7 @@
         let Some(index) = self.fleet.index(name) else {
             return Vec::new();
         };
-        let unknown = |id: &&JobId| !self.jobs.contains_key(id) && !self.ended.contains_key(id);
+        let unknown = |id: &&JobId| !self.jobs.contains_key(id) && !self.ended.contains(id);
         let foreign: Vec<JobId> = report.held.iter().filter(unknown).copied().collect();
         let dead = foreign
             .iter()
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! See `docs/design.md` for the modules and their interfaces.
 
+pub mod bench;
 pub mod check;
 pub mod cli;
+pub mod demo;
 pub mod document;
 pub mod ini;
 pub mod serve;
--- a/crates/cumindoor/src/settings.rs
+++ b/crates/cumindoor/src/settings.rs
@@ -114,6 +114,8 @@
         cancel_total: Span = "cancel-total" Value("30 s") ["10 ms" to "10 min"],
         /// Time for the head of a plain service's answer.
         plain: Span = "plain" Value("30 s") ["10 ms" to "24 h"],
+        /// Time between two questions for an engine's load and cache events.
+        poll: Span = "poll" Value("1 s") ["10 ms" to "1 min"],
     }
 }
 
