--- a/crates/coord/src/sched/prefix.rs
+++ b/crates/coord/src/sched/prefix.rs
@@ -91,12 +91,12 @@
         for block in prefix.iter().rev() {
             self.touch(now, engine, *block);
         }
-        while self.mirrors[engine..]
-            .first()
-            .is_some_and(|m| m.order.len() > self.limit)
-        {
-            let oldest = self.mirrors[engine].order.pop_first();
-            if let Some((_, block)) = oldest {
+        let limit = self.limit;
+        while let Some(mirror) = self.mirrors.get_mut(engine) {
+            if mirror.order.len() <= limit {
+                return;
+            }
+            if let Some((_, block)) = mirror.order.pop_first() {
                 self.forget(engine, block);
             }
         }
--- /dev/null
+++ b/crates/coord/tests/sched_props.rs
@@ -0,0 +1,266 @@
+//! Random failures against the scheduler: what must hold after any of them.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{at, engine, job, patient};
+use coord::name::Upstream;
+use coord::sched::{
+    Action, Attempt, EngineReport, Failure, Job, JobId, Prefilled, Role, SchedOptions, Scheduler,
+};
+use proptest::prelude::*;
+
+/// One random step; numbers choose among what is possible.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Submit(bool, bool),
+    Cancel(usize),
+    Answer(usize, u8),
+    Down(usize),
+    Leaving(usize),
+    Up(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (any::<bool>(), prop::bool::weighted(0.1)).prop_map(|(p, o)| Step::Submit(p, o)),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        12 => (any::<usize>(), any::<u8>()).prop_map(|(i, k)| Step::Answer(i, k)),
+        1 => (0..5_usize).prop_map(Step::Down),
+        1 => (0..5_usize).prop_map(Step::Leaving),
+        2 => (0..5_usize).prop_map(Step::Up),
+        3 => (1..400_u64).prop_map(Step::Wait),
+    ]
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    Prefill,
+    Decode,
+    Stream,
+}
+
+/// The model beside the scheduler.
+struct World {
+    sched: Scheduler,
+    ms: u64,
+    next: u128,
+    open: BTreeSet<JobId>,
+    once: BTreeSet<JobId>,
+    /// Once-only jobs that failed after their dispatch.
+    spent: BTreeSet<JobId>,
+    calls: Vec<(JobId, Attempt, Call)>,
+    /// The engine of each stream.
+    streams: BTreeMap<JobId, Upstream>,
+    closed: BTreeSet<String>,
+}
+
+/// Decode slots of an engine.
+const SLOTS: u32 = 3;
+
+const NAMES: [(&str, Role); 5] = [
+    ("p0", Role::Prefill),
+    ("p1", Role::Prefill),
+    ("d0", Role::Decode),
+    ("d1", Role::Decode),
+    ("b0", Role::Both),
+];
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            sched: Scheduler::new(SchedOptions::default(), 1),
+            ms: 0,
+            next: 0,
+            open: BTreeSet::new(),
+            once: BTreeSet::new(),
+            spent: BTreeSet::new(),
+            calls: Vec::new(),
+            streams: BTreeMap::new(),
+            closed: BTreeSet::new(),
+        };
+        (0..5).for_each(|i| world.run(Step::Up(i)));
+        world
+    }
+
+    fn run(&mut self, step: Step) {
+        let now = at(self.ms);
+        let actions = match step {
+            Step::Submit(is_patient, once) => {
+                self.next += 1;
+                let make = if is_patient { patient } else { job };
+                let new = Job {
+                    once,
+                    ..make(now, self.next)
+                };
+                self.open.insert(new.id);
+                if once {
+                    self.once.insert(new.id);
+                }
+                self.sched.submit(now, new)
+            }
+            Step::Cancel(index) => {
+                let Some(id) = self
+                    .open
+                    .iter()
+                    .nth(index % self.open.len().max(1))
+                    .copied()
+                else {
+                    return;
+                };
+                self.open.remove(&id);
+                self.streams.remove(&id);
+                self.sched.cancel(now, id)
+            }
+            Step::Answer(index, kind) if !self.calls.is_empty() => {
+                let call = self.calls.remove(index % self.calls.len());
+                self.answer(call, kind)
+            }
+            Step::Answer(..) => Vec::new(),
+            Step::Down(index) => {
+                self.closed.insert(NAMES[index].0.into());
+                self.sched.engine_down(now, &NAMES[index].0.into())
+            }
+            Step::Leaving(index) => {
+                self.closed.insert(NAMES[index].0.into());
+                self.sched.engine_leaving(now, &NAMES[index].0.into())
+            }
+            Step::Up(index) => {
+                let (name, role) = NAMES[index];
+                self.closed.remove(name);
+                let slots = if role == Role::Prefill { 0 } else { SLOTS };
+                self.sched.engine_up(now, engine(name, role, slots))
+            }
+            Step::Wait(ms) => {
+                self.ms += ms;
+                self.sched.tick(at(self.ms))
+            }
+        };
+        self.note(actions);
+    }
+
+    fn answer(&mut self, (id, attempt, call): (JobId, Attempt, Call), kind: u8) -> Vec<Action> {
+        let now = at(self.ms);
+        let failure = match kind % 16 {
+            0 => Some(Failure::Full),
+            1 => Some(Failure::Lost),
+            2 => Some(Failure::Stalled),
+            3 => Some(Failure::Evicted),
+            _ => None,
+        };
+        let ran = !matches!(failure, None | Some(Failure::Full));
+        if ran && self.once.contains(&id) {
+            self.spent.insert(id);
+        }
+        match (call, failure) {
+            (Call::Prefill, Some(why)) => self.sched.prefill_failed(now, id, attempt, why),
+            (Call::Prefill, None) => {
+                let done = Prefilled::default();
+                self.sched.prefill_done(now, id, attempt, done)
+            }
+            (Call::Decode, Some(why)) if self.streams.remove(&id).is_some() => {
+                self.sched.decode_failed(now, id, attempt, why, 0)
+            }
+            (Call::Decode, None) => {
+                self.calls.push((id, attempt, Call::Stream));
+                self.sched.decode_started(now, id, attempt)
+            }
+            (Call::Decode, Some(_)) => Vec::new(),
+            (Call::Stream, Some(Failure::Lost)) => {
+                self.streams.remove(&id);
+                let why = Failure::Lost;
+                self.sched.decode_failed(now, id, attempt, why, 5)
+            }
+            (Call::Stream, _) => {
+                self.streams.remove(&id);
+                let actions = self.sched.finished(now, id, attempt);
+                self.open.remove(&id);
+                actions
+            }
+        }
+    }
+
+    fn note(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::StartPrefill {
+                    id,
+                    attempt,
+                    prefill,
+                    decode,
+                } => {
+                    assert!(self.open.contains(&id), "{id} started after its end");
+                    assert!(
+                        !self.closed.contains(prefill.as_str()),
+                        "{prefill} is closed"
+                    );
+                    assert!(!self.closed.contains(decode.as_str()), "{decode} is closed");
+                    assert!(!self.spent.contains(&id), "{id} ran twice");
+                    self.calls.push((id, attempt, Call::Prefill));
+                }
+                Action::StartDecode {
+                    id,
+                    attempt,
+                    decode,
+                    ..
+                } => {
+                    assert!(self.open.contains(&id), "{id} decodes after its end");
+                    let others = self.streams.values().filter(|d| **d == decode).count();
+                    assert!(others < SLOTS as usize, "{decode} has no slot");
+                    self.streams.insert(id, decode);
+                    self.calls.push((id, attempt, Call::Decode));
+                }
+                Action::Refuse { id, .. } => {
+                    assert!(self.open.remove(&id), "{id} was answered twice");
+                    self.streams.remove(&id);
+                }
+                Action::Cancel { .. } => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against second answers (H2), second runs of once-only jobs (H5), work after the end (H1), work on closed engines (H6)
+    /// and slots that are never given back, in any order of failures.
+    #[test]
+    fn every_job_ends_once_and_leaves_nothing_behind(steps in prop::collection::vec(step(), 1..200)) {
+        let mut world = World::new();
+        for step in steps {
+            world.run(step);
+        }
+        (0..5).for_each(|i| world.run(Step::Up(i)));
+        for _ in 0..5_000 {
+            if world.open.is_empty() && world.calls.is_empty() {
+                break;
+            }
+            world.run(Step::Answer(0, 15));
+            world.run(Step::Wait(20));
+        }
+
+        prop_assert!(world.open.is_empty(), "unanswered: {:?}", world.open);
+        let status = world.sched.status(at(world.ms));
+        prop_assert_eq!((status.running, status.interactive, status.patient), (0, 0, 0));
+        for engine in status.engines {
+            prop_assert_eq!((engine.used, engine.prefills), (0, 0));
+        }
+    }
+}
+
+/// Guards against a load report that names only known work and still changes the account.
+#[test]
+fn a_report_of_known_work_changes_nothing() {
+    let mut world = World::new();
+    (0..4).for_each(|_| world.run(Step::Submit(true, false)));
+    let before = world.sched.status(at(0));
+
+    let held = world.open.iter().copied().collect();
+    let report = EngineReport { held, queue: 0 };
+    world.sched.load_report(at(0), &"d0".into(), &report);
+
+    assert_eq!(world.sched.status(at(0)), before);
+}
