Refuse at once by the pace of starts; let a suspect leave lost engines

Cause: the estimated wait counted an equal share of the other organisations' work, but later arrivals of organisations with short queues pass an organisation with a long one, so its jobs were refused at their deadline. The random test with suspects found a suspect that never started: engines kept for it had failed before and were given up again and again. Change: the wait is at least the waiting jobs times the interval between the last starts, of the class and of the organisation; an engine that opened again counts as usable. A suspect waits for the slot that is kept for it.

--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -187,17 +187,17 @@
         self.queues[entry.job.class as usize].push(&entry.job, entry.order, cost);
     }
 
-    /// Takes a waiting job out of its queue.
-    fn dequeue(&mut self, id: JobId, charge: bool) {
+    /// Takes a waiting job out of its queue; if it starts, its organisation is charged.
+    fn dequeue(&mut self, id: JobId, start: Option<Time>) {
         let Some(entry) = self.jobs.get(&id) else {
             return;
         };
         self.suspects.remove(&id);
         let queue = &mut self.queues[entry.job.class as usize];
-        if charge {
-            queue.start(&entry.job.organisation, entry.order, id);
-        } else {
-            queue.remove(&entry.job.organisation, entry.order, id);
+        let (name, order) = (&entry.job.organisation, entry.order);
+        match start {
+            Some(now) => queue.start(now, name, order, id),
+            None => drop(queue.remove(name, order, id)),
         }
     }
 
--- a/crates/coord/src/sched/admit.rs
+++ b/crates/coord/src/sched/admit.rs
@@ -8,7 +8,7 @@
 use super::estimate::real;
 use super::fleet::Slot;
 use super::job::Entry;
-use super::types::{Action, Class, Failure, JobId, Reason};
+use super::types::{Action, Class, Failure, JobId, Reason, Role};
 use crate::time::Time;
 
 /// Bounds of the time after which a refused caller may try again.
@@ -54,7 +54,17 @@
         let best = u32::from(matches.iter().copied().max().unwrap_or(0));
         let cached = best * self.options.block_tokens;
         let work = entry.job.prompt_tokens.saturating_sub(cached);
-        self.estimates.prefill(work) + self.estimates.transfer(self.bytes(entry))
+        self.estimates.prefill(work) + self.moving(entry)
+    }
+
+    /// Returns the time of the job's transfer; none if all engines have both roles.
+    fn moving(&self, entry: &Entry) -> Duration {
+        let moved = |s: &Slot| s.engine.role == Role::Prefill;
+        if self.fleet.slots.iter().any(moved) {
+            self.estimates.transfer(self.bytes(entry))
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Returns the bytes of the job's KV cache.
@@ -67,7 +77,8 @@
         let class = entry.job.class as usize;
         let queue = &self.queues[class];
         let mut tokens = queue.tokens_ahead(&entry.job.organisation, entry.job.prompt_tokens);
-        let mut jobs = queue.share_of(tokens);
+        let own = queue.share_of(tokens);
+        let mut jobs = own;
         if entry.job.class == Class::Patient {
             let other = &self.queues[Class::Interactive as usize];
             tokens += other.tokens();
@@ -84,7 +95,8 @@
         let for_slot = self
             .estimates
             .slot_wait(jobs + 1.0 - f64::from(free), slots);
-        for_prefill.max(for_slot)
+        let at_pace = queue.wait_at_pace(now, &entry.job.organisation, own);
+        for_prefill.max(for_slot).max(at_pace)
     }
 
     /// Returns the time until the first prefill engine is expected to be open and idle.
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -104,7 +104,7 @@
 
     /// Starts a job's prefill and reserves its slot and its link room.
     pub(super) fn start(&mut self, now: Time, id: JobId, choice: Choice, decode: usize) -> Action {
-        self.dequeue(id, true);
+        self.dequeue(id, Some(now));
         let time = Duration::from_micros(choice.time);
         self.fleet.slots[choice.prefill].prefill_started(now, id, time);
         if let Some(entry) = self.jobs.get(&id) {
@@ -162,7 +162,11 @@
         else {
             return None;
         };
+        let alone = self.jobs.get(&id)?.job.suspect;
         let decode = self.slot_now(now, source, reserved)?;
+        if alone && decode != reserved {
+            return None;
+        }
         self.ready.remove(&(since, id));
         self.fleet.slots[reserved].reserved -= 1;
         self.fleet.slots[decode].used += 1;
@@ -185,6 +189,11 @@
 
     /// Starts the isolated suspect when its engines are empty, or chooses engines for one.
     fn start_suspect(&mut self, now: Time, out: &mut Vec<Action>) {
+        let kept = |i: usize| self.fleet.slots[i].takes_reserved(now);
+        let lost = |i: &Isolation| !kept(i.prefill) || !kept(i.decode);
+        if self.isolation.as_ref().is_some_and(lost) && self.suspects_wait() {
+            self.end_isolation();
+        }
         if self.isolation.is_none() {
             self.begin_isolation(now);
         }
@@ -203,6 +212,12 @@
         }
     }
 
+    /// Returns true if the isolated suspect has not been started.
+    fn suspects_wait(&self) -> bool {
+        let kept = self.isolation.as_ref();
+        kept.is_some_and(|i| self.suspects.contains(&i.id))
+    }
+
     /// Keeps the least used engines for the first suspect, so that they run empty.
     fn begin_isolation(&mut self, now: Time) {
         let Some(id) = self.suspects.first().copied() else {
@@ -221,7 +236,8 @@
             return;
         };
         let both = source.engine.role == Role::Both;
-        let decode = open().filter(|(i, s)| s.decodes() && (!both || *i == prefill));
+        let decode =
+            open().filter(|(i, s)| s.engine.slots > 0 && s.decodes() && (!both || *i == prefill));
         let Some((decode, _)) = decode.min_by_key(|(_, s)| load(s)) else {
             return;
         };
--- a/crates/coord/src/sched/estimate.rs
+++ b/crates/coord/src/sched/estimate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::types::SchedOptions;
+use crate::time::Time;
 
 /// Weight of a new sample in an average; about 50 samples count.
 const WEIGHT: f64 = 0.02;
@@ -113,6 +114,36 @@
     }
 }
 
+/// Weight of a new interval between two starts.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// The intervals between starts of jobs while more jobs wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pace {
+    /// Average in seconds; 0 before the first sample.
+    average: f64,
+    /// The last start, if jobs waited after it.
+    last: Option<Time>,
+}
+
+impl Pace {
+    /// Learns from a start; `waiting` is true if more jobs wait.
+    pub(super) fn started(&mut self, now: Time, waiting: bool) {
+        if let Some(last) = self.last {
+            let sample = now.since(last).as_secs_f64();
+            let weight = if self.average > 0.0 { PACE_WEIGHT } else { 1.0 };
+            self.average += (sample - self.average) * weight;
+        }
+        self.last = waiting.then_some(now);
+    }
+
+    /// Returns the expected time of `starts` starts; the present interval counts at least.
+    pub(super) fn time(&self, now: Time, starts: f64) -> Duration {
+        let present = self.last.map_or(Duration::ZERO, |last| now.since(last));
+        seconds(self.average * starts).max(present)
+    }
+}
+
 /// Converts a count for estimates, where the loss above 2^53 does not matter.
 #[allow(clippy::cast_precision_loss)]
 pub(super) fn real(count: u64) -> f64 {
--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -125,8 +125,8 @@
     }
 
     /// Returns true if a job that has reserved a slot may use it.
-    pub(super) fn takes_reserved(&self) -> bool {
-        self.health == Health::Live && self.failures == 0
+    pub(super) fn takes_reserved(&self, now: Time) -> bool {
+        self.live() && (self.failures == 0 || self.closed_until <= now)
     }
 
     /// Returns the slots that are neither used nor reserved.
--- a/crates/coord/src/sched/queue.rs
+++ b/crates/coord/src/sched/queue.rs
@@ -7,8 +7,9 @@
 //! organisation has a turn are skipped, so an operation costs O(log n) organisations.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
-use super::estimate::real;
+use super::estimate::{Pace, real};
 use super::types::{Job, JobId};
 use crate::name::Organisation;
 use crate::time::Time;
@@ -30,6 +31,8 @@
     balance: i64,
     /// Sum of the costs in `waiting`.
     tokens: u64,
+    /// Intervals between its starts while more of its jobs wait.
+    pace: Pace,
 }
 
 impl Account {
@@ -98,6 +101,7 @@
     len: usize,
     tokens: u64,
     round: u64,
+    pace: Pace,
 }
 
 impl Queue {
@@ -155,15 +159,41 @@
 
     /// Removes a job without a charge; returns false if it did not wait.
     pub(super) fn remove(&mut self, name: &Organisation, deadline: Time, id: JobId) -> bool {
-        self.take(name, deadline, id, false)
+        self.take(name, deadline, id, None)
     }
 
     /// Removes a job that starts and charges its organisation.
-    pub(super) fn start(&mut self, name: &Organisation, deadline: Time, id: JobId) -> bool {
-        self.take(name, deadline, id, true)
+    pub(super) fn start(&mut self, now: Time, name: &Organisation, deadline: Time, id: JobId) {
+        self.take(name, deadline, id, Some(now));
+        self.pace.started(now, self.len > 0);
     }
 
-    fn take(&mut self, name: &Organisation, deadline: Time, id: JobId, charge: bool) -> bool {
+    /// Returns the time until a new job of `organisation` starts, at the pace of the last starts.
+    ///
+    /// The pace shows what all limits together leave over: engines, slots, links, the other
+    /// class, and for an organisation with a long queue the turns of the others.
+    pub(super) fn wait_at_pace(
+        &self,
+        now: Time,
+        organisation: &Organisation,
+        ahead: f64,
+    ) -> Duration {
+        let all = self.pace.time(now, ahead);
+        let Some(number) = self.accounts.number(organisation) else {
+            return all;
+        };
+        let account = self.accounts.get(number);
+        let own = account.pace.time(now, real(account.waiting.len() as u64));
+        all.max(own)
+    }
+
+    fn take(
+        &mut self,
+        name: &Organisation,
+        deadline: Time,
+        id: JobId,
+        start: Option<Time>,
+    ) -> bool {
         if !self.due.remove(&(deadline, id)) {
             return false;
         }
@@ -176,8 +206,9 @@
             account.tokens -= u64::from(cost);
             self.tokens -= u64::from(cost);
             self.len -= 1;
-            if charge {
+            if let Some(now) = start {
                 spend(account, cost);
+                account.pace.started(now, !account.waiting.is_empty());
             }
         }
         self.list(number);
--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -147,7 +147,7 @@
                 .get(&id)
                 .is_some_and(|e| e.phase == Phase::Waiting);
             if waiting {
-                self.dequeue(id, false);
+                self.dequeue(id, None);
             }
             if let Some(entry) = self.jobs.get_mut(&id) {
                 entry.job.suspect = true;
--- a/crates/coord/src/sched/retries.rs
+++ b/crates/coord/src/sched/retries.rs
@@ -66,7 +66,7 @@
     /// Takes a job that holds nothing out of its queue or its backoff.
     pub(super) fn withdraw(&mut self, id: JobId) {
         match self.jobs.get(&id).map(|e| e.phase) {
-            Some(Phase::Waiting) => self.dequeue(id, false),
+            Some(Phase::Waiting) => self.dequeue(id, None),
             Some(Phase::Backoff { until }) => {
                 self.backoffs.remove(&(until, id));
             }
--- a/crates/coord/tests/sched_fair.rs
+++ b/crates/coord/tests/sched_fair.rs
@@ -284,3 +284,22 @@
     };
     assert!(retry_after.is_some_and(|t| t >= Duration::from_millis(100)));
 }
+
+/// Guards against a caller that learns only at its deadline that it will not be served.
+#[test]
+fn an_overloaded_cell_refuses_at_once() {
+    let mut driver = Driver::new(cell(1, 1, 1));
+    let mut at_once = 0;
+    for number in 0..400 {
+        let now = at(u64::try_from(number).unwrap() * 50);
+        driver.submit(now, job(now, number));
+        at_once += u32::from(driver.refused.contains_key(&job(now, number).id));
+        if number % 10 == 0 {
+            driver.step(now);
+        }
+    }
+
+    let late = driver.refused.len() - at_once as usize;
+    assert!(at_once > 300, "{at_once}");
+    assert!(late < 40, "{late} refusals came later");
+}
--- a/crates/coord/tests/sched_props.rs
+++ b/crates/coord/tests/sched_props.rs
@@ -10,11 +10,12 @@
     Action, Attempt, EngineReport, Failure, Job, JobId, Prefilled, Role, SchedOptions, Scheduler,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// One random step; numbers choose among what is possible.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Submit(bool, bool),
+    Submit(bool, bool, bool),
     Cancel(usize),
     Answer(usize, u8),
     Down(usize),
@@ -25,7 +26,8 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        6 => (any::<bool>(), prop::bool::weighted(0.1)).prop_map(|(p, o)| Step::Submit(p, o)),
+        6 => (any::<bool>(), prop::bool::weighted(0.1), prop::bool::weighted(0.1))
+            .prop_map(|(patient, once, suspect)| Step::Submit(patient, once, suspect)),
         1 => any::<usize>().prop_map(Step::Cancel),
         12 => (any::<usize>(), any::<u8>()).prop_map(|(i, k)| Step::Answer(i, k)),
         1 => (0..5_usize).prop_map(Step::Down),
@@ -88,11 +90,12 @@
     fn run(&mut self, step: Step) {
         let now = at(self.ms);
         let actions = match step {
-            Step::Submit(is_patient, once) => {
+            Step::Submit(is_patient, once, suspect) => {
                 self.next += 1;
                 let make = if is_patient { patient } else { job };
                 let new = Job {
                     once,
+                    suspect,
                     ..make(now, self.next)
                 };
                 self.open.insert(new.id);
@@ -223,7 +226,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 100, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     /// Guards against second answers (H2), second runs of once-only jobs (H5), work after the end (H1), work on closed engines (H6)
     /// and slots that are never given back, in any order of failures.
@@ -255,7 +258,7 @@
 #[test]
 fn a_report_of_known_work_changes_nothing() {
     let mut world = World::new();
-    (0..4).for_each(|_| world.run(Step::Submit(true, false)));
+    (0..4).for_each(|_| world.run(Step::Submit(true, false, false)));
     let before = world.sched.status(at(0));
 
     let held = world.open.iter().copied().collect();
--- a/crates/cumindoor/src/bench/report.rs
+++ b/crates/cumindoor/src/bench/report.rs
@@ -46,6 +46,8 @@
     pub ttft_p95_ms: f64,
     pub itl_p95_ms: f64,
     pub refused: BTreeMap<String, u64>,
+    /// Time from the request to its refusal.
+    pub refusal_ms: Percentiles,
     pub services: Vec<ServiceRow>,
 }
 
@@ -60,7 +62,6 @@
 
 impl Samples {
     fn new() -> Self {
-        let histogram = || Histogram::new_with_max(600_000_000, 3).expect("the bounds are valid");
         Self {
             arrived: 0,
             good: 0,
@@ -72,7 +73,11 @@
 
     fn add(&mut self, kind: &Kind, track: &Track) {
         self.arrived += 1;
-        let (Some(first), Some(end)) = (track.first, track.end) else {
+        let complete = track
+            .first
+            .zip(track.end)
+            .filter(|_| track.refused.is_none());
+        let Some((first, end)) = complete else {
             return;
         };
         let ttft = first.since(track.sent);
@@ -89,6 +94,11 @@
     }
 }
 
+/// Creates a histogram of microseconds up to 10 minutes.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(600_000_000, 3).expect("the bounds are valid")
+}
+
 fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
     let ms = |q| histogram.value_at_quantile(q) as f64 / 1_000.0;
     Percentiles {
@@ -105,6 +115,7 @@
     let mut all = Samples::new();
     let mut services: BTreeMap<(usize, usize), Samples> = BTreeMap::new();
     let mut refused = BTreeMap::new();
+    let mut refusals = histogram();
     let (mut prompt, mut cached, mut used, mut wasted) = (0, 0, 0, 0);
     let (mut first, mut prefills) = (0, 0);
     for (request, track) in requests.iter().zip(tracks) {
@@ -126,6 +137,10 @@
             .entry((request.cell, request.kind))
             .or_insert_with(Samples::new)
             .add(kind, track);
+        if let (Some(_), Some(end)) = (track.refused, track.end) {
+            let delay = end.since(track.sent).as_micros();
+            refusals.saturating_record(delay as u64);
+        }
         if let Some(reason) = track.refused {
             *refused.entry(format!("{reason:?}")).or_default() += 1;
         }
@@ -144,6 +159,7 @@
         ttft_p95_ms: percentiles(&all.ttft).p95,
         itl_p95_ms: percentiles(&all.itl).p95,
         refused,
+        refusal_ms: percentiles(&refusals),
         services: services
             .iter()
             .map(|(at, s)| service(&case.cells[at.0].kinds[at.1], s))
--- a/crates/cumindoor/src/bench/sim.rs
+++ b/crates/cumindoor/src/bench/sim.rs
@@ -330,6 +330,7 @@
         let track = &mut self.tracks[index];
         if !track.closed {
             track.refused = Some(reason);
+            track.end = Some(self.now + CALLER_HOP);
             track.closed = true;
             self.next_caller();
         }
