Publish findings, and notice silence inside a large answer

Cause: findings of malformed documents were logged only, and a connection to the platform that went silent in the first, large answer blocked its reader for 30 s.

Change: Cluster::findings publishes them. A platform answer must begin within the waiting time plus 0.5 s and may not pause for longer than 0.5 s; 30 s is the limit for all of it.

Conclusion: operators' tools can show the findings, and readers notice silence as fast at boot as later.

--- a/crates/cumindoor/src/serve/cluster.rs
+++ b/crates/cumindoor/src/serve/cluster.rs
@@ -32,7 +32,7 @@
 use task::Task;
 
 pub use part::{ClusterCall, ClusterPart};
-pub use published::{Documents, InForce, Listed};
+pub use published::{Documents, Findings, InForce, Listed};
 
 /// Names of documents that start with this hold the list; a document of an organisation cannot.
 const LIST_PREFIX: &str = "@";
@@ -133,6 +133,13 @@
         self.shared.published.listed.subscribe()
     }
 
+    /// Returns the findings of malformed documents as they change. The last good text of each of
+    /// these documents is in force.
+    #[must_use]
+    pub fn findings(&self) -> watch::Receiver<Arc<Findings>> {
+        self.shared.published.findings.subscribe()
+    }
+
     /// Returns whether this VM may serve, as it changes.
     #[must_use]
     pub fn ready(&self) -> watch::Receiver<bool> {
--- a/crates/cumindoor/src/serve/cluster/published.rs
+++ b/crates/cumindoor/src/serve/cluster/published.rs
@@ -95,6 +95,9 @@
     (hash64(name.as_bytes()) % BUCKETS as u64) as usize
 }
 
+/// The malformed documents: the findings of each, with their places.
+pub type Findings = BTreeMap<Arc<str>, Vec<String>>;
+
 /// The platform's list as this VM knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listed {
@@ -111,6 +114,7 @@
     pub(super) documents: watch::Sender<Documents>,
     pub(super) listed: watch::Sender<Arc<Listed>>,
     pub(super) ready: watch::Sender<bool>,
+    pub(super) findings: watch::Sender<Arc<Findings>>,
     origin: Instant,
     /// Microseconds after `origin` at which the membership state last ran.
     last: AtomicU64,
@@ -124,6 +128,7 @@
             documents: watch::Sender::default(),
             listed: watch::Sender::default(),
             ready: watch::Sender::new(false),
+            findings: watch::Sender::default(),
             origin: Instant::now(),
             last: AtomicU64::new(0),
             trusted: AtomicBool::new(false),
--- a/crates/cumindoor/src/serve/cluster/task.rs
+++ b/crates/cumindoor/src/serve/cluster/task.rs
@@ -14,7 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::part::Incoming;
-use super::published::Listed;
+use super::published::{Findings, Listed};
 use super::{ClusterCall, ClusterPart, LIST_PREFIX, Shared, listing};
 use crate::serve::platform::Listing;
 
@@ -182,6 +182,7 @@
 
     fn config_actions(&mut self, actions: Vec<config::Action>, outbox: &mut Outbox) {
         let mut changed = Vec::new();
+        let mut rejected = false;
         for action in actions {
             match action {
                 config::Action::Send { to, message } => {
@@ -189,7 +190,7 @@
                 }
                 config::Action::Read { since, wait } => self.read(since, wait),
                 config::Action::InForce { name, revision } => changed.push((name, revision)),
-                config::Action::Rejected { name, revision } => self.log_rejected(&name, revision),
+                config::Action::Rejected { .. } => rejected = true,
                 config::Action::Ready => {
                     log::info!(
                         "the configuration is complete up to {}",
@@ -200,20 +201,31 @@
                 }
             }
         }
+        let corrected = !changed.is_empty() && !self.shared.published.findings.borrow().is_empty();
+        if rejected || corrected {
+            self.publish_findings();
+        }
         if !changed.is_empty() {
             self.publish_documents(changed, outbox);
         }
     }
 
-    fn log_rejected(&self, name: &str, revision: u64) {
-        let rejected = self
-            .config
-            .store()
-            .rejected()
-            .find(|(held, _)| held.as_ref() == name);
-        let findings = rejected.map(|(_, rejected)| rejected.findings.join("; "));
-        let findings = findings.unwrap_or_default();
-        log::warn!("revision {revision} of {name} is malformed and not in force: {findings}");
+    /// Publishes the findings of malformed documents, and logs the new ones.
+    fn publish_findings(&self) {
+        let rejected = self.config.store().rejected();
+        let found = rejected.map(|(name, r)| (Arc::clone(name), r.findings.clone()));
+        let found: Arc<Findings> = Arc::new(found.collect());
+        let before = self
+            .shared
+            .published
+            .findings
+            .send_replace(Arc::clone(&found));
+        for (name, findings) in found.iter() {
+            if before.get(name) != Some(findings) {
+                let findings = findings.join("; ");
+                log::warn!("the newest text of {name} is malformed and not in force: {findings}");
+            }
+        }
     }
 
     fn read(&mut self, since: u64, wait: Duration) {
--- a/crates/cumindoor/src/serve/platform.rs
+++ b/crates/cumindoor/src/serve/platform.rs
@@ -9,28 +9,31 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use coord::config::Answer;
 use coord::name::{DataCentre, Service, Upstream, VmName};
 use eyre::WrapErr;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 
 /// The largest answer in bytes: 42,000 documents of 1.5 KB.
 const MAX_ANSWER: usize = 64 << 20;
 
-/// The time beyond the waiting time within which an answer must be complete.
+/// The time beyond the waiting time within which an answer must begin, and between two parts of it.
+/// A silent connection is thus noticed as fast in a large answer as in a small one.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// The time within which the first answer with all documents must be complete. It is far above
-/// [`GRACE`], because 42,000 documents have tens of megabytes.
-const FULL_GRACE: Duration = Duration::from_secs(30);
+/// The time beyond the waiting time within which an answer must be complete: a first answer has
+/// tens of megabytes.
+const COMPLETE: Duration = Duration::from_secs(30);
 
 /// Whether the platform is about to remove a VM or an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,8 +124,7 @@
     /// Returns an error if the service cannot be reached, is too slow or answers something else.
     pub async fn documents(&self, since: u64, wait: Duration) -> eyre::Result<Answer> {
         let path = format!("/v1/documents?since={since}&wait_ms={}", wait.as_millis());
-        let grace = if since == 0 { FULL_GRACE } else { GRACE };
-        let answer: wire::Documents = self.read(&self.documents, &path, wait + grace).await?;
+        let answer: wire::Documents = self.read(&self.documents, &path, wait).await?;
         Ok(answer.into_answer(since))
     }
 
@@ -133,7 +135,7 @@
     /// As [`documents`](Self::documents).
     pub async fn vms(&self, since: u64, wait: Duration) -> eyre::Result<Listing> {
         let path = format!("/v1/vms?since={since}&wait_ms={}", wait.as_millis());
-        let answer: wire::Listing = self.read(&self.list, &path, wait + GRACE).await?;
+        let answer: wire::Listing = self.read(&self.list, &path, wait).await?;
         Ok(answer.into())
     }
 
@@ -141,12 +143,12 @@
         &self,
         connection: &Mutex<Option<SendRequest<Empty<Bytes>>>>,
         path: &str,
-        limit: Duration,
+        wait: Duration,
     ) -> eyre::Result<T> {
         let mut connection = connection.lock().await;
         // Taken out, so that a failure or the end of this future drops the connection.
         let open = connection.take();
-        let reading = tokio::time::timeout(limit, self.exchange(open, path));
+        let reading = timeout(wait + COMPLETE, self.exchange(open, path, wait));
         let place = || format!("cannot read {path} from the platform at {}", self.addr);
         let (sender, body) = reading.await.wrap_err_with(place)?.wrap_err_with(place)?;
         *connection = Some(sender);
@@ -157,21 +159,19 @@
         &self,
         open: Option<SendRequest<Empty<Bytes>>>,
         path: &str,
+        wait: Duration,
     ) -> eyre::Result<(SendRequest<Empty<Bytes>>, Bytes)> {
         let mut sender = match open {
             Some(sender) if !sender.is_closed() => sender,
-            _ => self.connect().await?,
+            _ => timeout(GRACE, self.connect()).await??,
         };
-        sender.ready().await?;
+        timeout(GRACE, sender.ready()).await??;
         let request = Request::get(path)
             .header(HOST, self.addr.to_string())
             .body(Empty::new())?;
-        let response = sender.send_request(request).await?;
+        let response = timeout(wait + GRACE, sender.send_request(request)).await??;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER)
-            .collect()
-            .await;
-        let body = body.map_err(|error| eyre::eyre!(error))?.to_bytes();
+        let body = collect(response.into_body()).await?;
         eyre::ensure!(status.is_success(), "the answer has status {status}");
         Ok((sender, body))
     }
@@ -184,3 +184,16 @@
         Ok(sender)
     }
 }
+
+/// Reads a body whose parts follow one another without long silence.
+async fn collect(body: Incoming) -> eyre::Result<Bytes> {
+    let mut body = Limited::new(body, MAX_ANSWER);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = timeout(GRACE, body.frame()).await? {
+        let frame = frame.map_err(|error| eyre::eyre!(error))?;
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/cumindoor/tests/cluster.rs
+++ b/crates/cumindoor/tests/cluster.rs
@@ -230,6 +230,16 @@
         vm.holds("org-2", Some("limit = 2")).await;
         vm.holds("org-1", Some("limit = 1")).await;
     }
+    let expected = vec!["org-1: line 1: no `=`".to_owned()];
+    for vm in &vms {
+        let mut findings = vm.cluster.findings();
+        let findings = findings.wait_for(|found| found.get("org-1") == Some(&expected));
+        assert!(
+            tokio::time::timeout(LIMIT, findings).await.is_ok(),
+            "{}: no findings",
+            vm.name
+        );
+    }
     fake.publish("org-1", None);
     for vm in &vms {
         vm.holds("org-1", None).await;
