Test healed partitions, broken links and comparison of views

Cause: switching off the comparison of views left the exploration green, because urgent news and the list repair the same losses at 8 VMs.

Change: directed tests for a member whose gossip was all lost and for a dead statement from the other half; at 8 and 340 VMs a partition in halves heals; a link between two VMs is cut without suspicion.

Conclusion: each repair has a test that needs it.

--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -199,3 +199,66 @@
 
     assert_eq!(standing(&a, 2), Some(Standing::Live));
 }
+
+/// Guards against a member that is never learnt because all gossip about it was lost.
+#[test]
+fn a_comparison_repairs_what_gossip_missed() {
+    let mut a = members(1);
+    let mut b = members(2);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+    b.list(NOW, 1, &[listed(1), listed(2)]);
+    a.receive(NOW, news(9, Vec::new()));
+    let mut now = NOW;
+
+    // Two periods of comparison; vm-9 answers probes, and all gossip is lost.
+    for _ in 0..100 {
+        now = now + Duration::from_millis(50);
+        let mut waiting: Vec<_> = a.tick(now).into_iter().chain(b.tick(now)).collect();
+        while let Some(action) = waiting.pop() {
+            let Action::Send { to, packet, .. } = action else {
+                continue;
+            };
+            let packet = Packet {
+                updates: Vec::new(),
+                ..packet
+            };
+            waiting.extend(match (to.as_str(), packet.body.clone()) {
+                ("vm-1", _) => a.receive(now, packet),
+                ("vm-2", _) => b.receive(now, packet),
+                (_, Body::Ping { seq }) => a.receive(
+                    now,
+                    Packet {
+                        body: Body::Ack { seq },
+                        ..news(9, Vec::new())
+                    },
+                ),
+                _ => Vec::new(),
+            });
+        }
+    }
+
+    assert_eq!(standing(&b, 9), Some(Standing::Live));
+}
+
+/// Guards against live members that lose their ownership when a partition heals, because the
+/// other half took them for dead.
+#[test]
+fn a_comparison_does_not_kill_a_live_member() {
+    let mut a = members(1);
+    a.receive(NOW, news(2, Vec::new()));
+    let entries = vec![update(2, incarnation(5), Health::Dead)];
+    let body = Body::State {
+        buckets: Vec::new(),
+        entries,
+    };
+
+    a.receive(
+        NOW,
+        Packet {
+            body,
+            ..news(3, Vec::new())
+        },
+    );
+
+    assert_eq!(standing(&a, 2), Some(Standing::Suspect));
+}
--- a/crates/coord/tests/scale.rs
+++ b/crates/coord/tests/scale.rs
@@ -14,6 +14,10 @@
 const NOTICED: Duration = Duration::from_secs(2);
 const IN_FORCE: Duration = Duration::from_secs(3);
 
+/// The bound for views after a partition; two failed attempts to reconnect of 1.25 s and one
+/// failure detection, rounded up.
+const HEALED: Duration = Duration::from_secs(5);
+
 /// The target for all control traffic of one VM.
 const BYTES_PER_SECOND: f64 = 22_000.0;
 
@@ -90,6 +94,45 @@
     }
 }
 
+/// Guards against a live VM that is suspected because one other VM cannot reach it.
+#[test]
+fn a_broken_link_raises_no_suspicion() {
+    let mut world = booted(5, 8, 3);
+
+    for other in 1..8 {
+        world.net.broken = Some((0, other));
+        for _ in 0..300 {
+            world.run(Duration::from_millis(10));
+            assert!(world.views_converged(), "0 and {other} at {}", world.now);
+        }
+    }
+}
+
+/// Guards against halves of a partition that do not find each other again, or keep different
+/// documents.
+#[rstest]
+#[case::today(8, 3)]
+#[case::target(340, 8)]
+fn a_healed_partition_becomes_one_fleet(#[case] vms: usize, #[case] zones: usize) {
+    let mut world = booted(4, vms, zones);
+    world.net.side = (0..vms).map(|vm| u8::from(vm % 2 == 0)).collect();
+    world.run(Duration::from_secs(10));
+    let apart = world
+        .nodes
+        .iter()
+        .all(|node| node.members().view().members.len() == vms / 2);
+
+    world.net.side.fill(0);
+    world.change();
+    let config = world.until(IN_FORCE, |world| world.stale().is_none());
+    let views = world.until(HEALED, World::views_converged);
+
+    println!("{vms} VMs: healed after {config:?} and {views:?}");
+    assert!(apart, "the halves still saw each other");
+    assert!(config.is_some(), "{:?}", world.stale());
+    assert!(views.is_some(), "the views differ");
+}
+
 /// Guards against control traffic that grows with the fleet or breaks the target of 22 KB/s, and
 /// against changes that are not in force within 3 s. The load is the target's: 6,600 changes and
 /// 780 restarts a day.
--- a/crates/coord/tests/world/mod.rs
+++ b/crates/coord/tests/world/mod.rs
@@ -61,6 +61,8 @@
     pub late: f64,
     /// The side of each VM; messages between sides are lost.
     pub side: Vec<u8>,
+    /// Two VMs that cannot reach each other.
+    pub broken: Option<(usize, usize)>,
 }
 
 /// What the VMs sent.
@@ -267,7 +269,11 @@
         if self.measure {
             self.count_traffic(from, to, reply, letter);
         }
-        let cut = self.net.side[from] != self.net.side[to];
+        let broken = self
+            .net
+            .broken
+            .is_some_and(|(a, b)| (from, to) == (a, b) || (to, from) == (a, b));
+        let cut = broken || self.net.side[from] != self.net.side[to];
         if cut || self.rng.random_bool(self.net.loss) {
             return;
         }
