Test late timers and pushes

Cause: the exploration stays green when late timers do not extend timeouts, and when changes are not pushed, because comparison repairs both within the bounds.

Change: one directed test for each.

--- a/crates/coord/tests/config.rs
+++ b/crates/coord/tests/config.rs
@@ -7,7 +7,8 @@
 use coord::config::{
     Action, Answer, Config, Document, KEEP_DELETED, Message, Offered, Options, Store, Validator,
 };
-use coord::member::View;
+use coord::member::{Member, Standing, View};
+use coord::name::Incarnation;
 use coord::time::Time;
 
 const NOW: Time = Time::from_millis(100_000_000);
@@ -249,3 +250,29 @@
     };
     assert_eq!((first, second.len()), (vec![want], 0));
 }
+
+/// Guards against changes that reach most VMs only with their next comparison.
+#[test]
+fn a_change_is_pushed_to_a_few_peers() {
+    let mut a = config("a");
+    let member = |number: u16| Member {
+        zone: "east".into(),
+        addr: ([10, 0, 0, 1], number).into(),
+        incarnation: Incarnation(1),
+        standing: Standing::Live,
+    };
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"]
+        .into_iter()
+        .zip(1..);
+    let members = names
+        .map(|(name, number)| (name.into(), member(number)))
+        .collect();
+    a.view(&View { number: 1, members }, true);
+
+    let actions = a.answer(NOW, &answer(0, 1, vec![document("org", 1, "good")]));
+
+    let pushed = actions.iter().filter(|action| {
+        matches!(action, Action::Send { message: Message::Push { documents }, .. } if documents.len() == 1)
+    });
+    assert_eq!(pushed.count(), 4);
+}
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -262,3 +262,35 @@
 
     assert_eq!(standing(&a, 2), Some(Standing::Suspect));
 }
+
+/// Guards against members that are declared dead because this VM's own timer ran late, while
+/// their refutation waits behind it.
+#[test]
+fn a_late_call_extends_the_time_to_refute() {
+    let mut a = members(1);
+    a.receive(NOW, news(2, Vec::new()));
+    a.receive(
+        NOW,
+        news(3, vec![update(2, incarnation(5), Health::Suspect)]),
+    );
+
+    a.tick(NOW + Duration::from_millis(60));
+    a.tick(NOW + Duration::from_millis(650));
+    let late = standing(&a, 2);
+    let refutation = news(2, Vec::new());
+    let raised = Incarnation(refutation.from.incarnation.0 + 1);
+    let from = Update {
+        incarnation: raised,
+        ..refutation.from
+    };
+    a.receive(
+        NOW + Duration::from_millis(650),
+        Packet {
+            from,
+            ..news(2, Vec::new())
+        },
+    );
+
+    assert_eq!(late, Some(Standing::Suspect));
+    assert_eq!(standing(&a, 2), Some(Standing::Live));
+}
