Test refutation after a pause and of a dead member

Cause: without the time to refute, and without telling a dead member that it is taken for dead, all tests passed.

Change: a pause of one second must leave the VM in every view; each attempt to reach a dead member must carry the statement about it.

Conclusion: both mechanisms have a test.

--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -294,3 +294,32 @@
     assert_eq!(late, Some(Standing::Suspect));
     assert_eq!(standing(&a, 2), Some(Standing::Live));
 }
+
+/// Guards against a VM that was taken for dead during a partition and never hears of it, so that it
+/// cannot refute it.
+#[test]
+fn a_dead_member_is_told_whenever_it_is_tried_again() {
+    let mut a = members(1);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+    a.receive(NOW, news(2, Vec::new()));
+    let mut now = NOW;
+    let mut tried = 0;
+
+    for step in 0..200 {
+        now = now + Duration::from_millis(50);
+        // After 5 s, the member is dead and the news of it is spread.
+        for packet in packets(&a.tick(now)).filter(|_| step > 100) {
+            let told = packet
+                .updates
+                .iter()
+                .any(|update| update.health == Health::Dead);
+            assert!(told, "{packet:?}");
+            tried += 1;
+        }
+    }
+
+    assert!(
+        standing(&a, 2).is_none() && tried >= 3,
+        "tried {tried} times"
+    );
+}
--- a/crates/coord/tests/scale.rs
+++ b/crates/coord/tests/scale.rs
@@ -94,6 +94,29 @@
     }
 }
 
+/// Guards against a VM that loses its ownership for a pause that ends before it can be declared
+/// dead: 600 ms until the suspicion and 600 ms to refute it.
+#[test]
+fn a_pause_of_a_second_is_refuted() {
+    let mut world = booted(6, 8, 3);
+
+    for vm in 0..8 {
+        world.pause(vm, Duration::from_secs(1));
+        for _ in 0..300 {
+            world.run(Duration::from_millis(10));
+            for node in &world.nodes {
+                let held = node.members().view().members.len();
+                assert_eq!(
+                    held, 8,
+                    "{} at {}: {vm} was declared dead",
+                    node.name, world.now
+                );
+            }
+        }
+        assert!(world.views_converged(), "{vm} is still suspected");
+    }
+}
+
 /// Guards against a live VM that is suspected because one other VM cannot reach it.
 #[test]
 fn a_broken_link_raises_no_suspicion() {
