Check the assumed cost of a message against the transport

Cause: the figures in virtual time assume 200 bytes for each message and 700 for each connection.

Change: a test counts the bytes of 100 calls and of the upgrade on one connection.

Conclusion: the traffic figures are upper bounds.

--- a/crates/cumindoor/tests/peer.rs
+++ b/crates/cumindoor/tests/peer.rs
@@ -303,3 +303,42 @@
 
     assert!(after.is_err());
 }
+
+/// Returns the bytes that `calls` calls and their replies take on one connection.
+async fn bytes(calls: usize) -> u64 {
+    let server = server().await;
+    let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let through = socket.local_addr().unwrap();
+    let counting = tokio::spawn(async move {
+        let (mut near, _) = socket.accept().await.unwrap();
+        let mut far = TcpStream::connect(server.addr()).await.unwrap();
+        tokio::io::copy_bidirectional(&mut near, &mut far)
+            .await
+            .unwrap()
+    });
+    let peers = client(PeersOptions::default());
+    for _ in 0..calls {
+        echo(&peers, through, "").await.unwrap();
+    }
+    drop(peers);
+    let (up, down) = tokio::time::timeout(LIMIT, counting)
+        .await
+        .unwrap()
+        .unwrap();
+    up + down
+}
+
+/// Guards against a transport whose cost breaks the assumption of `coord/tests/scale.rs`: 200 bytes
+/// for each message and 700 for each connection, of which TCP/IP takes 104 and 212.
+#[tokio::test]
+async fn calls_and_connections_cost_as_much_as_assumed() {
+    let one = bytes(1).await;
+    let many = bytes(101).await;
+
+    // The echoed text is "vm-1: " and the trace id; both are part of the message, not of its cost.
+    let message = (many - one) / 200;
+    let connection = one - 2 * message;
+
+    println!("{message} bytes for each message, {connection} for the connection");
+    assert!(message <= 96 && connection <= 488);
+}
