--- a/crates/cumindoor/tests/cluster.rs
+++ b/crates/cumindoor/tests/cluster.rs
@@ -343,3 +343,28 @@
 
     assert!(!vms[0].cluster.trusted());
 }
+
+/// Guards against a VM that stops without telling its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_vm_is_seen_as_leaving() {
+    let fake = Fake::spawn().await;
+    let vms = fleet(&fake).await;
+    for vm in &vms {
+        vm.sees(3).await;
+    }
+
+    vms[0].cluster.leave();
+
+    for vm in &vms[1..] {
+        let mut view = vm.cluster.view();
+        let left = view.wait_for(|view| {
+            let member = view.members.get(&"vm-1".into());
+            member.is_some_and(|member| member.standing == Standing::Leaving)
+        });
+        assert!(
+            tokio::time::timeout(LIMIT, left).await.is_ok(),
+            "{}: not told",
+            vm.name
+        );
+    }
+}
