--- a/crates/cumindoor/tests/cluster.rs
+++ b/crates/cumindoor/tests/cluster.rs
@@ -230,6 +230,16 @@
         vm.holds("org-2", Some("limit = 2")).await;
         vm.holds("org-1", Some("limit = 1")).await;
     }
+    let expected = vec!["org-1: line 1: no `=`".to_owned()];
+    for vm in &vms {
+        let mut findings = vm.cluster.findings();
+        let findings = findings.wait_for(|found| found.get("org-1") == Some(&expected));
+        assert!(
+            tokio::time::timeout(LIMIT, findings).await.is_ok(),
+            "{}: no findings",
+            vm.name
+        );
+    }
     fake.publish("org-1", None);
     for vm in &vms {
         vm.holds("org-1", None).await;
@@ -243,6 +253,28 @@
     }
 }
 
+/// Guards against documents that together, or alone, are larger than a call may be.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_documents_reach_a_vm_that_boots() {
+    let fake = Fake::spawn().await;
+    let text = format!("limit = {}", "1".repeat(1_000_000));
+    for number in 1..=4 {
+        fake.publish(&format!("org-{number}"), Some(&text));
+    }
+    let mut vms = fleet(&fake).await;
+    for vm in &vms {
+        vm.holds("org-4", Some(&text)).await;
+    }
+
+    let lost = vms.pop().unwrap();
+    lost.kill().await;
+    let back = Vm::spawn("vm-3", lost.running.addr(), fake.addr).await;
+
+    for number in 1..=4 {
+        back.holds(&format!("org-{number}"), Some(&text)).await;
+    }
+}
+
 /// Guards against a dead VM that stays in the view, and a restarted one that is not taken back or
 /// does not get the documents again.
 #[tokio::test(flavor = "multi_thread")]
@@ -311,3 +343,28 @@
 
     assert!(!vms[0].cluster.trusted());
 }
+
+/// Guards against a VM that stops without telling its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_vm_is_seen_as_leaving() {
+    let fake = Fake::spawn().await;
+    let vms = fleet(&fake).await;
+    for vm in &vms {
+        vm.sees(3).await;
+    }
+
+    vms[0].cluster.leave();
+
+    for vm in &vms[1..] {
+        let mut view = vm.cluster.view();
+        let left = view.wait_for(|view| {
+            let member = view.members.get(&"vm-1".into());
+            member.is_some_and(|member| member.standing == Standing::Leaving)
+        });
+        assert!(
+            tokio::time::timeout(LIMIT, left).await.is_ok(),
+            "{}: not told",
+            vm.name
+        );
+    }
+}
