Check the size and encoding of the messages between VMs

Cause: messages were only passed in memory; frames are bounded and 128-bit numbers need care in MessagePack. An entry VM that was told to attach to an abandoned attempt could not be told so. Change: round trips through rmp-serde, `Claims::gave_up`, tests of keys.

--- a/crates/coord/src/claim.rs
+++ b/crates/coord/src/claim.rs
@@ -203,6 +203,15 @@
         }
     }
 
+    /// Returns whether `attempt` of this VM is known never to have been dispatched.
+    ///
+    /// For callers that were told to attach to it: they may send their key again soon. Attempts
+    /// are forgotten 60 s after their end.
+    #[must_use]
+    pub fn gave_up(&self, attempt: AttemptId) -> bool {
+        self.abandoned.contains_key(&attempt)
+    }
+
     /// Puts a list in force that the platform published.
     pub fn adopt(&mut self, now: Time, list: VmList) -> Vec<Action> {
         let mut actions = Vec::new();
--- /dev/null
+++ b/crates/coord/tests/messages.rs
@@ -0,0 +1,128 @@
+//! The messages between VMs in the encoding that the binary uses.
+
+use std::fmt::Debug;
+use std::time::Duration;
+
+use coord::claim::{AttemptId, Copied, Holder, Key, KeyHash, Message, Page};
+use coord::fence::{Identity, Vote};
+use coord::lease::{Renew, Slot, job_id};
+use coord::limit::Draw;
+use coord::name::{Incarnation, Organisation, Service, Upstream, VmName};
+use coord::poison::Charge;
+use rstest::rstest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Encodes and decodes; returns the length.
+fn round_trip<T: Serialize + DeserializeOwned + PartialEq + Debug>(message: &T) -> usize {
+    let bytes = rmp_serde::to_vec(message).expect("the message can be encoded");
+    let back: T = rmp_serde::from_slice(&bytes).expect("the message can be decoded");
+    assert_eq!(&back, message);
+    bytes.len()
+}
+
+fn vm() -> VmName {
+    VmName::from("boa-viagem-vm-0117")
+}
+
+fn copied(at: u64) -> Copied {
+    Copied {
+        key: KeyHash(u64::MAX - at, u64::MAX - at),
+        holder: Holder {
+            vm: vm(),
+            attempt: AttemptId(u64::MAX - at),
+        },
+        age: Duration::from_millis(3_599_900),
+        contested: false,
+    }
+}
+
+/// Guards against a page that does not fit into a frame, or that cannot be decoded.
+#[test]
+fn a_page_stays_below_24_kib() {
+    let page = Page {
+        revision: 6_600,
+        asker: Incarnation(7),
+        base: Some(6_599),
+        after: Some(KeyHash(1, 2)),
+        incarnation: Incarnation(8),
+        seasoned: true,
+        ready: true,
+        floor: 6_599,
+        history: (6_569..=6_600).collect(),
+        records: (0..256).map(copied).collect(),
+        next: Some(KeyHash(3, 4)),
+    };
+
+    let length = round_trip(&Message::Page(page));
+
+    println!("{length} bytes for 256 records");
+    assert!(length < 24 << 10, "{length} bytes");
+}
+
+/// Guards against a renewal of a whole cell, 64 engines of 20 slots by one VM, that outgrows a
+/// frame.
+#[test]
+fn a_renewal_stays_below_64_kib() {
+    let slot = |at: u128| Slot {
+        job: job_id(&vm(), u128::MAX - at),
+        upstream: Upstream::from("lm-writers-decode-17"),
+    };
+    let renew = Renew {
+        incarnation: Incarnation(8),
+        sequence: 9,
+        slots: (0..64 * 20).map(slot).collect(),
+    };
+
+    let length = round_trip(&renew);
+
+    println!("{length} bytes for 1,280 slots");
+    assert!(length < 64 << 10, "{length} bytes");
+}
+
+/// Guards against a small message that cannot be decoded; 128-bit numbers need care.
+#[test]
+fn small_messages_can_be_decoded() {
+    let charge = Charge {
+        fingerprint: u128::MAX,
+        charges: 2,
+        age: Duration::from_secs(1),
+    };
+    let vote = Vote {
+        cell: Service::from("logreader"),
+        owner: Identity {
+            vm: vm(),
+            incarnation: Incarnation(1),
+        },
+        round: 2,
+        give_up: false,
+    };
+
+    let lengths = [
+        round_trip(&vec![charge; 64]),
+        round_trip(&vote),
+        round_trip(&Draw::default()),
+    ];
+
+    println!("{lengths:?} bytes");
+    assert!(lengths[0] < 4 << 10);
+}
+
+/// Guards against a key whose time of issue is read from text that is no version-7 UUID.
+#[rstest]
+#[case("01941f29-7c00-7000-8000-000000000000", Some(1_735_689_600_000))]
+#[case("01941f29-7c00-4000-8000-000000000000", None)]
+#[case("order-17", None)]
+fn only_version_7_names_its_time(#[case] text: &str, #[case] issued: Option<u64>) {
+    let key = Key::new(&Organisation::from("souk"), text);
+
+    assert_eq!(key.issued, issued);
+}
+
+/// Guards against two organisations whose keys block each other.
+#[test]
+fn organisations_do_not_share_keys() {
+    let of = |organisation: &str| Key::new(&Organisation::from(organisation), "order-17").hash;
+
+    assert_ne!(of("souk"), of("celeste"));
+}
