--- a/crates/coord/src/sched/recover.rs
+++ b/crates/coord/src/sched/recover.rs
@@ -13,7 +13,7 @@
 pub(super) const FULL_PAUSE: Duration = Duration::from_millis(20);
 
 /// How long ids of ended jobs are remembered, against lagged load reports.
-const ENDED_MEMORY: Duration = Duration::from_secs(5);
+const ENDED_MEMORY: Duration = Duration::from_secs(10);
 
 /// How long a dead VM's work is looked for in load reports.
 const DEAD_MEMORY: Duration = Duration::from_mins(1);
