--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -1,3 +1,13 @@
-//! The router: everything between callers and upstreams. See `docs/design.md`.
+//! The `cumindoor` router as a library: the binary is a thin shell around it.
+//!
+//! See `docs/design.md` for the modules and their interfaces.
 
 pub mod bench;
+pub mod check;
+pub mod cli;
+pub mod demo;
+pub mod document;
+pub mod ini;
+pub mod serve;
+pub mod settings;
+pub mod status;
--- a/crates/cumindoor/src/main.rs
+++ b/crates/cumindoor/src/main.rs
@@ -1,22 +1,7 @@
 //! The `cumindoor` command.
 
-use clap::{Parser, Subcommand};
-use cumindoor::bench;
+use std::process::ExitCode;
 
-#[derive(Debug, Parser)]
-struct Cli {
-    #[command(subcommand)]
-    command: Command,
-}
-
-#[derive(Debug, Subcommand)]
-enum Command {
-    /// Measures parts of the router.
-    Bench(bench::BenchArgs),
-}
-
-fn main() -> eyre::Result<()> {
-    match Cli::parse().command {
-        Command::Bench(args) => bench::run(&args),
-    }
+fn main() -> ExitCode {
+    cumindoor::cli::main()
 }
--- /dev/null
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -0,0 +1,167 @@
+//! What all requests of a VM share.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use coord::name::{Organisation, Service};
+use coord::sched::JobId;
+use tokio_util::task::TaskTracker;
+
+use super::claims::{Claims, LocalClaims};
+use crate::serve::cell::{Cell, Clock};
+use crate::serve::engine::EngineClient;
+use crate::serve::engine::cancel::Canceller;
+use crate::serve::plain::Balance;
+use crate::serve::spec::{ServeOptions, ServiceSpec, Table};
+use crate::serve::telemetry::Telemetry;
+
+/// What all requests of a VM share.
+pub struct Context {
+    /// The VM's options.
+    pub options: ServeOptions,
+    /// Services and upstreams.
+    pub table: Table,
+    /// Where requests wait for engines.
+    pub cell: Arc<dyn Cell>,
+    /// The clock that deadlines are given in.
+    pub clock: Clock,
+    /// Client of the engines.
+    pub engines: EngineClient,
+    /// Cancels that have to reach engines.
+    pub canceller: Canceller,
+    /// Running requests.
+    pub runs: TaskTracker,
+    /// Open requests of each organisation.
+    pub open: Open,
+    /// Open calls of plain services' upstreams.
+    pub balance: Balance,
+    /// Requests that run on this VM now.
+    pub live: Live,
+    /// Claims on idempotency keys of once-only requests; [`LocalClaims`] unless replaced.
+    pub claims: Arc<dyn Claims>,
+    /// Counters and timers.
+    pub telemetry: Telemetry,
+}
+
+impl Context {
+    /// Returns a context without requests.
+    #[must_use]
+    pub fn new(
+        options: ServeOptions,
+        table: Table,
+        cell: Arc<dyn Cell>,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> Self {
+        let engines = EngineClient::new(options.times.clone());
+        Self {
+            options,
+            table,
+            cell,
+            clock,
+            engines,
+            canceller: Canceller::new(),
+            runs: TaskTracker::new(),
+            open: Open::default(),
+            balance: Balance::default(),
+            live: Live::default(),
+            claims: Arc::new(LocalClaims::default()),
+            telemetry,
+        }
+    }
+}
+
+/// The ids of the requests that run on this VM; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Live {
+    ids: Arc<Mutex<BTreeSet<JobId>>>,
+}
+
+impl Live {
+    /// Notes an id before any engine hears of it.
+    pub fn add(&self, id: JobId) {
+        self.lock().insert(id);
+    }
+
+    /// Forgets an id that no engine is to work for any more.
+    pub fn remove(&self, id: JobId) {
+        self.lock().remove(&id);
+    }
+
+    /// Returns true if a request with this id runs.
+    #[must_use]
+    pub fn contains(&self, id: JobId) -> bool {
+        self.lock().contains(&id)
+    }
+
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Returns true if no request runs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+type Key = (Organisation, Service);
+
+/// Counts open requests of each organisation and service; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct Open {
+    counts: Arc<Mutex<BTreeMap<Key, usize>>>,
+}
+
+impl Open {
+    /// Counts one more request, or returns `None` if the limit is reached.
+    #[must_use]
+    pub fn enter(&self, spec: &ServiceSpec) -> Option<OpenGuard> {
+        let key = (spec.organisation.clone(), spec.name.clone());
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(key.clone()).or_default();
+        if *count >= spec.open_limit {
+            return None;
+        }
+        *count += 1;
+        let open = self.clone();
+        Some(OpenGuard { open, key })
+    }
+
+    /// Returns the number of open requests.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.values().sum()
+    }
+
+    fn leave(&self, key: &Key) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(count) = counts.get_mut(key) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
+/// Counts one open request until it is dropped.
+#[derive(Debug)]
+pub struct OpenGuard {
+    open: Open,
+    key: Key,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.open.leave(&self.key);
+    }
+}
