Test a boot whose peers are slower than a stale service

Change: round trips between VMs of up to 400 ms while one VM boots.

Conclusion: the wait for peers is tested.

--- a/crates/coord/tests/boot.rs
+++ b/crates/coord/tests/boot.rs
@@ -44,6 +44,28 @@
     assert_eq!(world.stale(), None);
 }
 
+/// Guards against a rebooted VM that takes the answer of a stale service because it comes before
+/// those of its peers.
+#[rstest]
+fn a_rebooted_vm_waits_for_slow_peers(#[values(0, 1, 2, 3, 4, 5, 6, 7)] vm: usize) {
+    let mut world = fleet(9);
+    let newest = world.service.revision;
+    world.service.mode = Mode::Stale(1);
+    world.kill(vm);
+    world.run(Duration::from_secs(3));
+
+    // A round trip between VMs takes up to 400 ms; the service answers in milliseconds.
+    world.net.late = 1.0;
+    world.net.delay = 200_000;
+    world.schedule(Duration::ZERO, Event::Start(vm));
+    let ready = world.until(LIMIT, |world| {
+        world.nodes[vm].up && world.nodes[vm].config().ready()
+    });
+
+    assert!(ready.is_some(), "the VM did not become ready");
+    assert_eq!(world.nodes[vm].config().cursor(), newest);
+}
+
 /// Guards against a fleet that cannot boot when every VM rebooted, and one that stays at a stale
 /// answer when the service is fresh again.
 #[test]
--- a/crates/coord/tests/world/mod.rs
+++ b/crates/coord/tests/world/mod.rs
@@ -57,8 +57,10 @@
 pub struct Net {
     pub loss: f64,
     pub double: f64,
-    /// The share of messages that are late by up to a second.
+    /// The share of messages that are late by up to `delay`.
     pub late: f64,
+    /// The longest delay of late messages in microseconds.
+    pub delay: u64,
     /// The side of each VM; messages between sides are lost.
     pub side: Vec<u8>,
     /// Two VMs that cannot reach each other.
@@ -103,6 +105,7 @@
             nodes,
             net: Net {
                 side: vec![0; vms],
+                delay: 1_000_000,
                 ..Net::default()
             },
             traffic: Traffic::default(),
@@ -284,7 +287,7 @@
         };
         for _ in 0..copies {
             let late = self.rng.random_bool(self.net.late);
-            let most = if late { 1_000_000 } else { 1_000 };
+            let most = if late { self.net.delay } else { 1_000 };
             let delay = Duration::from_micros(self.rng.random_range(300..=most));
             self.schedule(delay, Event::Deliver(to, letter.clone()));
         }
