Test what the cluster task publishes

Cause: a mutation that lets published documents go back was seen by no test.

Change: three tests of the published documents and of trust.

Conclusion: a restarted task cannot publish older documents unnoticed.

--- a/crates/cumindoor/src/serve/cluster/published.rs
+++ b/crates/cumindoor/src/serve/cluster/published.rs
@@ -150,3 +150,6 @@
         u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cumindoor/src/serve/cluster/published/tests.rs
@@ -0,0 +1,52 @@
+//! The published documents.
+
+use super::*;
+
+fn documents(entries: &[(&str, u64)]) -> Documents {
+    let mut documents = Documents::default();
+    for (name, revision) in entries {
+        documents.set(&Arc::from(*name), *revision, Some("text".into()));
+    }
+    documents
+}
+
+/// Guards against a restarted task that publishes an older text than before.
+#[test]
+fn a_published_document_never_goes_back() {
+    let mut documents = documents(&[("org-1", 5)]);
+
+    documents.set(&"org-1".into(), 4, Some("older".into()));
+    documents.set(&"org-1".into(), 4, None);
+
+    assert_eq!(
+        documents.get("org-1").map(|document| document.revision),
+        Some(5)
+    );
+}
+
+/// Guards against readers that miss a change or a deletion between two looks.
+#[test]
+fn changes_are_found_between_any_two_moments() {
+    let old = documents(&[("org-1", 1), ("org-2", 2), ("org-3", 3)]);
+    let mut new = old.clone();
+
+    new.set(&"org-1".into(), 4, Some("text".into()));
+    new.set(&"org-2".into(), 5, None);
+    new.set(&"org-4".into(), 6, Some("text".into()));
+
+    let changed: Vec<Arc<str>> = vec!["org-1".into(), "org-2".into(), "org-4".into()];
+    assert_eq!(new.changed_since(&old), changed);
+    assert_eq!(old.iter().count(), 3);
+}
+
+/// Guards against a stopped or paused task whose last word is taken for the present.
+#[test]
+fn trust_ends_when_the_task_does_not_run() {
+    let published = Published::new();
+
+    published.set_trusted(true);
+    let running = published.trusted(Duration::from_hours(1));
+    std::thread::sleep(Duration::from_millis(2));
+
+    assert!(running && !published.trusted(Duration::from_millis(1)));
+}
