Cut running requests cleanly after the stop limit; test a storm of faults

Cause: when the stop limit passed, engines worked on for the callers of the process that ended. Change: after the limit, running requests end with an error event and are cancelled on their engines.

--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -28,6 +28,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often idle connections to upstreams are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// Time for last events and cancels after the stop limit has passed.
+const CUT_TIME: Duration = Duration::from_secs(2);
 /// How often gauges are taken and counters are sent.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -143,14 +145,21 @@
         shared.lock_listener().take();
         shared.connections.close();
         context.runs.close();
-        let finished = async {
-            shared.connections.wait().await;
-            context.runs.wait().await;
-            context.canceller.idle().await;
-        };
-        let complete = timeout(context.options.stop_limit, finished).await.is_ok();
+        let complete = timeout(context.options.stop_limit, self.finished()).await;
+        if complete.is_err() {
+            context.cut.cancel();
+            // Engines must not work on for callers that this process leaves behind.
+            let _ = timeout(CUT_TIME, self.finished()).await;
+        }
         self.supervisor.stop();
-        complete
+        complete.is_ok()
+    }
+
+    /// Waits until no connection, request or cancel is left.
+    async fn finished(&self) {
+        self.shared.connections.wait().await;
+        self.shared.context.runs.wait().await;
+        self.shared.context.canceller.idle().await;
     }
 
     /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -198,7 +198,9 @@
 
 impl Run {
     async fn drive(mut self) {
-        let last = match self.serve().await {
+        let cut = self.context.cut.clone();
+        let served = cut.run_until_cancelled(self.serve()).await;
+        let last = match served.unwrap_or_else(|| self.cut()) {
             End::Finished(usage) => {
                 self.ticket.finish();
                 self.count_end("request.finished");
@@ -232,6 +234,10 @@
         telemetry.add("tokens", u64::from(self.ticket.job.offset));
     }
 
+    fn cut(&self) -> End {
+        End::Refused(self.refusal("stopping", "the router had to stop before the answer ended"))
+    }
+
     async fn serve(&mut self) -> End {
         let mut pause = SUBMIT_PAUSE;
         for _ in 0..SUBMIT_LIMIT {
--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -5,6 +5,7 @@
 
 use coord::name::{Organisation, Service};
 use coord::sched::JobId;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::claims::{Claims, LocalClaims};
@@ -31,6 +32,8 @@
     pub canceller: Canceller,
     /// Running requests.
     pub runs: TaskTracker,
+    /// Cancelled when running requests have to end because the stop limit has passed.
+    pub cut: CancellationToken,
     /// Open requests of each organisation.
     pub open: Open,
     /// Open calls of plain services' upstreams.
@@ -62,6 +65,7 @@
             engines,
             canceller: Canceller::new(),
             runs: TaskTracker::new(),
+            cut: CancellationToken::new(),
             open: Open::default(),
             balance: Balance::default(),
             live: Live::default(),
--- a/crates/cumindoor/tests/serve_cancel.rs
+++ b/crates/cumindoor/tests/serve_cancel.rs
@@ -117,3 +117,38 @@
     fleet.nothing_held().await;
     drop(answer);
 }
+
+/// Guards against engines that work on for a router that had to stop before the answer ended,
+/// and against a cut answer that looks complete.
+#[tokio::test]
+async fn frees_all_when_the_stop_limit_passes() {
+    let mut plan = Plan::default();
+    plan.options.stop_limit = Duration::from_millis(100);
+    let fleet = plan.start().await;
+    let (reading, _) = fleet.held_chat("Too late", 60).await;
+
+    let complete = fleet.server.stop().await;
+    let events = common::patiently("the last event", reading).await.unwrap();
+
+    assert!(!complete);
+    assert_eq!(events.error.unwrap()["reason"], "stopping");
+    assert!(!events.done);
+    fleet.nothing_held().await;
+}
+
+/// Guards against a request that no deadline ends.
+#[tokio::test]
+async fn frees_all_when_the_request_limit_passes() {
+    let mut plan = Plan::default();
+    plan.services[0].request_limit = Duration::from_millis(500);
+    let fleet = plan.start().await;
+    all(&fleet.decodes, |fault| fault.stall_work = true);
+
+    let events = fleet.chat("Too long", 60, true).await.events().await;
+
+    let error = events.error.unwrap();
+    assert_eq!(error["reason"], "request-limit");
+    assert_eq!(error["kind"], "unknown");
+    fleet.nothing_held().await;
+    until("the router is idle", || fleet.router_idle()).await;
+}
--- a/crates/cumindoor/tests/serve_plain.rs
+++ b/crates/cumindoor/tests/serve_plain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{Answer, Fleet, Plan, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 async fn start(once: bool, plains: usize) -> Fleet {
     let mut plan = Plan::default();
@@ -168,3 +169,38 @@
     assert_eq!(error["kind"], "unknown");
     assert_eq!(runs(&fleet, "path"), 1);
 }
+
+/// Guards against bodies that are kept in memory as a whole or arrive changed.
+#[tokio::test]
+async fn streams_large_bodies() {
+    let fleet = start(true, 1).await;
+    let body = "saffron ".repeat(200_000);
+
+    let answer = common::post(fleet.server.addr(), "/stock/bulk", &[], body.clone()).await;
+    let json = answer.json().await;
+
+    assert_eq!(json["body"], body);
+}
+
+/// Guards against an answer that its upstream cut and that looks complete to the caller.
+#[tokio::test]
+async fn a_cut_answer_is_not_complete() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let raw = common::upstream("raw", "stock", None, listener.local_addr().unwrap());
+    let fleet = Plan::default().start().await;
+    let stock = common::service("stock", cumindoor::serve::ServiceKind::Plain);
+    fleet.table.replace(vec![stock], vec![raw]);
+    let cut = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = vec![0; 4096];
+        let _ = stream.read(&mut head).await.unwrap();
+        let start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+        stream.write_all(start).await.unwrap();
+    };
+
+    let call = common::post(fleet.server.addr(), "/stock/x", &[], String::new());
+    let (answer, ()) = tokio::join!(call, cut);
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.try_text().await.is_err());
+}
--- /dev/null
+++ b/crates/cumindoor/tests/serve_storm.rs
@@ -0,0 +1,127 @@
+//! Many requests while engines die, come back and misbehave.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, Plan, chat_body, expected, patiently, until};
+use rstest::rstest;
+use standin::TokenFault;
+
+const REQUESTS: usize = 150;
+const TOKENS: u32 = 120;
+
+/// Guards against answers that are wrong, partial or without an end when many requests meet
+/// deaths, cuts, gaps and full engines at once, and against memory that stays held afterwards.
+#[rstest]
+#[case::deaths(true)]
+#[case::cuts(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_answer_is_whole_or_refused(#[case] deaths: bool) {
+    let mut plan = Plan {
+        decodes: 4,
+        ..Plan::default()
+    };
+    plan.engine.step = Duration::from_millis(1);
+    plan.options.times.quiet = Duration::from_millis(200);
+    let fleet = plan.start().await;
+    let addr = fleet.server.addr();
+    let callers = (0..REQUESTS).map(|number| {
+        tokio::spawn(async move {
+            let text = format!("storm {number}");
+            let body = chat_body(&text, TOKENS, true);
+            let answer = common::post(addr, "/v1/chat/completions", &[], body).await;
+            (text, answer.events().await)
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+
+    for round in 0..8 {
+        let engine = &fleet.decodes[round % 4];
+        let before = fleet.counter("request.finished");
+        if deaths {
+            engine.die().await;
+        } else {
+            set_faults(&fleet, round);
+        }
+        let over = || callers.iter().all(tokio::task::JoinHandle::is_finished);
+        let next = || fleet.counter("request.finished") > before + 8 || over();
+        until("requests end", next).await;
+        engine.revive().await.unwrap();
+    }
+
+    for caller in callers {
+        let (text, events) = patiently("an answer", caller).await.unwrap();
+        let wanted = expected(&text, TOKENS);
+        if events.done {
+            assert_eq!(events.text, wanted);
+            assert_eq!(events.error, None);
+        } else {
+            assert!(events.error.is_some(), "{events:?}");
+            assert!(wanted.starts_with(&events.text));
+        }
+    }
+    fleet.nothing_held().await;
+    until("the router is idle", || fleet.router_idle()).await;
+    clear_faults(&fleet);
+    let after = fleet
+        .chat("After the storm", TOKENS, true)
+        .await
+        .events()
+        .await;
+    assert_eq!(after.text, expected("After the storm", TOKENS));
+}
+
+fn clear_faults(fleet: &Fleet) {
+    for engine in &fleet.decodes {
+        engine.fault(|fault| *fault = standin::Fault::default());
+    }
+}
+
+/// Makes one engine skip, repeat or cross tokens or cut its streams.
+fn set_faults(fleet: &Fleet, round: usize) {
+    for (number, engine) in fleet.decodes.iter().enumerate() {
+        let hit = number == round % 4;
+        engine.fault(|fault| {
+            fault.cut_after = (hit && round.is_multiple_of(2)).then_some(30);
+            fault.tokens = match (hit, round % 4) {
+                (true, 1) => TokenFault::Skip(50),
+                (true, 3) => TokenFault::Swap(40),
+                (true, _) => TokenFault::Repeat(3),
+                (false, _) => TokenFault::Interleave(9),
+            };
+        });
+    }
+}
+
+/// Guards against callers that lose their answers because many streams are cut at once.
+#[tokio::test]
+async fn all_streams_of_a_dead_engine_are_completed() {
+    let mut plan = Plan::default();
+    plan.engine.step = Duration::from_millis(5);
+    let fleet = plan.start().await;
+    let addr = fleet.server.addr();
+    fleet.decodes[1].fault(|fault| fault.full = true);
+    fleet.decodes[0].fault(|fault| fault.stall_work = true);
+    let callers = (0..10).map(|number| {
+        tokio::spawn(async move {
+            let text = format!("death {number}");
+            let body = chat_body(&text, TOKENS, true);
+            let answer = common::post(addr, "/v1/chat/completions", &[], body).await;
+            (text, answer.events().await)
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let dying = &fleet.decodes[0];
+    until("ten streams wait", || dying.slots_used() == 10).await;
+    dying.fault(|fault| fault.stall_work = false);
+    until("ten streams run", || dying.counts().output_tokens > 50).await;
+
+    dying.die().await;
+    clear_faults(&fleet);
+
+    for caller in callers {
+        let (text, events) = patiently("an answer", caller).await.unwrap();
+        assert_eq!(events.text, expected(&text, TOKENS), "{:?}", events.error);
+    }
+}
