Resume cut streams also without retry credit

Change: a job whose caller has received output is always resumed; its retry is charged as a debt, so other retries give way. The streams of a lost engine are no more than its slots, which bounds the load. Conclusion: a budget may delay or refuse work that has not begun, never an answer that has.

--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -80,6 +80,14 @@
         paid
     }
 
+    /// Takes the credit of one retry that cannot be left out, even if there is not enough.
+    ///
+    /// The debt holds back other retries until it is paid or has decayed.
+    pub fn spend(&mut self, now: Time) {
+        self.settle(now);
+        self.credit -= 1.0;
+    }
+
     /// Lets old credit decay and adds the floor's.
     fn settle(&mut self, now: Time) {
         let passed = now.since(self.updated).as_secs_f64();
--- a/crates/coord/src/sched/retries.rs
+++ b/crates/coord/src/sched/retries.rs
@@ -13,13 +13,21 @@
 impl Scheduler {
     /// Plans a retry if the budget has credit.
     ///
-    /// An interactive caller without credit is refused at once. A patient job is never lost to
+    /// A caller that has received a part of its answer gets the rest, with or without credit:
+    /// the streams of a lost engine are no more than its slots. Any other interactive caller
+    /// without credit is refused at once. A patient job is never lost to
     /// the budget: it waits for credit until its deadline, and credit goes to those that wait
     /// first, in their order.
     pub(super) fn retry(&mut self, now: Time, id: JobId) -> Vec<Action> {
-        let Some(class) = self.jobs.get(&id).map(|e| e.job.class) else {
+        let Some(entry) = self.jobs.get(&id) else {
             return Vec::new();
         };
+        let (class, resumed) = (entry.job.class, entry.resumed());
+        if resumed {
+            self.budget.spend(now);
+            self.plan_retry(now, id);
+            return Vec::new();
+        }
         if self.unpaid.is_empty() && self.budget.try_spend(now) {
             self.plan_retry(now, id);
             return Vec::new();
