Do not count votes that were given back

A late return of an earlier round freed the vote of a later one, and an owner counted agreements to a round that it had given up. Change: a return names its round; agreements to a given-up round do not count.

--- a/crates/coord/src/fence/authority.rs
+++ b/crates/coord/src/fence/authority.rs
@@ -33,12 +33,20 @@
     pub give_up: bool,
 }
 
+/// A vote that was given.
+#[derive(Clone, Debug)]
+struct Given {
+    owner: Identity,
+    round: u64,
+    until: Time,
+}
+
 /// One VM's votes. It votes for one owner of a cell at a time, whatever list it knows.
 #[derive(Clone, Debug)]
 pub struct Voter {
     boot: Time,
     options: FenceOptions,
-    votes: BTreeMap<Service, (Identity, Time)>,
+    votes: BTreeMap<Service, Given>,
 }
 
 impl Voter {
@@ -58,23 +66,29 @@
             return false;
         }
         if vote.give_up {
-            self.release(&vote.cell, &vote.owner);
+            self.release(vote);
             return false;
         }
-        let other = self.votes.get(&vote.cell);
-        if other.is_some_and(|(owner, until)| *owner != vote.owner && *until > now) {
+        let given = self.votes.get(&vote.cell);
+        if given.is_some_and(|given| given.owner != vote.owner && given.until > now) {
             return false;
         }
-        let until = now + self.options.kept;
-        self.votes
-            .insert(vote.cell.clone(), (vote.owner.clone(), until));
+        let earlier = given.filter(|given| given.owner == vote.owner);
+        let given = Given {
+            owner: vote.owner.clone(),
+            round: vote.round.max(earlier.map_or(0, |given| given.round)),
+            until: now + self.options.kept,
+        };
+        self.votes.insert(vote.cell.clone(), given);
         true
     }
 
-    /// Frees the vote of an owner that hands its cell over.
-    pub fn release(&mut self, cell: &Service, owner: &Identity) {
-        if self.votes.get(cell).is_some_and(|(held, _)| held == owner) {
-            self.votes.remove(cell);
+    /// Frees the vote of a lost round. One that arrives late, after the vote of a later round,
+    /// frees nothing: that vote may count.
+    fn release(&mut self, vote: &Vote) {
+        let given = self.votes.get(&vote.cell);
+        if given.is_some_and(|given| given.owner == vote.owner && given.round <= vote.round) {
+            self.votes.remove(&vote.cell);
         }
     }
 }
@@ -167,7 +181,9 @@
     /// Handles a voter's agreement. The authority counts from the start of the round, because
     /// the voter's time started after it.
     pub fn agreed(&mut self, now: Time, from: &VmName, vote: &Vote) {
-        let current = vote.round == self.round && vote.owner == self.owner;
+        // A round that was given up no longer counts: its votes may be free.
+        let current =
+            vote.round == self.round && vote.owner == self.owner && self.backoff.is_none();
         let Some(started) = self.started.filter(|_| current) else {
             return;
         };
--- a/crates/coord/tests/fence.rs
+++ b/crates/coord/tests/fence.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use coord::fence::{Authority, Fence, FenceOptions, Identity, Orders};
+use coord::fence::{Authority, Fence, FenceOptions, Identity, Orders, Voter};
 use coord::name::{Incarnation, Service, Upstream, VmName};
 use coord::time::Time;
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn authority(vm: &VmName) -> Authority {
     let owner = Identity {
@@ -88,3 +89,36 @@
     assert!(right.holds(Time::from_millis(2_999)));
     assert!(!right.holds(Time::from_millis(3_000)));
 }
+
+/// Guards against voters that forget their votes in a restart and make a second owner while the
+/// first one still has authority. Without their wait, both have it.
+#[rstest]
+#[case::with_wait(true)]
+#[case::without_wait(false)]
+fn restarted_voters_wait(#[case] wait: bool) {
+    let start = Time::from_millis(10_000);
+    let later = Time::from_millis(11_000);
+    let names: Vec<VmName> = (0..8).map(|n| VmName::from(format!("vm-{n}"))).collect();
+    let all: BTreeSet<VmName> = names.iter().cloned().collect();
+    let options = FenceOptions::default();
+    let mut voters = vec![Voter::new(Time::ZERO, options.clone()); 8];
+    let (mut first, mut second) = (authority(&names[0]), authority(&names[7]));
+    let ask = |right: &mut Authority, now: Time, from: &[usize], voters: &mut [Voter]| {
+        let vote = right.tick(now, &all).expect("a round is due");
+        for voter in from {
+            if voters[*voter].ask(now, &vote) {
+                right.agreed(now, &names[*voter], &vote);
+            }
+        }
+    };
+    ask(&mut first, start, &[0, 1, 2, 3, 4, 5], &mut voters);
+
+    for voter in &mut voters[2..6] {
+        let boot = if wait { later } else { Time::ZERO };
+        *voter = Voter::new(boot, options.clone());
+    }
+    ask(&mut second, later, &[2, 3, 4, 5, 6, 7], &mut voters);
+
+    assert!(first.holds(later));
+    assert_eq!(second.holds(later), !wait);
+}
--- a/crates/coord/tests/fence_explore.rs
+++ b/crates/coord/tests/fence_explore.rs
@@ -24,15 +24,13 @@
 enum M {
     Ask(Vote),
     Agreed(Vote),
-    /// The VM, its start and its term.
+    /// The VM, the number of its ownership and its term.
     Order(usize, u64, u64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Off {
     Nothing,
-    /// A voter that has forgotten its votes votes at once.
-    BootWait,
     /// Orders of earlier owners may still be under way.
     Delivery,
     /// Votes end before the authority that they gave.
@@ -42,6 +40,8 @@
 }
 
 struct Owner {
+    /// A VM that becomes the owner again is a newer owner.
+    number: u64,
     authority: Authority,
     orders: Orders<u32>,
 }
@@ -52,6 +52,7 @@
     voters: Vec<Voter>,
     owners: Vec<Option<Owner>>,
     lists: Vec<BTreeSet<VmName>>,
+    owners_seen: u64,
     obeyed: Vec<(usize, u64, u64)>,
     wrong: Vec<String>,
 }
@@ -81,6 +82,7 @@
             voters: voters.collect(),
             owners: (0..SLOTS).map(|_| None).collect(),
             lists: (0..SLOTS).map(|_| (0..8).map(name).collect()).collect(),
+            owners_seen: 0,
             obeyed: Vec::new(),
             wrong: Vec::new(),
             off,
@@ -100,7 +102,7 @@
         let Some(owner) = &mut self.owners[vm] else {
             return;
         };
-        let start = self.world.nodes[vm].starts;
+        let ownership = owner.number;
         let vote = owner.authority.tick(now, &voters);
         let due = !owner.orders.tick(now, &owner.authority).is_empty();
         let term = owner.authority.term();
@@ -110,7 +112,7 @@
         }
         if due {
             self.world
-                .deliver(vm, ENGINE, M::Order(vm, start, term), 990);
+                .deliver(vm, ENGINE, M::Order(vm, ownership, term), 990);
         }
     }
 
@@ -138,7 +140,7 @@
                     owner.authority.agreed(now, &name(from), &vote);
                 }
             }
-            M::Order(vm, start, term) => self.obey((vm, start, term)),
+            M::Order(vm, ownership, term) => self.obey((vm, ownership, term)),
         }
     }
 
@@ -198,7 +200,12 @@
             incarnation,
         };
         let authority = Authority::new(Service::from("s"), owner, options(self.off));
-        self.owners[vm] = Some(Owner { authority, orders });
+        self.owners_seen += 1;
+        self.owners[vm] = Some(Owner {
+            number: self.owners_seen,
+            authority,
+            orders,
+        });
     }
 
     fn restart_some(&mut self) {
@@ -212,11 +219,7 @@
         self.world.kill(vm);
         self.world.start(vm);
         self.owners[vm] = None;
-        let boot = if self.off == Off::BootWait {
-            Time::ZERO
-        } else {
-            self.world.local(vm)
-        };
+        let boot = self.world.local(vm);
         self.voters[vm] = Voter::new(boot, options(self.off));
         self.world.step(vm, Duration::ZERO, 0);
         if self.world.chance(0.5) {
@@ -251,6 +254,18 @@
     assert!(changes > 50, "only {changes} owners: the runs test nothing");
 }
 
+/// Guards against a vote that counts although it was given back: these seeds had two owners when
+/// a late return of an earlier round freed the vote of a later one, or when an agreement arrived
+/// after its round was given up.
+#[rstest]
+fn returned_votes_do_not_count(
+    #[values(10_474, 10_600, 10_764, 11_177, 11_212, 11_239, 12_108, 12_886)] seed: u64,
+) {
+    let cell = explore(seed, Off::Nothing);
+
+    assert!(cell.wrong.is_empty(), "{:?}", cell.wrong);
+}
+
 /// Guards against owners that block each other for ever with split votes.
 #[test]
 fn one_of_many_rivals_wins() {
@@ -262,11 +277,10 @@
     assert_eq!(cell.obeyed.len(), 1, "{:?}", cell.obeyed);
 }
 
-/// Guards against a protection that no check depends on.
+/// Guards against a protection that no check depends on. The waiting time of restarted voters has
+/// its own scenario in `fence.rs`.
 #[rstest]
-fn each_protection_is_needed(
-    #[values(Off::BootWait, Off::Delivery, Off::Kept, Off::Quorum)] off: Off,
-) {
+fn each_protection_is_needed(#[values(Off::Delivery, Off::Kept, Off::Quorum)] off: Off) {
     let failing = (0..300).find(|seed| !explore(*seed, off).wrong.is_empty());
 
     println!("without {off:?}: seed {failing:?} fails");
