--- a/crates/cumindoor/benches/relay/main.rs
+++ b/crates/cumindoor/benches/relay/main.rs
@@ -19,6 +19,8 @@
 /// Streams of the per-token measurement, and their pace.
 const STREAMS: usize = 50;
 const STEP: Duration = Duration::from_millis(4);
+/// How long the idle router is watched; a clock tick of 10 ms is 0.1% of it.
+const IDLE_TIME: Duration = Duration::from_secs(10);
 /// The target for one core.
 const TARGET_RATE: f64 = 15_600.0;
 
@@ -147,16 +149,20 @@
 async fn memory(streams: usize) -> eyre::Result<()> {
     let engine = engine(Duration::from_millis(1_500))?;
     let router = Process::start("router", &[engine.addr.to_string()])?;
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    let idle = router.usage()?.resident;
+    let before = router.usage()?.cpu;
+    tokio::time::sleep(IDLE_TIME).await;
+    let idle = router.usage()?;
+    let busy = idle.cpu.saturating_sub(before).as_secs_f64() / IDLE_TIME.as_secs_f64();
+    println!("idle router: {:.1}% of a core", busy * 100.0);
+    let idle = idle.resident;
     let open = client::open(router.addr, streams).await?;
-    let busy = router.usage()?.resident;
+    let full = router.usage()?.resident;
     println!(
         "resident memory: idle {:.1} MB, {} open streams {:.1} MB, {:.1} KB for each stream",
         megabytes(idle),
         open.len(),
-        megabytes(busy),
-        megabytes(busy - idle) * 1_000.0 / f64::from(u32::try_from(open.len())?),
+        megabytes(full),
+        megabytes(full - idle) * 1_000.0 / f64::from(u32::try_from(open.len())?),
     );
     Ok(())
 }
