--- a/crates/cumindoor/benches/relay/router.rs
+++ b/crates/cumindoor/benches/relay/router.rs
@@ -23,6 +23,7 @@
     let service = ServiceSpec {
         organisation: Organisation::from("bench"),
         name: Service::from("chat"),
+        group: Service::from("chat"),
         kind: ServiceKind::Model,
         class: Class::Interactive,
         first_token: Duration::from_mins(10),
--- a/crates/cumindoor/src/document/specs.rs
+++ b/crates/cumindoor/src/document/specs.rs
@@ -32,6 +32,7 @@
     ServiceSpec {
         organisation: organisation.clone(),
         name: name.clone(),
+        group: keys.upstreams.clone(),
         kind: ServiceKind::Model,
         class: match keys.class {
             Class::Interactive => sched::Class::Interactive,
@@ -49,6 +50,7 @@
     ServiceSpec {
         organisation: organisation.clone(),
         name: name.clone(),
+        group: keys.upstreams.clone(),
         kind: ServiceKind::Plain,
         class: sched::Class::Interactive,
         first_token: keys.deadline.0,
--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod cell;
 pub mod engine;
+pub mod node;
 pub mod peer;
 pub mod plain;
 pub mod refusal;
@@ -13,19 +14,19 @@
 pub mod spec;
 pub mod supervisor;
 pub mod telemetry;
+pub mod view;
 
 pub use caller::Server;
+pub use node::{Feed, Node, NodeOptions};
 pub use spec::{HopTimes, Limits, ServeOptions, ServiceKind, ServiceSpec, Table, UpstreamSpec};
 
 use std::sync::Arc;
 
 use coord::sched::SchedOptions;
-use tokio::sync::Mutex;
 
 use cell::{CellSet, Clock};
 use engine::poll;
 use route::Context;
-use supervisor::Spec;
 use telemetry::Telemetry;
 
 /// Starts a router that owns the cells of all its services itself, without other VMs.
@@ -44,13 +45,6 @@
     let context = Context::new(options, table.clone(), cells.clone(), clock, telemetry);
     let context = Arc::new(context);
     let mut tasks = vec![cells.tasks(&table)];
-    let polled = Arc::clone(&context);
-    tasks.push(Spec::task("engine-load", move || {
-        poll::run(Arc::clone(&polled), Arc::clone(&cells))
-    }));
-    let (cleaned, orphans) = (Arc::clone(&context), Arc::new(Mutex::new(orphans)));
-    tasks.push(Spec::task("orphans", move || {
-        poll::cancel_orphans(Arc::clone(&cleaned), Arc::clone(&orphans))
-    }));
+    tasks.extend(poll::tasks(&context, cells, orphans));
     Server::bind(context, tasks).await
 }
--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -133,20 +133,33 @@
     ///
     /// Returns true if every request ended by itself.
     pub async fn stop(&self) -> bool {
+        self.close();
+        let complete = self.finished().await;
+        self.supervisor.stop();
+        complete
+    }
+
+    /// Stops accepting connections and requests; those in progress go on.
+    pub fn close(&self) {
         let shared = &self.shared;
-        let context = &shared.context;
         shared.stopping.cancel();
         shared.lock_listener().take();
         shared.connections.close();
-        context.runs.close();
+        shared.context.runs.close();
+    }
+
+    /// Waits within the stop limit until no request is left after [`Self::close`].
+    ///
+    /// Returns true if every request ended by itself.
+    pub async fn finished(&self) -> bool {
+        let shared = &self.shared;
+        let context = &shared.context;
         let finished = async {
             shared.connections.wait().await;
             context.runs.wait().await;
             context.canceller.idle().await;
         };
-        let complete = timeout(context.options.stop_limit, finished).await.is_ok();
-        self.supervisor.stop();
-        complete
+        timeout(context.options.stop_limit, finished).await.is_ok()
     }
 
     /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
--- a/crates/cumindoor/src/serve/cell.rs
+++ b/crates/cumindoor/src/serve/cell.rs
@@ -5,13 +5,15 @@
 
 mod local;
 mod set;
+pub mod shared;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coord::name::Upstream;
+use coord::name::{Service, Upstream};
 use coord::sched::{Attempt, Failure, Job, JobId, Prefilled, Reason};
 use coord::time::Time;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 pub use local::{Input, LocalCell, Orphan};
 pub use set::CellSet;
@@ -88,6 +90,18 @@
     fn report(&self, id: JobId, attempt: Attempt, progress: Progress);
 }
 
+/// Takes what engines report.
+pub trait Inputs: Send + Sync {
+    /// Passes on what an engine of a group reported.
+    fn input(&self, group: &Service, input: Input);
+
+    /// Returns true if reports of the group's engines are used here.
+    fn wants(&self, group: &Service) -> bool;
+
+    /// Tells when reports are wanted at once.
+    fn hurry(&self) -> Arc<Notify>;
+}
+
 /// The monotonic clock of this process in the unit of the state machines.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/cumindoor/src/serve/cell/local.rs
+++ b/crates/cumindoor/src/serve/cell/local.rs
@@ -263,7 +263,8 @@
     matches!(action, Action::Cancel { id, .. } if *id == job)
 }
 
-fn order(action: Action) -> (JobId, Order) {
+/// Returns an action in the form of an order to one request.
+pub(super) fn order(action: Action) -> (JobId, Order) {
     match action {
         Action::StartPrefill {
             id,
--- a/crates/cumindoor/src/serve/cell/set.rs
+++ b/crates/cumindoor/src/serve/cell/set.rs
@@ -7,7 +7,7 @@
 use coord::sched::{Attempt, Job, JobId, SchedOptions};
 use tokio::sync::mpsc;
 
-use super::{Cell, Clock, Input, LocalCell, Order, Orphan, Progress};
+use super::{Cell, Clock, Input, Inputs, LocalCell, Order, Orphan, Progress};
 use crate::serve::spec::Table;
 use crate::serve::supervisor::{Spec, Strategy};
 
@@ -19,6 +19,7 @@
     orphans: mpsc::UnboundedSender<Orphan>,
     /// Tells that a cell was added and has to be run.
     added: tokio::sync::Notify,
+    hurry: Arc<tokio::sync::Notify>,
 }
 
 impl CellSet {
@@ -35,6 +36,7 @@
             cells: RwLock::default(),
             orphans,
             added: tokio::sync::Notify::new(),
+            hurry: Arc::default(),
         };
         (Arc::new(set), receiver)
     }
@@ -51,13 +53,6 @@
         Spec::group("cells", Strategy::All, vec![follow, run])
     }
 
-    /// Passes on what an engine of a service reported.
-    pub fn input(&self, service: &Service, input: Input) {
-        if let Some(cell) = self.get(service) {
-            cell.input(input);
-        }
-    }
-
     /// Returns a service's cell.
     #[must_use]
     pub fn get(&self, service: &Service) -> Option<Arc<LocalCell>> {
@@ -113,6 +108,22 @@
     }
 }
 
+impl Inputs for CellSet {
+    fn input(&self, group: &Service, input: Input) {
+        if let Some(cell) = self.get(group) {
+            cell.input(input);
+        }
+    }
+
+    fn wants(&self, _group: &Service) -> bool {
+        true
+    }
+
+    fn hurry(&self) -> Arc<tokio::sync::Notify> {
+        Arc::clone(&self.hurry)
+    }
+}
+
 async fn follow(set: Arc<CellSet>, table: Table) -> eyre::Result<()> {
     let mut changes = table.changes();
     loop {
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -0,0 +1,288 @@
+//! Entry and owner side of one VM behind one lock, so that messages keep their order.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::{Incarnation, Service, VmName};
+use coord::owner::Owners;
+use coord::sched::{Attempt, Job, JobId, SchedOptions};
+use coord::time::Time;
+use tokio::sync::mpsc;
+
+use super::entry::{Entry, Out};
+use super::owner::{Owner, draw};
+use super::place::{CellKey, Cells, cell_of};
+use super::post::Posts;
+use super::wire::{Batch, Message, Receipt};
+use crate::serve::cell::{Input, Order, Orphan, Progress};
+use crate::serve::view::View;
+
+/// A longer time between two ticks means that the process was paused (section 6.1).
+const PAUSE: Duration = Duration::from_millis(600);
+
+pub(super) struct Core {
+    own: VmName,
+    pub(super) entry: Entry,
+    pub(super) owner: Owner,
+    pub(super) posts: Posts,
+    view: Arc<View>,
+    owners: Owners,
+    /// VMs that announced their stop, by the process that did so.
+    leaving: BTreeMap<VmName, Option<Incarnation>>,
+    cells: Cells,
+    options: BTreeMap<Service, SchedOptions>,
+    ticked: Time,
+    /// True if a cell was taken over, so that its engines are to be asked for their load.
+    taken_over: bool,
+}
+
+impl Core {
+    pub(super) fn new(own: VmName) -> Self {
+        Self {
+            own,
+            entry: Entry::default(),
+            owner: Owner::default(),
+            posts: Posts::new(),
+            view: Arc::default(),
+            owners: Owners::default(),
+            leaving: BTreeMap::new(),
+            cells: Cells::new(),
+            options: BTreeMap::new(),
+            ticked: Time::ZERO,
+            taken_over: false,
+        }
+    }
+
+    pub(super) fn cells(&self) -> &Cells {
+        &self.cells
+    }
+
+    pub(super) fn owner_of(&self, cell: &CellKey) -> Option<&VmName> {
+        let owner = self.owners.owner(cell.hash())?;
+        // A VM that does not trust its view must not schedule.
+        (self.view.trusted || *owner != self.own).then_some(owner)
+    }
+
+    pub(super) fn submit(&mut self, now: Time, job: Job, orders: mpsc::UnboundedSender<Order>) {
+        let Some(cell) = cell_of(&self.cells, &job.service, job.id) else {
+            let _ = orders.send(Order::Refuse {
+                reason: coord::sched::Reason::NoUpstream,
+                retry_after: Some(crate::serve::cell::NO_CELL_RETRY),
+            });
+            return;
+        };
+        let owner = self.owner_of(&cell).cloned();
+        let mut out = Out::new();
+        let id = self.entry.add(job, cell, orders);
+        self.entry.place(now, id, owner, &mut out);
+        self.route(now, out);
+    }
+
+    pub(super) fn report(&mut self, now: Time, id: JobId, attempt: Attempt, progress: Progress) {
+        let mut out = Out::new();
+        self.entry.report(id, attempt, progress, &mut out);
+        self.route(now, out);
+    }
+
+    pub(super) fn input(&mut self, now: Time, group: &Service, input: &Input) {
+        let mut out = Out::new();
+        self.owner.input(now, group, input, &mut out);
+        self.route(now, out);
+    }
+
+    pub(super) fn set_cells(
+        &mut self,
+        now: Time,
+        cells: Cells,
+        options: BTreeMap<Service, SchedOptions>,
+    ) {
+        if self.cells == cells && self.options == options {
+            return;
+        }
+        self.cells = cells;
+        self.options = options;
+        let cells = &self.cells;
+        let mut out = Out::new();
+        let moved = |job: &Job, cell: &CellKey| {
+            let exists = cells.contains_key(cell);
+            (!exists)
+                .then(|| cell_of(cells, &job.service, job.id))
+                .flatten()
+        };
+        self.entry.change_cells(moved, &mut out);
+        self.route(now, out);
+        self.refresh(now);
+    }
+
+    pub(super) fn set_view(&mut self, now: Time, view: Arc<View>) {
+        let mut out = Out::new();
+        let former = std::mem::replace(&mut self.view, view);
+        let gone = former
+            .vms
+            .keys()
+            .filter(|vm| !self.view.vms.contains_key(*vm));
+        for vm in gone.filter(|vm| **vm != self.own) {
+            self.posts.forget(vm);
+            self.owner.drop_vm(now, vm, &mut out);
+        }
+        let vms = &self.view.vms;
+        self.leaving.retain(|vm, incarnation| {
+            let current = vms.get(vm);
+            current.is_some_and(|c| c.leaving || Some(c.incarnation) == *incarnation)
+        });
+        self.route(now, out);
+        self.refresh(now);
+    }
+
+    /// Stops owning cells; the others are told, so that they move at once.
+    pub(super) fn leave(&mut self, now: Time) {
+        let others: Vec<VmName> = self.view.vms.keys().cloned().collect();
+        let out = others.into_iter().map(|vm| (vm, Message::Leaving));
+        self.route(now, out.collect());
+    }
+
+    /// Registers all requests with the owners that the present view gives.
+    fn refresh(&mut self, now: Time) {
+        let leaving: BTreeSet<VmName> = self.leaving.keys().cloned().collect();
+        self.owners = self.view.owners(&leaving);
+        let mut out = Out::new();
+        if !self.view.trusted {
+            self.owner.clear();
+        }
+        let owned =
+            |cell: &CellKey| self.view.trusted && self.owners.owner(cell.hash()) == Some(&self.own);
+        let added = self
+            .owner
+            .set_cells(now, &self.cells, &self.options, owned, &mut out);
+        self.taken_over |= added;
+        let (owners, own, trusted) = (&self.owners, &self.own, self.view.trusted);
+        let owner_of = |cell: &CellKey| {
+            let vm = owners.owner(cell.hash())?;
+            (trusted || vm != own).then(|| vm.clone())
+        };
+        self.entry.place_all(now, owner_of, &mut out);
+        self.route(now, out);
+        self.check_own(now);
+    }
+
+    /// Registers this VM's requests again if its own schedulers were dropped.
+    fn check_own(&mut self, now: Time) {
+        if !self.view.trusted {
+            return;
+        }
+        let mut out = Out::new();
+        let token = self.owner.hear(now, &self.own, self.posts.boot, &mut out);
+        let own = self.own.clone();
+        self.entry.heard(now, &own, token, &mut out);
+        self.route(now, out);
+    }
+
+    pub(super) fn tick(&mut self, now: Time) {
+        if now.since(self.ticked) > PAUSE {
+            // Leases seem to have ended only because this process did not run, and another VM
+            // may have taken its cells over.
+            self.owner.clear();
+            self.refresh(now);
+        }
+        self.ticked = now;
+        self.check_own(now);
+        let mut out = Out::new();
+        self.owner.tick(now, &mut out);
+        self.route(now, out);
+    }
+
+    /// Handles a batch of another VM.
+    pub(super) fn receive(&mut self, now: Time, from: &VmName, batch: Batch) -> Receipt {
+        if !self.view.trusted || now.since(self.ticked) > PAUSE {
+            return Receipt {
+                accepted: false,
+                token: 0,
+            };
+        }
+        let mut out = Out::new();
+        let token = self.owner.hear(now, from, batch.boot, &mut out);
+        self.route(now, out);
+        for message in self.posts.receive(now, from, batch) {
+            self.handle(now, from, message);
+        }
+        Receipt {
+            accepted: true,
+            token,
+        }
+    }
+
+    fn handle(&mut self, now: Time, from: &VmName, message: Message) {
+        let mut out = Out::new();
+        self.apply(now, from, message, &mut out);
+        self.route(now, out);
+    }
+
+    fn apply(&mut self, now: Time, from: &VmName, message: Message, out: &mut Out) {
+        match message {
+            Message::Order { epoch, id, order } => self.entry.order(from, id, epoch, order),
+            Message::Leaving => {
+                let incarnation = self.view.vms.get(from).map(|member| member.incarnation);
+                self.leaving.insert(from.clone(), incarnation);
+                self.refresh(now);
+            }
+            message => self.taken_over |= self.owner.handle(now, from, message, out),
+        }
+    }
+
+    /// Notes the answer to a batch.
+    pub(super) fn answered(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        batch: (u64, usize),
+        receipt: Option<&Receipt>,
+    ) {
+        let accepted = receipt.filter(|receipt| receipt.accepted);
+        self.posts.sent(now, vm, batch, accepted.is_some());
+        if let Some(receipt) = accepted {
+            let mut out = Out::new();
+            self.entry.heard(now, vm, receipt.token, &mut out);
+            self.route(now, out);
+        }
+    }
+
+    /// Handles messages to this VM and queues those to others, in their order.
+    fn route(&mut self, now: Time, out: Out) {
+        let mut queue = VecDeque::from(out);
+        while let Some((to, message)) = queue.pop_front() {
+            if to != self.own {
+                self.posts.push(to, message);
+                continue;
+            }
+            let mut more = Out::new();
+            let own = self.own.clone();
+            self.apply(now, &own, message, &mut more);
+            queue.extend(more);
+        }
+    }
+
+    pub(super) fn take_orphans(&mut self) -> Vec<Orphan> {
+        self.owner.take_orphans()
+    }
+
+    /// Returns true once after each take-over of a cell.
+    pub(super) fn take_over(&mut self) -> bool {
+        std::mem::take(&mut self.taken_over)
+    }
+
+    pub(super) fn is_drained(&self) -> bool {
+        !self.owner.serves_others(&self.own)
+            && self.posts.is_empty(|vm| self.view.vms.contains_key(vm))
+    }
+
+    /// Replaces the state after a panic; the requests see their channels close.
+    pub(super) fn reset(&mut self) {
+        let mut fresh = Self::new(self.own.clone());
+        fresh.view = Arc::clone(&self.view);
+        fresh.cells = std::mem::take(&mut self.cells);
+        fresh.options = std::mem::take(&mut self.options);
+        fresh.posts.boot = draw();
+        *self = fresh;
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/entry.rs
@@ -0,0 +1,341 @@
+//! The entry VM's side: which owner each of its requests is registered with.
+
+use std::collections::BTreeMap;
+
+use coord::name::VmName;
+use coord::sched::{Attempt, Failure, Job, JobId, Prefilled, Stage};
+use coord::time::Time;
+use tokio::sync::mpsc;
+
+use super::place::CellKey;
+use super::wire::{self, Message};
+use crate::serve::cell::{Order, Progress};
+
+/// Messages to VMs, the own one included.
+pub(super) type Out = Vec<(VmName, Message)>;
+
+/// Where a request is, as its entry VM knows it.
+enum Place {
+    /// Not on any engine.
+    Waiting,
+    /// On engines, with the attempt that the request was told.
+    Running {
+        attempt: Attempt,
+        stage: Stage,
+        done: Option<Prefilled>,
+    },
+}
+
+struct Tracked {
+    job: Job,
+    cell: CellKey,
+    orders: mpsc::UnboundedSender<Order>,
+    owner: Option<VmName>,
+    epoch: u32,
+    /// What is added to the owner's attempts, so that they go on increasing after a new
+    /// submission: engines remember the ids of cancelled attempts.
+    base: u32,
+    /// The highest attempt that the request was told.
+    top: u32,
+    place: Place,
+}
+
+/// The running requests of this VM.
+#[derive(Default)]
+pub(super) struct Entry {
+    jobs: BTreeMap<JobId, Tracked>,
+    tokens: BTreeMap<VmName, u64>,
+}
+
+impl Entry {
+    /// Accepts a request; it is registered by the next call of [`Self::place`].
+    pub(super) fn add(
+        &mut self,
+        job: Job,
+        cell: CellKey,
+        orders: mpsc::UnboundedSender<Order>,
+    ) -> JobId {
+        let id = job.id;
+        let tracked = Tracked {
+            job,
+            cell,
+            orders,
+            owner: None,
+            epoch: 0,
+            base: 0,
+            top: 0,
+            place: Place::Waiting,
+        };
+        self.jobs.insert(id, tracked);
+        id
+    }
+
+    /// Registers all requests whose owner is not the one that `owner_of` names.
+    pub(super) fn place_all(
+        &mut self,
+        now: Time,
+        owner_of: impl Fn(&CellKey) -> Option<VmName>,
+        out: &mut Out,
+    ) {
+        for tracked in self.jobs.values_mut() {
+            let owner = owner_of(&tracked.cell);
+            if tracked.owner != owner {
+                tracked.move_to(now, owner, out);
+            }
+        }
+    }
+
+    /// Registers one request.
+    pub(super) fn place(&mut self, now: Time, id: JobId, owner: Option<VmName>, out: &mut Out) {
+        if let Some(tracked) = self.jobs.get_mut(&id) {
+            tracked.move_to(now, owner, out);
+        }
+    }
+
+    /// Takes requests out of cells for which `moved` names another one.
+    pub(super) fn change_cells(
+        &mut self,
+        moved: impl Fn(&Job, &CellKey) -> Option<CellKey>,
+        out: &mut Out,
+    ) {
+        for tracked in self.jobs.values_mut() {
+            if let Some(cell) = moved(&tracked.job, &tracked.cell) {
+                tracked.release(out);
+                tracked.cell = cell;
+            }
+        }
+    }
+
+    /// Notes what an owner answered; registers again what it has dropped.
+    pub(super) fn heard(&mut self, now: Time, owner: &VmName, token: u64, out: &mut Out) {
+        let known = self.tokens.insert(owner.clone(), token);
+        if known.is_none_or(|known| known == token) {
+            return;
+        }
+        let here = self.jobs.values_mut();
+        for tracked in here.filter(|t| t.owner.as_ref() == Some(owner)) {
+            tracked.register(now, out);
+        }
+    }
+
+    /// Returns true if requests are registered with `owner`, so that the lease is to be renewed.
+    pub(super) fn uses(&self, owner: &VmName) -> bool {
+        let mut owners = self.jobs.values().filter_map(|t| t.owner.as_ref());
+        owners.any(|name| name == owner)
+    }
+
+    /// Returns the number of requests of each owner.
+    pub(super) fn owners(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for tracked in self.jobs.values() {
+            let owner = tracked.owner.as_ref().map_or("none", VmName::as_str);
+            *counts.entry(owner.to_owned()).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Passes on a request's report.
+    pub(super) fn report(
+        &mut self,
+        id: JobId,
+        attempt: Attempt,
+        progress: Progress,
+        out: &mut Out,
+    ) {
+        let Some(tracked) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        tracked.note(attempt, progress);
+        tracked.send_report(attempt, progress, out);
+        if matches!(progress, Progress::Finished | Progress::Cancelled) {
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Passes on an owner's order, unless the request is registered elsewhere by now.
+    pub(super) fn order(&mut self, from: &VmName, id: JobId, epoch: u32, order: wire::Order) {
+        let Some(tracked) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if tracked.epoch != epoch || tracked.owner.as_ref() != Some(from) {
+            return;
+        }
+        let Some(order) = tracked.accept(order) else {
+            return;
+        };
+        let refused = matches!(order, Order::Refuse { .. });
+        // A request that is gone has reported its end by itself.
+        let _ = tracked.orders.send(order);
+        if refused {
+            self.jobs.remove(&id);
+        }
+    }
+}
+
+impl Tracked {
+    fn move_to(&mut self, now: Time, owner: Option<VmName>, out: &mut Out) {
+        self.release(out);
+        self.owner = owner;
+        self.register(now, out);
+    }
+
+    fn release(&mut self, out: &mut Out) {
+        if let Some(former) = self.owner.take() {
+            let (cell, id) = (self.cell.clone(), self.job.id);
+            out.push((former, Message::Release { cell, id }));
+        }
+    }
+
+    /// Tells the owner about the request in its present state.
+    fn register(&mut self, now: Time, out: &mut Out) {
+        let Some(owner) = self.owner.clone() else {
+            return;
+        };
+        self.epoch += 1;
+        let (cell, epoch) = (self.cell.clone(), self.epoch);
+        let job = wire::Job::new(now, &self.job);
+        let Place::Running {
+            attempt,
+            stage,
+            done,
+        } = &self.place
+        else {
+            self.base = self.top;
+            out.push((owner, Message::Submit { cell, epoch, job }));
+            return;
+        };
+        self.base = 0;
+        let (attempt, stage, done) = (*attempt, stage.clone(), *done);
+        let message = Message::Register {
+            cell,
+            epoch,
+            job,
+            attempt,
+            stage,
+        };
+        out.push((owner, message));
+        if let Some(done) = done {
+            self.send_report(attempt, Progress::PrefillDone(done), out);
+        }
+    }
+
+    fn send_report(&self, attempt: Attempt, progress: Progress, out: &mut Out) {
+        let Some(owner) = self.owner.clone() else {
+            return;
+        };
+        let message = Message::Report {
+            cell: self.cell.clone(),
+            epoch: self.epoch,
+            id: self.job.id,
+            attempt: Attempt(attempt.0.saturating_sub(self.base)),
+            progress: progress.into(),
+        };
+        out.push((owner, message));
+    }
+
+    /// Keeps what a new owner would have to know.
+    fn note(&mut self, reported: Attempt, progress: Progress) {
+        let Place::Running {
+            attempt,
+            stage,
+            done,
+        } = &mut self.place
+        else {
+            return;
+        };
+        if *attempt != reported {
+            return;
+        }
+        match progress {
+            Progress::PrefillDone(prefilled) => *done = Some(prefilled),
+            Progress::DecodeFailed {
+                failure: Failure::Full,
+                ..
+            } if done.is_some() => {
+                // The result waits on its prefill engine for another slot.
+                if let Stage::Decode { source, decode } = stage {
+                    let (prefill, decode) = (source.clone(), decode.clone());
+                    *stage = Stage::Prefill { prefill, decode };
+                }
+            }
+            Progress::PrefillFailed(_) => self.place = Place::Waiting,
+            Progress::DecodeFailed { delivered, .. } => {
+                self.place = Place::Waiting;
+                let job = &mut self.job;
+                job.offset += delivered;
+                job.prompt_tokens += delivered;
+                job.max_tokens = job.max_tokens.saturating_sub(delivered);
+            }
+            Progress::DecodeStarted | Progress::Finished | Progress::Cancelled => {}
+        }
+    }
+
+    /// Returns the order in the request's own count of attempts; `None` if it is outdated.
+    fn accept(&mut self, order: wire::Order) -> Option<Order> {
+        match order {
+            wire::Order::Prefill {
+                attempt,
+                prefill,
+                decode,
+            } => {
+                let attempt = self.next(attempt)?;
+                let stage = Stage::Prefill {
+                    prefill: prefill.clone(),
+                    decode: decode.clone(),
+                };
+                self.place = running(attempt, stage, None);
+                Some(Order::Prefill {
+                    attempt,
+                    prefill,
+                    decode,
+                })
+            }
+            wire::Order::Decode {
+                attempt,
+                decode,
+                source,
+            } => {
+                let attempt = self.next(attempt)?;
+                let done = match &self.place {
+                    Place::Running { done, .. } => *done,
+                    Place::Waiting => None,
+                };
+                let stage = Stage::Decode {
+                    source: source.clone(),
+                    decode: decode.clone(),
+                };
+                self.place = running(attempt, stage, done);
+                Some(Order::Decode {
+                    attempt,
+                    decode,
+                    source,
+                })
+            }
+            wire::Order::Refuse {
+                reason,
+                retry_after,
+            } => Some(Order::Refuse {
+                reason,
+                retry_after,
+            }),
+            wire::Order::Cancel { upstream } => Some(Order::Cancel { upstream }),
+        }
+    }
+
+    fn next(&mut self, attempt: Attempt) -> Option<Attempt> {
+        let attempt = attempt.0 + self.base;
+        if attempt <= self.top {
+            return None;
+        }
+        self.top = attempt;
+        Some(Attempt(attempt))
+    }
+}
+
+fn running(attempt: Attempt, stage: Stage, done: Option<Prefilled>) -> Place {
+    Place::Running {
+        attempt,
+        stage,
+        done,
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -0,0 +1,260 @@
+//! One cell on its owner: the scheduler, its engines and who is told its orders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coord::name::{Upstream, VmName};
+use coord::sched::{
+    Action, Attempt, Engine, Job, JobId, SchedOptions, SchedStatus, Scheduler, Stage,
+};
+use coord::time::Time;
+
+use super::LEASE_TTL;
+use super::entry::Out;
+use super::wire::{Message, Order, WireProgress};
+use crate::serve::cell::local::order;
+use crate::serve::cell::{Input, Orphan};
+
+/// How long new requests wait for load reports after the cell was taken over.
+///
+/// Requests that the former owner started hold slots that only the reports show. An engine that
+/// does not answer must not delay the others for the whole lease.
+const REPORT_WAIT: Duration = Duration::from_secs(1);
+
+/// A registered request.
+struct Registered {
+    vm: VmName,
+    epoch: u32,
+}
+
+pub(super) struct Host {
+    scheduler: Scheduler,
+    pub(super) options: SchedOptions,
+    engines: BTreeMap<Upstream, (Engine, bool)>,
+    jobs: BTreeMap<JobId, Registered>,
+    /// Requests that wait for the first load reports.
+    early: BTreeMap<JobId, Job>,
+    reported: BTreeSet<Upstream>,
+    early_until: Option<Time>,
+}
+
+impl Host {
+    pub(super) fn new(now: Time, options: SchedOptions, seed: u64) -> Self {
+        let mut scheduler = Scheduler::new(options.clone(), seed);
+        scheduler.take_over(now, LEASE_TTL);
+        Self {
+            scheduler,
+            options,
+            engines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            early: BTreeMap::new(),
+            reported: BTreeSet::new(),
+            early_until: Some(now + REPORT_WAIT),
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns the number of requests of each VM.
+    pub(super) fn vms(&self) -> BTreeMap<&VmName, usize> {
+        let mut counts = BTreeMap::new();
+        for job in self.jobs.values() {
+            *counts.entry(&job.vm).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    pub(super) fn status(&self, now: Time) -> SchedStatus {
+        self.scheduler.status(now)
+    }
+
+    pub(super) fn submit(&mut self, now: Time, job: Job, epoch: u32) -> Vec<Action> {
+        let Some(mut actions) = self.admit(now, job.id, &job.vm, epoch) else {
+            return Vec::new();
+        };
+        if self.early_until.is_some() {
+            self.early.insert(job.id, job);
+        } else {
+            actions.extend(self.scheduler.submit(now, job));
+        }
+        actions
+    }
+
+    pub(super) fn register(
+        &mut self,
+        now: Time,
+        job: Job,
+        epoch: u32,
+        attempt: Attempt,
+        stage: &Stage,
+    ) -> Vec<Action> {
+        let Some(mut actions) = self.admit(now, job.id, &job.vm, epoch) else {
+            return Vec::new();
+        };
+        actions.extend(self.scheduler.resume(now, job, attempt, stage));
+        actions
+    }
+
+    /// Notes a registration; `None` if a later one is known.
+    ///
+    /// What an earlier registration has become is dropped: its orders may not have arrived.
+    fn admit(&mut self, now: Time, id: JobId, vm: &VmName, epoch: u32) -> Option<Vec<Action>> {
+        let mut actions = Vec::new();
+        if let Some(known) = self.jobs.get(&id) {
+            if known.epoch >= epoch {
+                return None;
+            }
+            actions = self.release(now, id);
+        }
+        let vm = vm.clone();
+        self.jobs.insert(id, Registered { vm, epoch });
+        Some(actions)
+    }
+
+    /// Forgets a request that its entry VM looks after.
+    pub(super) fn release(&mut self, now: Time, id: JobId) -> Vec<Action> {
+        self.jobs.remove(&id);
+        self.early.remove(&id);
+        let mut actions = self.scheduler.cancel(now, id);
+        // The request cancels its own calls.
+        actions
+            .retain(|action| !matches!(action, Action::Cancel { id: other, .. } if *other == id));
+        actions
+    }
+
+    pub(super) fn report(
+        &mut self,
+        now: Time,
+        (id, epoch): (JobId, u32),
+        attempt: Attempt,
+        progress: WireProgress,
+    ) -> Vec<Action> {
+        if self.jobs.get(&id).is_none_or(|known| known.epoch != epoch) {
+            return Vec::new();
+        }
+        let scheduler = &mut self.scheduler;
+        match progress {
+            WireProgress::PrefillDone(done) => scheduler.prefill_done(now, id, attempt, done),
+            WireProgress::PrefillFailed(failure) => {
+                scheduler.prefill_failed(now, id, attempt, failure)
+            }
+            WireProgress::DecodeStarted => scheduler.decode_started(now, id, attempt),
+            WireProgress::DecodeFailed { failure, delivered } => {
+                scheduler.decode_failed(now, id, attempt, failure, delivered)
+            }
+            WireProgress::Finished => {
+                let mut actions = scheduler.finished(now, id, attempt);
+                // Also when the attempt is not the one that the scheduler knows.
+                actions.extend(self.release(now, id));
+                actions
+            }
+            WireProgress::Cancelled => self.release(now, id),
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.start_early(now);
+        actions.extend(self.scheduler.tick(now));
+        actions
+    }
+
+    /// Submits the requests that waited for load reports, once there are enough.
+    fn start_early(&mut self, now: Time) -> Vec<Action> {
+        let Some(until) = self.early_until else {
+            return Vec::new();
+        };
+        let mut names = self.engines.keys();
+        let complete = names.all(|name| self.reported.contains(name));
+        if now < until && !complete {
+            return Vec::new();
+        }
+        self.early_until = None;
+        let early = std::mem::take(&mut self.early);
+        let submitted = early.into_values();
+        submitted
+            .flat_map(|job| self.scheduler.submit(now, job))
+            .collect()
+    }
+
+    pub(super) fn input(&mut self, now: Time, input: &Input) -> Vec<Action> {
+        match input {
+            Input::Load(name, report) => {
+                if !self.engines.contains_key(name) {
+                    return Vec::new();
+                }
+                let mut actions = self.scheduler.load_report(now, name, report);
+                self.reported.insert(name.clone());
+                actions.extend(self.start_early(now));
+                actions
+            }
+            Input::Cache(name, event) => self.scheduler.cache_event(now, name, *event),
+        }
+    }
+
+    /// Drops the requests of a VM that is gone; its work on engines is cancelled.
+    pub(super) fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
+        self.early.retain(|_, job| job.vm != *vm);
+        self.jobs.retain(|_, known| known.vm != *vm);
+        self.scheduler.vm_down(now, vm)
+    }
+
+    pub(super) fn vm_up(&mut self, vm: &VmName) {
+        self.scheduler.vm_up(vm);
+    }
+
+    pub(super) fn set_engines(&mut self, now: Time, engines: &[(Engine, bool)]) -> Vec<Action> {
+        let wanted = engines
+            .iter()
+            .map(|pair| (pair.0.name.clone(), pair.clone()));
+        let wanted: BTreeMap<_, _> = wanted.collect();
+        let mut actions = Vec::new();
+        let gone = self
+            .engines
+            .keys()
+            .filter(|name| !wanted.contains_key(*name));
+        for name in gone {
+            actions.extend(self.scheduler.engine_down(now, name));
+        }
+        for (name, pair) in &wanted {
+            if self.engines.get(name) == Some(pair) {
+                continue;
+            }
+            actions.extend(self.scheduler.engine_up(now, pair.0.clone()));
+            if pair.1 {
+                actions.extend(self.scheduler.engine_leaving(now, name));
+            }
+        }
+        self.engines = wanted;
+        actions
+    }
+
+    /// Sends actions to the entry VMs; cancels of unknown requests are carried out here.
+    pub(super) fn deliver(
+        &mut self,
+        actions: Vec<Action>,
+        out: &mut Out,
+        orphans: &mut Vec<Orphan>,
+    ) {
+        for action in actions {
+            let (id, order) = order(action);
+            let order = Order::from(order);
+            let refused = matches!(order, Order::Refuse { .. });
+            match self.jobs.get(&id) {
+                Some(job) => {
+                    let epoch = job.epoch;
+                    out.push((job.vm.clone(), Message::Order { epoch, id, order }));
+                }
+                None => {
+                    if let Order::Cancel { upstream } = order {
+                        orphans.push(Orphan { id, upstream });
+                    }
+                }
+            }
+            if refused {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/place.rs
@@ -0,0 +1,100 @@
+//! Which engines form a cell, and which cell serves a request.
+
+use std::collections::BTreeMap;
+
+use coord::hash::{hash64, rendezvous_score};
+use coord::name::Service;
+use coord::sched::{Engine, JobId};
+use serde::{Deserialize, Serialize};
+
+use crate::serve::spec::UpstreamSpec;
+
+/// Engines of one cell at most; it bounds the messages of an owner (section 6.4 of the design).
+pub const CELL_ENGINES: usize = 64;
+
+/// Names one cell over all VMs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CellKey {
+    /// The group of upstreams.
+    pub group: Service,
+    /// The number of the cell within the group.
+    pub shard: u16,
+}
+
+impl CellKey {
+    /// Returns the key of the cell in rendezvous hashing.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        hash64(format!("{}/{}", self.group, self.shard).as_bytes())
+    }
+}
+
+/// The engines of each cell; the flag marks one that is leaving.
+pub type Cells = BTreeMap<CellKey, Vec<(Engine, bool)>>;
+
+/// Distributes the engines of the published list to cells.
+///
+/// All VMs with the same list get the same cells. Each role is spread evenly, so that every cell
+/// can both prefill and decode, and an engine that comes or goes moves few others.
+#[must_use]
+pub fn split(upstreams: &[UpstreamSpec]) -> Cells {
+    let mut groups: BTreeMap<&Service, Vec<(Engine, bool)>> = BTreeMap::new();
+    for upstream in upstreams {
+        if let Some(engine) = upstream.engine() {
+            let group = groups.entry(&upstream.service).or_default();
+            group.push((engine, upstream.leaving));
+        }
+    }
+    let mut cells = Cells::new();
+    for (group, engines) in groups {
+        split_group(group, engines, &mut cells);
+    }
+    cells
+}
+
+fn split_group(group: &Service, mut engines: Vec<(Engine, bool)>, cells: &mut Cells) {
+    // Rounding up for each of the three roles adds at most two engines to a cell.
+    let shards = engines.len().div_ceil(CELL_ENGINES - 2);
+    engines.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+    let mut room = BTreeMap::new();
+    for (engine, _) in &engines {
+        *room.entry(engine.role).or_insert(0usize) += 1;
+    }
+    for count in room.values_mut() {
+        *count = count.div_ceil(shards);
+    }
+    let mut used = BTreeMap::new();
+    for (engine, leaving) in engines {
+        let key = hash64(engine.name.as_str().as_bytes());
+        let free = |shard: &usize| {
+            used.get(&(engine.role, *shard)).copied().unwrap_or(0) < room[&engine.role]
+        };
+        let score = |shard: &usize| rendezvous_score(key, &shard.to_string());
+        let Some(shard) = (0..shards).filter(free).max_by_key(score) else {
+            continue;
+        };
+        *used.entry((engine.role, shard)).or_insert(0) += 1;
+        let cell = CellKey {
+            group: group.clone(),
+            shard: u16::try_from(shard).unwrap_or(u16::MAX),
+        };
+        cells.entry(cell).or_default().push((engine, leaving));
+    }
+}
+
+/// Returns the cell that serves a request, or `None` if the group has no engine.
+///
+/// Requests are spread by id: a prefix that is shared by many requests must not load one cell
+/// alone, and each cell keeps prefixes on few of its engines by itself.
+#[must_use]
+pub fn cell_of(cells: &Cells, group: &Service, id: JobId) -> Option<CellKey> {
+    let first = CellKey {
+        group: group.clone(),
+        shard: 0,
+    };
+    let keys = cells.range(first..).map(|(key, _)| key);
+    let keys = keys.take_while(|key| key.group == *group);
+    let score =
+        |key: &&CellKey| rendezvous_score(hash64(&id.0.to_le_bytes()), &key.shard.to_string());
+    keys.max_by_key(score).cloned()
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/post.rs
@@ -0,0 +1,140 @@
+//! Ordered delivery of messages between two VMs.
+//!
+//! One batch at a time is on its way to a peer; it is sent again until it is acknowledged. The
+//! receiver drops what it has seen, so lost, late, doubled and reordered batches do no harm.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use coord::name::VmName;
+use coord::time::Time;
+
+use super::owner::draw;
+use super::wire::{Batch, Message};
+
+/// Messages in one batch; with the longest prompt's prefix hashes they fit into a frame.
+const BATCH: usize = 64;
+/// Pause before an unacknowledged batch is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How long the count of a silent sender's messages is kept.
+const INBOX_MEMORY: Duration = Duration::from_mins(10);
+
+struct Outbox {
+    session: u64,
+    first: u64,
+    queue: VecDeque<Message>,
+    flying: bool,
+    /// Not sent before this instant.
+    not_before: Time,
+    /// When a batch was last sent.
+    sent: Time,
+}
+
+/// The messages to and from all other VMs.
+pub(super) struct Posts {
+    pub(super) boot: u64,
+    outboxes: BTreeMap<VmName, Outbox>,
+    inboxes: BTreeMap<(VmName, u64), (u64, Time)>,
+}
+
+impl Posts {
+    pub(super) fn new() -> Self {
+        Self {
+            boot: draw(),
+            outboxes: BTreeMap::new(),
+            inboxes: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn push(&mut self, to: VmName, message: Message) {
+        self.outbox(to).queue.push_back(message);
+    }
+
+    fn outbox(&mut self, to: VmName) -> &mut Outbox {
+        self.outboxes.entry(to).or_insert_with(|| Outbox {
+            session: draw(),
+            first: 0,
+            queue: VecDeque::new(),
+            flying: false,
+            not_before: Time::ZERO,
+            sent: Time::ZERO,
+        })
+    }
+
+    /// Drops what was meant for a VM that is gone.
+    pub(super) fn forget(&mut self, vm: &VmName) {
+        self.outboxes.remove(vm);
+    }
+
+    /// Makes batches of a sending task that failed available again.
+    pub(super) fn restart(&mut self) {
+        self.outboxes.values_mut().for_each(|o| o.flying = false);
+    }
+
+    /// Returns the batches that are due; `renew` tells whether a VM holds a lease for us.
+    pub(super) fn due(
+        &mut self,
+        now: Time,
+        renewal: Duration,
+        renew: impl Fn(&VmName) -> bool,
+    ) -> Vec<(VmName, Batch)> {
+        let mut due = Vec::new();
+        for (vm, outbox) in &mut self.outboxes {
+            let quiet = now.since(outbox.sent) >= renewal;
+            let wanted = !outbox.queue.is_empty() || (quiet && renew(vm));
+            if outbox.flying || now < outbox.not_before || !wanted {
+                continue;
+            }
+            outbox.flying = true;
+            outbox.sent = now;
+            let batch = Batch {
+                boot: self.boot,
+                session: outbox.session,
+                first: outbox.first,
+                messages: outbox.queue.iter().take(BATCH).cloned().collect(),
+            };
+            due.push((vm.clone(), batch));
+        }
+        due
+    }
+
+    /// Notes whether a batch was acknowledged.
+    pub(super) fn sent(&mut self, now: Time, vm: &VmName, batch: (u64, usize), accepted: bool) {
+        let (session, count) = batch;
+        let Some(outbox) = self.outboxes.get_mut(vm).filter(|o| o.session == session) else {
+            return;
+        };
+        outbox.flying = false;
+        if accepted {
+            outbox.first += count as u64;
+            outbox.queue.drain(..count);
+        } else {
+            outbox.not_before = now + RETRY_PAUSE;
+        }
+    }
+
+    /// Returns the messages of a batch that were not received before.
+    pub(super) fn receive(&mut self, now: Time, from: &VmName, batch: Batch) -> Vec<Message> {
+        self.inboxes
+            .retain(|_, (_, heard)| now.since(*heard) < INBOX_MEMORY);
+        let key = (from.clone(), batch.session);
+        let (next, heard) = self.inboxes.entry(key).or_insert((batch.first, now));
+        *heard = now;
+        let known = usize::try_from(next.saturating_sub(batch.first)).unwrap_or(usize::MAX);
+        *next = (*next).max(batch.first + batch.messages.len() as u64);
+        batch.messages.into_iter().skip(known).collect()
+    }
+
+    /// Returns true if no message waits for one of the VMs that `counts` names.
+    pub(super) fn is_empty(&self, counts: impl Fn(&VmName) -> bool) -> bool {
+        let mut all = self.outboxes.iter();
+        all.all(|(vm, outbox)| outbox.queue.is_empty() || !counts(vm))
+    }
+
+    /// Returns the number of messages that wait for each VM.
+    pub(super) fn waiting(&self) -> BTreeMap<String, usize> {
+        let all = self.outboxes.iter();
+        all.map(|(vm, outbox)| (vm.to_string(), outbox.queue.len()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/status.rs
@@ -0,0 +1,72 @@
+//! The state of the cells for the status page.
+
+use std::collections::BTreeMap;
+
+use coord::sched::SchedStatus;
+use coord::time::Time;
+use serde::Serialize;
+
+use super::core::Core;
+
+/// The cells as one VM sees them.
+#[derive(Clone, Debug, Serialize)]
+pub struct CellsStatus {
+    /// The owner of each cell.
+    pub owners: Vec<CellOwner>,
+    /// The cells that this VM schedules.
+    pub scheduled: Vec<CellStatus>,
+    /// Milliseconds since each entry VM with a lease was heard.
+    pub leases: BTreeMap<String, u64>,
+    /// Running requests of this VM by the owner that they are registered with.
+    pub registered: BTreeMap<String, usize>,
+    /// Messages that wait for each VM.
+    pub messages: BTreeMap<String, usize>,
+}
+
+/// The owner of one cell.
+#[derive(Clone, Debug, Serialize)]
+pub struct CellOwner {
+    /// Group and number of the cell.
+    pub cell: String,
+    /// Engines in the cell.
+    pub engines: usize,
+    /// The VM, or `None` while the view is not trusted.
+    pub owner: Option<String>,
+}
+
+/// One cell on its owner.
+#[derive(Clone, Debug, Serialize)]
+pub struct CellStatus {
+    /// Group and number of the cell.
+    pub cell: String,
+    /// Registered requests of each entry VM.
+    pub vms: BTreeMap<String, usize>,
+    /// The scheduler's account.
+    pub state: SchedStatus,
+}
+
+pub(super) fn of(core: &Core, now: Time) -> CellsStatus {
+    let owners = core.cells().iter().map(|(cell, engines)| CellOwner {
+        cell: format!("{}/{}", cell.group, cell.shard),
+        engines: engines.len(),
+        owner: core.owner_of(cell).map(ToString::to_string),
+    });
+    let scheduled = core.owner.hosts().iter().map(|(cell, host)| {
+        let vms = host.vms().into_iter();
+        CellStatus {
+            cell: format!("{}/{}", cell.group, cell.shard),
+            vms: vms.map(|(vm, n)| (vm.to_string(), n)).collect(),
+            state: host.status(now),
+        }
+    });
+    let leases = core.owner.leases(now).into_iter();
+    CellsStatus {
+        owners: owners.collect(),
+        scheduled: scheduled.collect(),
+        leases: leases
+            .map(|(vm, age)| (vm, u64::try_from(age.as_millis()).unwrap_or(u64::MAX)))
+            .collect(),
+        registered: core.entry.owners(),
+        messages: core.posts.waiting(),
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/wire.rs
@@ -0,0 +1,221 @@
+//! The messages between entry VMs and owners of cells.
+
+use std::time::Duration;
+
+use coord::name::{Organisation, Service, Upstream, VmName};
+use coord::sched::{self, Attempt, Class, Failure, JobId, Prefilled, Reason, Stage};
+use coord::time::Time;
+use serde::{Deserialize, Serialize};
+
+use super::place::CellKey;
+use crate::serve::cell::{self, Progress};
+use crate::serve::peer::Part;
+
+/// The part of cells in calls between VMs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CellPart;
+
+impl Part for CellPart {
+    const NAME: &'static str = "cell/1";
+    type Call = Batch;
+    type Reply = Receipt;
+}
+
+/// Messages of one VM to another one in their order.
+///
+/// A batch is sent again until it is acknowledged. The receiver skips what it knows by `first`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Batch {
+    /// Drawn by the sending process at its start.
+    pub(crate) boot: u64,
+    /// Drawn for each queue of messages; numbers start at 0 in each.
+    pub(crate) session: u64,
+    /// The number of the first message.
+    pub(crate) first: u64,
+    /// The messages; an empty batch renews the sender's lease only.
+    pub(crate) messages: Vec<Message>,
+}
+
+/// The answer to a batch.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Receipt {
+    /// False if the receiver does not act now; the batch is to be sent again.
+    pub(crate) accepted: bool,
+    /// Changes when the receiver has dropped the sender's requests: they are registered again.
+    pub(crate) token: u64,
+}
+
+/// One message about one request.
+///
+/// `epoch` counts the registrations of a request by its entry VM, so that messages about an
+/// earlier one are told apart from those about the present one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// To the owner: a request that waits.
+    Submit { cell: CellKey, epoch: u32, job: Job },
+    /// To the owner: a request that runs on engines already.
+    Register {
+        cell: CellKey,
+        epoch: u32,
+        job: Job,
+        attempt: Attempt,
+        stage: Stage,
+    },
+    /// To the owner: progress of an attempt.
+    Report {
+        cell: CellKey,
+        epoch: u32,
+        id: JobId,
+        attempt: Attempt,
+        progress: WireProgress,
+    },
+    /// To a former owner: the request is registered elsewhere.
+    Release { cell: CellKey, id: JobId },
+    /// To the entry VM.
+    Order { epoch: u32, id: JobId, order: Order },
+    /// To all VMs: the sender is about to stop and owns nothing from now on.
+    Leaving,
+}
+
+/// A request; see [`sched::Job`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Job {
+    id: JobId,
+    organisation: Organisation,
+    service: Service,
+    class: Class,
+    /// Time left to the deadline, because clocks of two VMs cannot be compared.
+    left_us: u64,
+    token_target_us: u64,
+    prompt_tokens: u32,
+    max_tokens: u32,
+    prefix: Vec<u64>,
+    fingerprint: u128,
+    once: bool,
+    offset: u32,
+    suspect: bool,
+}
+
+impl Job {
+    pub(super) fn new(now: Time, job: &sched::Job) -> Self {
+        Self {
+            id: job.id,
+            organisation: job.organisation.clone(),
+            service: job.service.clone(),
+            class: job.class,
+            left_us: micros(job.deadline.since(now)),
+            token_target_us: micros(job.token_target),
+            prompt_tokens: job.prompt_tokens,
+            max_tokens: job.max_tokens,
+            prefix: job.prefix.clone(),
+            fingerprint: job.fingerprint,
+            once: job.once,
+            offset: job.offset,
+            suspect: job.suspect,
+        }
+    }
+
+    pub(super) fn into_job(self, now: Time, vm: VmName) -> sched::Job {
+        sched::Job {
+            id: self.id,
+            vm,
+            organisation: self.organisation,
+            service: self.service,
+            class: self.class,
+            deadline: now + Duration::from_micros(self.left_us),
+            token_target: Duration::from_micros(self.token_target_us),
+            prompt_tokens: self.prompt_tokens,
+            max_tokens: self.max_tokens,
+            prefix: self.prefix,
+            fingerprint: self.fingerprint,
+            once: self.once,
+            offset: self.offset,
+            suspect: self.suspect,
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// See [`Progress`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum WireProgress {
+    PrefillDone(Prefilled),
+    PrefillFailed(Failure),
+    DecodeStarted,
+    DecodeFailed { failure: Failure, delivered: u32 },
+    Finished,
+    Cancelled,
+}
+
+impl From<Progress> for WireProgress {
+    fn from(progress: Progress) -> Self {
+        match progress {
+            Progress::PrefillDone(done) => Self::PrefillDone(done),
+            Progress::PrefillFailed(failure) => Self::PrefillFailed(failure),
+            Progress::DecodeStarted => Self::DecodeStarted,
+            Progress::DecodeFailed { failure, delivered } => {
+                Self::DecodeFailed { failure, delivered }
+            }
+            Progress::Finished => Self::Finished,
+            Progress::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+/// See [`cell::Order`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Order {
+    Prefill {
+        attempt: Attempt,
+        prefill: Upstream,
+        decode: Upstream,
+    },
+    Decode {
+        attempt: Attempt,
+        decode: Upstream,
+        source: Upstream,
+    },
+    Refuse {
+        reason: Reason,
+        retry_after: Option<Duration>,
+    },
+    Cancel {
+        upstream: Upstream,
+    },
+}
+
+impl From<cell::Order> for Order {
+    fn from(order: cell::Order) -> Self {
+        match order {
+            cell::Order::Prefill {
+                attempt,
+                prefill,
+                decode,
+            } => Self::Prefill {
+                attempt,
+                prefill,
+                decode,
+            },
+            cell::Order::Decode {
+                attempt,
+                decode,
+                source,
+            } => Self::Decode {
+                attempt,
+                decode,
+                source,
+            },
+            cell::Order::Refuse {
+                reason,
+                retry_after,
+            } => Self::Refuse {
+                reason,
+                retry_after,
+            },
+            cell::Order::Cancel { upstream } => Self::Cancel { upstream },
+        }
+    }
+}
--- a/crates/cumindoor/src/serve/engine/poll.rs
+++ b/crates/cumindoor/src/serve/engine/poll.rs
@@ -7,15 +7,23 @@
 use coord::sched::{CacheEvent, EngineReport, JobId};
 use futures::StreamExt;
 use futures::stream;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 
 use super::{CacheKind, Load, parse_engine_id};
-use crate::serve::cell::{CellSet, Input, Orphan};
+use crate::serve::cell::{Input, Inputs, Orphan};
 use crate::serve::route::Context;
 use crate::serve::spec::UpstreamSpec;
+use crate::serve::supervisor::Spec;
 
 /// Engines that are asked at once.
 const AT_ONCE: usize = 64;
+/// Engines of cells that other VMs schedule, asked in one round for this VM's own ids only.
+///
+/// With the 2,100 engines of the target, asking all of them each second would take more than the
+/// control cost that a VM may have.
+const OTHERS: usize = 32;
+/// Orphans that are looked up together.
+const ORPHANS: usize = 1_024;
 
 /// What is remembered of one engine between two polls.
 #[derive(Debug, Default)]
@@ -26,30 +34,69 @@
     strays: BTreeSet<String>,
 }
 
-/// Asks all engines of the table for their load until the future is dropped.
-///
-/// # Errors
+/// Returns the supervised tasks that ask engines and that cancel what `orphans` names.
+#[must_use]
+pub fn tasks(
+    context: &Arc<Context>,
+    cells: Arc<dyn Inputs>,
+    orphans: mpsc::UnboundedReceiver<Orphan>,
+) -> Vec<Spec> {
+    let polled = Arc::clone(context);
+    let load = Spec::task("engine-load", move || {
+        run(Arc::clone(&polled), Arc::clone(&cells))
+    });
+    let (cleaned, orphans) = (Arc::clone(context), Arc::new(Mutex::new(orphans)));
+    let orphans = Spec::task("orphans", move || {
+        cancel_orphans(Arc::clone(&cleaned), Arc::clone(&orphans))
+    });
+    vec![load, orphans]
+}
+
+/// Asks engines for their load until the future is dropped.
 ///
-/// Does not return.
-pub async fn run(context: Arc<Context>, cells: Arc<CellSet>) -> eyre::Result<()> {
+/// Engines whose cells are scheduled here are asked in each round, the others in turns.
+async fn run(context: Arc<Context>, cells: Arc<dyn Inputs>) -> eyre::Result<()> {
+    let hurry = cells.hurry();
     let mut memories: BTreeMap<Upstream, Memory> = BTreeMap::new();
+    let mut last = None;
     loop {
-        tokio::time::sleep(context.options.times.poll).await;
+        tokio::select! {
+            () = tokio::time::sleep(context.options.times.poll) => {}
+            () = hurry.notified() => {}
+        }
         let engines = context.table.engines();
         let names: BTreeSet<Upstream> = engines.iter().map(|e| e.name.clone()).collect();
         memories.retain(|name, _| names.contains(name));
-        let asked = stream::iter(engines).map(|engine| {
+        let round = choose(engines, |engine| cells.wants(&engine.service), &mut last);
+        let asked = stream::iter(round).map(|engine| {
             let memory = memories.remove(&engine.name).unwrap_or_default();
-            ask(&context, &cells, engine, memory)
+            ask(&context, &*cells, engine, memory)
         });
         let answered: Vec<_> = asked.buffer_unordered(AT_ONCE).collect().await;
         memories.extend(answered);
     }
 }
 
+/// Returns the wanted engines and the next few others after `last`.
+fn choose(
+    engines: Vec<UpstreamSpec>,
+    wanted: impl Fn(&UpstreamSpec) -> bool,
+    last: &mut Option<Upstream>,
+) -> Vec<UpstreamSpec> {
+    let (mut round, mut others): (Vec<_>, Vec<_>) = engines.into_iter().partition(wanted);
+    let next = others.partition_point(|engine| Some(&engine.name) <= last.as_ref());
+    others.rotate_left(next);
+    others.truncate(OTHERS);
+    if let Some(engine) = others.last() {
+        *last = Some(engine.name.clone());
+    }
+    round.extend(others);
+    round
+}
+
 async fn ask(
     context: &Context,
-    cells: &CellSet,
+    cells: &dyn Inputs,
     engine: UpstreamSpec,
     mut memory: Memory,
 ) -> (Upstream, Memory) {
@@ -105,29 +152,38 @@
 }
 
 /// Cancels what engines hold for requests that have no task in this process.
-///
-/// # Errors
-///
-/// Does not return while the cells exist.
-pub async fn cancel_orphans(
+async fn cancel_orphans(
     context: Arc<Context>,
-    orphans: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Orphan>>>,
+    orphans: Arc<Mutex<mpsc::UnboundedReceiver<Orphan>>>,
 ) -> eyre::Result<()> {
     loop {
-        let Some(orphan) = orphans.lock().await.recv().await else {
+        let mut some = Vec::new();
+        if orphans.lock().await.recv_many(&mut some, ORPHANS).await == 0 {
             return std::future::pending().await;
-        };
-        let Some(address) = context.table.address(&orphan.upstream) else {
-            continue;
-        };
-        // Only the engine knows which attempts it holds.
-        let Ok(load) = context.engines.load(address).await else {
-            continue;
-        };
-        for held in load.held {
-            if parse_engine_id(&held).is_some_and(|(job, _)| job == orphan.id) {
-                context.canceller.cancel(address, held);
-            }
+        }
+        let mut by_engine: BTreeMap<Upstream, BTreeSet<JobId>> = BTreeMap::new();
+        for orphan in some {
+            by_engine
+                .entry(orphan.upstream)
+                .or_default()
+                .insert(orphan.id);
+        }
+        let cancels = stream::iter(by_engine).map(|(name, ids)| cancel_jobs(&context, name, ids));
+        cancels.buffer_unordered(AT_ONCE).collect::<()>().await;
+    }
+}
+
+/// Cancels all attempts of requests on one engine; only the engine knows which it holds.
+async fn cancel_jobs(context: &Context, upstream: Upstream, ids: BTreeSet<JobId>) {
+    let Some(address) = context.table.address(&upstream) else {
+        return;
+    };
+    let Ok(load) = context.engines.load(address).await else {
+        return;
+    };
+    for held in load.held {
+        if parse_engine_id(&held).is_some_and(|(job, _)| ids.contains(&job)) {
+            context.canceller.cancel(address, held);
         }
     }
 }
--- /dev/null
+++ b/crates/cumindoor/src/serve/node.rs
@@ -0,0 +1,206 @@
+//! One router process among others: callers' and peers' listeners, cells, documents in force.
+
+mod force;
+mod status;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::DataCentre;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+pub use force::{InForce, Text};
+
+use super::cell::Clock;
+use super::cell::shared::{CellPart, SharedCells};
+use super::engine::poll;
+use super::peer::{Listener, ListenerOptions, Peers, PeersOptions, Router, Running};
+use super::route::Context;
+use super::supervisor::Spec;
+use super::telemetry::Telemetry;
+use super::view::View;
+use super::{ServeOptions, Server, Table, UpstreamSpec};
+use force::Force;
+use status::StatusPage;
+
+/// How long a stopping VM waits, after its last request, for other VMs to take its cells over.
+const HAND_OVER: Duration = Duration::from_secs(10);
+
+/// What a node learns while it runs; the senders replace whole values.
+#[derive(Clone, Debug)]
+pub struct Feed {
+    /// The live VMs, this one included.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The documents by name; one that is deleted is not in the map.
+    pub documents: watch::Receiver<Arc<BTreeMap<String, Text>>>,
+    /// The published upstreams; `slots` is filled in from the documents.
+    pub upstreams: watch::Receiver<Arc<Vec<UpstreamSpec>>>,
+}
+
+/// What a node is started with.
+pub struct NodeOptions {
+    /// Options of the request path.
+    pub serve: ServeOptions,
+    /// The VM's data centre.
+    pub data_centre: DataCentre,
+    /// The bound port for other VMs.
+    pub listener: Listener,
+    /// Client of the other VMs; its directory is kept current by the node.
+    pub peers: Peers,
+    /// Parts on the peer port besides those of the node itself.
+    pub router: Router,
+    /// Tasks under the node's supervisor besides those of the node itself.
+    pub tasks: Vec<Spec>,
+    /// Counters and timers.
+    pub telemetry: Telemetry,
+}
+
+impl NodeOptions {
+    /// Returns options without further parts and tasks, with a bound peer port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the address if the peer port cannot be bound.
+    pub async fn bind(
+        serve: ServeOptions,
+        data_centre: DataCentre,
+        peer: SocketAddr,
+    ) -> eyre::Result<Self> {
+        let listener = Listener::bind(peer, ListenerOptions::default()).await?;
+        let peers = Peers::new(serve.vm.clone(), PeersOptions::default());
+        Ok(Self {
+            serve,
+            data_centre,
+            listener,
+            peers,
+            router: Router::new(),
+            tasks: Vec::new(),
+            telemetry: Telemetry::in_memory(),
+        })
+    }
+}
+
+/// A running node; dropping it ends it at once, [`Node::stop`] does so gracefully.
+pub struct Node {
+    server: Server,
+    cells: Arc<SharedCells>,
+    peer: Running,
+    force: Arc<Force>,
+}
+
+impl Node {
+    /// Starts a node that follows `feed`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a listening socket.
+    pub async fn start(options: NodeOptions, feed: Feed) -> eyre::Result<Self> {
+        let clock = Clock::start();
+        let table = Table::default();
+        let vm = options.serve.vm.clone();
+        let (cells, orphans) = SharedCells::new(vm, clock, options.peers);
+        let telemetry = options.telemetry;
+        let context = Context::new(
+            options.serve,
+            table.clone(),
+            cells.clone(),
+            clock,
+            telemetry,
+        );
+        let context = Arc::new(context);
+        let force = Arc::new(Force::new(table.clone(), Arc::clone(&cells)));
+
+        let mut tasks = options.tasks;
+        tasks.push(cells.tasks(&table, &feed.view));
+        let (following, news) = (Arc::clone(&force), feed.clone());
+        tasks.push(Spec::task("documents", move || {
+            force::follow(Arc::clone(&following), news.clone())
+        }));
+        tasks.extend(poll::tasks(&context, cells.clone(), orphans));
+
+        let page = StatusPage {
+            data_centre: options.data_centre,
+            context: Arc::clone(&context),
+            cells: Arc::clone(&cells),
+            force: Arc::clone(&force),
+            view: feed.view,
+        };
+        let router = options.router.with::<CellPart>(cells.clone());
+        let peer = options.listener.spawn(router, Arc::new(page))?;
+        let server = Server::bind(context, tasks).await?;
+        Ok(Self {
+            server,
+            cells,
+            peer,
+            force,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns the address that other VMs connect to.
+    #[must_use]
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer.addr()
+    }
+
+    /// Returns the callers' side.
+    #[must_use]
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Returns the cells as this VM sees them.
+    #[must_use]
+    pub fn cells(&self) -> &Arc<SharedCells> {
+        &self.cells
+    }
+
+    /// Returns the documents in force.
+    #[must_use]
+    pub fn in_force(&self) -> InForce {
+        self.force.in_force()
+    }
+
+    /// Stops as section 6.9 of the design says; returns true if every request ended by itself.
+    pub async fn stop(&self) -> bool {
+        self.server.close();
+        self.cells.leave();
+        let complete = self.server.finished().await;
+        // Other VMs' waiting requests move as soon as they hear of the stop. A VM that does not
+        // answer loses its lease in the meantime.
+        let handed = timeout(HAND_OVER, self.cells.drained()).await.is_ok();
+        if !handed {
+            log::warn!("other VMs have not taken all requests over");
+        }
+        self.server.supervisor().stop();
+        self.peer.stop().await;
+        complete
+    }
+
+    /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be watched or the supervisor gave up.
+    pub async fn run_until_signal(&self) -> eyre::Result<bool> {
+        // The handler stays installed, so a second signal does not end the process.
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            () = self.server.supervisor().failed() => eyre::bail!("the supervisor gave up"),
+        }
+        log::info!("stopping: no new requests are accepted");
+        let complete = self.stop().await;
+        log::info!(complete; "stopped");
+        Ok(complete)
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/serve/node/force.rs
@@ -0,0 +1,141 @@
+//! Which documents are in force, and what the request path and the cells get of them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use coord::name::Service;
+
+use super::Feed;
+use crate::document::Document;
+use crate::serve::cell::shared::{Options, SharedCells};
+use crate::serve::{Table, UpstreamSpec};
+
+/// The text of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Text {
+    /// Its revision in the configuration service.
+    pub revision: u64,
+    /// The text in the form of [`Document::parse`].
+    pub text: Arc<str>,
+}
+
+/// The revision in force of each document.
+pub type InForce = BTreeMap<String, u64>;
+
+#[derive(Default)]
+struct State {
+    /// The last good version of each document.
+    good: BTreeMap<String, (u64, Document)>,
+    /// The last version that was read, good or not.
+    read: BTreeMap<String, u64>,
+    upstreams: Arc<Vec<UpstreamSpec>>,
+}
+
+/// Puts documents and the list of upstreams in force.
+pub(super) struct Force {
+    table: Table,
+    cells: Arc<SharedCells>,
+    state: Mutex<State>,
+}
+
+impl Force {
+    pub(super) fn new(table: Table, cells: Arc<SharedCells>) -> Self {
+        Self {
+            table,
+            cells,
+            state: Mutex::default(),
+        }
+    }
+
+    pub(super) fn in_force(&self) -> InForce {
+        let state = self.lock();
+        let good = state.good.iter();
+        good.map(|(name, (revision, _))| (name.clone(), *revision))
+            .collect()
+    }
+
+    pub(super) fn upstreams(&self) -> Vec<UpstreamSpec> {
+        let state = self.lock();
+        state.with_slots()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads new versions; a malformed one leaves the last good one in force.
+    fn documents(&self, texts: &BTreeMap<String, Text>) {
+        let mut state = self.lock();
+        state.good.retain(|name, _| texts.contains_key(name));
+        state.read.retain(|name, _| texts.contains_key(name));
+        for (name, text) in texts {
+            if state
+                .read
+                .get(name)
+                .is_some_and(|read| *read >= text.revision)
+            {
+                continue;
+            }
+            state.read.insert(name.clone(), text.revision);
+            match Document::parse(name, &text.text) {
+                Ok(document) => {
+                    state.good.insert(name.clone(), (text.revision, document));
+                }
+                Err(findings) => {
+                    for finding in findings {
+                        log::warn!(revision = text.revision; "document not in force: {finding}");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives the request path and the cells what is in force.
+    fn apply(&self) {
+        let state = self.lock();
+        self.cells.set_options(state.options());
+        let documents = state.good.values();
+        let services = documents.flat_map(|(_, document)| document.service_specs());
+        self.table.replace(services.collect(), state.with_slots());
+    }
+}
+
+impl State {
+    fn options(&self) -> Options {
+        let groups = self.good.values().flat_map(|(_, d)| &d.upstreams);
+        groups
+            .map(|(group, keys)| (group.clone(), keys.sched_options()))
+            .collect()
+    }
+
+    /// Returns the upstreams; an engine of a group that no document describes has no slot.
+    fn with_slots(&self) -> Vec<UpstreamSpec> {
+        let groups = self.good.values().flat_map(|(_, d)| &d.upstreams);
+        let slots: BTreeMap<&Service, u32> =
+            groups.map(|(group, keys)| (group, keys.slots.0)).collect();
+        let all = self.upstreams.iter().cloned();
+        all.map(|upstream| UpstreamSpec {
+            slots: slots.get(&upstream.service).copied().unwrap_or(0),
+            ..upstream
+        })
+        .collect()
+    }
+}
+
+/// Follows documents and the list of upstreams.
+pub(super) async fn follow(force: Arc<Force>, mut feed: Feed) -> eyre::Result<()> {
+    loop {
+        let documents = Arc::clone(&feed.documents.borrow_and_update());
+        force.documents(&documents);
+        force.lock().upstreams = Arc::clone(&feed.upstreams.borrow_and_update());
+        force.apply();
+        let changed = tokio::select! {
+            changed = feed.documents.changed() => changed,
+            changed = feed.upstreams.changed() => changed,
+        };
+        if changed.is_err() {
+            // The feed has ended: what is in force stays in force.
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- a/crates/cumindoor/src/serve/peer.rs
+++ b/crates/cumindoor/src/serve/peer.rs
@@ -18,7 +18,7 @@
 
 use derive_more::{Display, Error};
 
-pub use listener::{Http, Listener, ListenerOptions, NoHttp, Running};
+pub use listener::{Body, Http, Listener, ListenerOptions, NoHttp, Running};
 pub use pool::{Peers, PeersOptions};
 pub use router::{Handler, Part, Router};
 pub use wire::MAX_FRAME;
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -64,7 +64,7 @@
     let mut tried: Vec<Upstream> = Vec::new();
     let mut last = None;
     while tried.len() < TRIES {
-        let upstreams = context.table.upstreams(&spec.name);
+        let upstreams = context.table.upstreams(&spec.group);
         let Some(upstream) = context.balance.choose(&upstreams, &tried) else {
             break;
         };
--- a/crates/cumindoor/src/serve/route/job.rs
+++ b/crates/cumindoor/src/serve/route/job.rs
@@ -42,7 +42,7 @@
         id: draw_id(&context.options.vm),
         vm: context.options.vm.clone(),
         organisation: spec.organisation.clone(),
-        service: spec.name.clone(),
+        service: spec.group.clone(),
         class: spec.class,
         deadline: context.clock.now() + spec.first_token,
         token_target: spec.token_target,
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -25,6 +25,8 @@
     pub organisation: Organisation,
     /// The service's name: the `model` of a request or the first path segment.
     pub name: Service,
+    /// The group of upstreams that run it: their `service` in the published list.
+    pub group: Service,
     /// How its upstreams are called.
     pub kind: ServiceKind,
     /// How its requests are ordered against others.
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod nodes;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,6 +49,7 @@
     ServiceSpec {
         organisation: Organisation::from("celeste"),
         name: Service::from(name),
+        group: Service::from(name),
         kind,
         class: Class::Interactive,
         first_token: PATIENCE,
--- /dev/null
+++ b/crates/cumindoor/tests/common/nodes.rs
@@ -0,0 +1,269 @@
+//! Several routers in one test process, each on a runtime of its own, with stand-ins.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::{DataCentre, Incarnation, VmName};
+use coord::sched::Role;
+use cumindoor::serve::node::Text;
+use cumindoor::serve::view::{Member, View};
+use cumindoor::serve::{Feed, Node, NodeOptions, ServeOptions, UpstreamSpec};
+use serde_json::Value;
+use standin::{Engine, EngineOptions};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::{Events, chat_body, post, until, upstream};
+
+/// A document with the service `chat` on engines with `slots` slots.
+pub fn document(slots: u32) -> String {
+    format!(
+        "[organisation]\nname = celeste\n\n[service chat]\nkind = model\nupstreams = chat\n\
+         model = chat-v1\nttft-target = 1 min\nitl-target = 1 s\ndeadline = 1 min\n\n\
+         [upstreams chat]\nslots = {slots}\nprefill-ttl = 10 s\n"
+    )
+}
+
+/// A router that can be ended at once.
+pub struct Vm {
+    pub node: Arc<Node>,
+    view: watch::Sender<Arc<View>>,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Routers and the engines behind them.
+pub struct Nodes {
+    pub vms: BTreeMap<String, Vm>,
+    pub prefills: Vec<Arc<Engine>>,
+    pub decodes: Vec<Arc<Engine>>,
+    pub documents: watch::Sender<Arc<BTreeMap<String, Text>>>,
+    pub upstreams: watch::Sender<Arc<Vec<UpstreamSpec>>>,
+}
+
+pub async fn engine(role: standin::Role, slots: u32) -> Arc<Engine> {
+    let options = EngineOptions {
+        role,
+        slots,
+        step: Duration::from_micros(200),
+        prefill_ttl: Duration::from_secs(10),
+        ..EngineOptions::default()
+    };
+    Arc::new(Engine::spawn(options).await.unwrap())
+}
+
+impl Nodes {
+    /// Starts `vms` routers in front of two prefill and two decode engines.
+    pub async fn start(vms: usize, slots: u32) -> Self {
+        let (mut prefills, mut decodes, mut listed) = (Vec::new(), Vec::new(), Vec::new());
+        for number in 0..2 {
+            let prefill = engine(standin::Role::Prefill, slots).await;
+            let name = format!("prefill-{number}");
+            listed.push(upstream(&name, "chat", Some(Role::Prefill), prefill.addr()));
+            prefills.push(prefill);
+            let decode = engine(standin::Role::Decode, slots).await;
+            let name = format!("decode-{number}");
+            listed.push(upstream(&name, "chat", Some(Role::Decode), decode.addr()));
+            decodes.push(decode);
+        }
+        let nodes = Self {
+            vms: BTreeMap::new(),
+            prefills,
+            decodes,
+            documents: watch::Sender::new(Arc::default()),
+            upstreams: watch::Sender::new(Arc::new(listed)),
+        };
+        nodes.put_document("celeste", 1, &document(slots));
+        let mut nodes = nodes;
+        for number in 1..=vms {
+            let name = format!("vm-{number}");
+            let vm = nodes.vm(&name).await;
+            nodes.vms.insert(name, vm);
+        }
+        nodes.set_views(|_| true);
+        nodes
+    }
+
+    async fn vm(&self, name: &str) -> Vm {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let view = watch::Sender::new(Arc::new(View::default()));
+        let feed = Feed {
+            view: view.subscribe(),
+            documents: self.documents.subscribe(),
+            upstreams: self.upstreams.subscribe(),
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let serve = ServeOptions::new(VmName::from(name), any);
+        let starting = runtime.spawn(async move {
+            let options = NodeOptions::bind(serve, DataCentre::from("suape"), any).await?;
+            Node::start(options, feed).await
+        });
+        let node = Arc::new(starting.await.unwrap().unwrap());
+        Vm {
+            node,
+            view,
+            runtime: Some(runtime),
+        }
+    }
+
+    pub fn put_document(&self, name: &str, revision: u64, text: &str) {
+        let text = Text {
+            revision,
+            text: text.into(),
+        };
+        self.documents.send_modify(|documents| {
+            Arc::make_mut(documents).insert(name.to_owned(), text);
+        });
+    }
+
+    pub fn member(&self, name: &str) -> Member {
+        Member {
+            data_centre: DataCentre::from("suape"),
+            incarnation: Incarnation(1),
+            address: self.vms[name].node.peer_addr(),
+            leaving: false,
+        }
+    }
+
+    /// Gives every router the same view: the running ones that `live` names.
+    pub fn set_views(&self, live: impl Fn(&str) -> bool) {
+        let names: Vec<&str> = self.vms.keys().map(String::as_str).collect();
+        let live: Vec<&str> = names.iter().copied().filter(|name| live(name)).collect();
+        for name in names {
+            self.set_view(name, &live);
+        }
+    }
+
+    /// Gives one router a view of its own.
+    pub fn set_view(&self, name: &str, live: &[&str]) {
+        let members = live.iter().map(|vm| (VmName::from(*vm), self.member(vm)));
+        let view = View {
+            trusted: true,
+            vms: members.collect(),
+        };
+        self.vms[name].view.send_replace(Arc::new(view));
+    }
+
+    /// Makes one router doubt its view, as after a pause.
+    pub fn distrust(&self, name: &str) {
+        let sender = &self.vms[name].view;
+        sender.send_modify(|view| Arc::make_mut(view).trusted = false);
+    }
+
+    pub fn status(&self, name: &str) -> Value {
+        serde_json::to_value(self.vms[name].node.cells().status()).unwrap()
+    }
+
+    /// Waits until all running routers name the same owner of the cell and returns its name.
+    pub async fn owner(&self) -> String {
+        let owner = |name: &String| self.status(name)["owners"][0]["owner"].clone();
+        let agreed = || {
+            let mut all: Vec<Value> = self.vms.keys().map(owner).collect();
+            all.dedup();
+            let name = all.pop()?.as_str()?.to_owned();
+            (all.is_empty() && self.vms.contains_key(&name)).then_some(name)
+        };
+        until("one owner", || agreed().is_some()).await;
+        agreed().expect("one owner")
+    }
+
+    /// Returns the routers other than `name`.
+    pub fn others(&self, name: &str) -> Vec<String> {
+        self.vms.keys().filter(|vm| *vm != name).cloned().collect()
+    }
+
+    /// Ends a router at once; the others learn of it by [`Self::set_views`] only.
+    pub fn crash(&mut self, name: &str) {
+        self.vms.remove(name);
+    }
+
+    /// Orders a router to stop gracefully.
+    pub fn stop(&self, name: &str) -> JoinHandle<bool> {
+        let node = Arc::clone(&self.vms[name].node);
+        let runtime = self.vms[name].runtime.as_ref().unwrap();
+        runtime.spawn(async move { node.stop().await })
+    }
+
+    /// Starts a streamed chat through one router.
+    pub fn chat(&self, vm: &str, text: &str, tokens: u32) -> JoinHandle<Events> {
+        let addr = self.vms[vm].node.addr();
+        let body = chat_body(text, tokens, true);
+        tokio::spawn(async move {
+            let answer = post(addr, "/v1/chat/completions", &[], body).await;
+            assert_eq!(answer.status, 200);
+            answer.events().await
+        })
+    }
+
+    /// Starts `count` chats through each of `vms`.
+    pub fn chats(&self, vms: &[String], count: usize, tokens: u32) -> Vec<Chat> {
+        let pairs = vms.iter().flat_map(|vm| (0..count).map(move |n| (vm, n)));
+        let chat = |(vm, number): (&String, usize)| {
+            let text = format!("Question {number} at {vm}");
+            let events = self.chat(vm, &text, tokens);
+            Chat {
+                text,
+                tokens,
+                events,
+            }
+        };
+        pairs.map(chat).collect()
+    }
+
+    pub fn engines(&self) -> impl Iterator<Item = &Arc<Engine>> {
+        self.prefills.iter().chain(&self.decodes)
+    }
+
+    /// Makes decode engines wait before their first token, or go on.
+    pub fn hold(&self, held: bool) {
+        let decodes = self.decodes.iter();
+        decodes.for_each(|engine| engine.fault(|fault| fault.stall_work = held));
+    }
+
+    pub fn slots_used(&self) -> usize {
+        self.decodes.iter().map(|e| e.slots_used() as usize).sum()
+    }
+
+    /// Waits until `count` streams hold a slot and their prefill results are imported.
+    pub async fn streaming(&self, count: usize) {
+        let imported = || self.prefills.iter().all(|p| p.held().is_empty());
+        let streaming = || self.slots_used() == count && imported();
+        until("streams hold their slots", streaming).await;
+    }
+
+    pub async fn nothing_held(&self) {
+        let empty = || self.engines().all(|engine| engine.held().is_empty());
+        until("engines hold nothing", empty).await;
+    }
+}
+
+/// A chat in progress.
+pub struct Chat {
+    text: String,
+    tokens: u32,
+    events: JoinHandle<Events>,
+}
+
+impl Chat {
+    /// Waits for the answer and checks that it is the complete answer to this question.
+    pub async fn whole(self) {
+        let events = super::patiently("the answer", self.events).await.unwrap();
+        assert_eq!(events.error, None, "{}", self.text);
+        assert!(events.done, "{}", self.text);
+        assert_eq!(events.text, super::expected(&self.text, self.tokens));
+    }
+}
