--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -17,9 +17,10 @@
 mod queue;
 mod recover;
 mod results;
+mod retries;
 mod types;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -56,6 +57,8 @@
     ready: BTreeSet<(Time, JobId)>,
     /// Jobs whose retry is due at an instant.
     backoffs: BTreeSet<(Time, JobId)>,
+    /// Patient jobs whose retry the budget has not paid yet, oldest first.
+    unpaid: VecDeque<JobId>,
     /// Waiting jobs that must run alone.
     suspects: BTreeSet<JobId>,
     isolation: Option<Isolation>,
@@ -71,7 +74,11 @@
     /// When interactive work was last submitted; its reserve is kept for a while after that.
     interactive_at: Option<Time>,
     /// Jobs that ended lately: a lagged load report may still name them.
-    ended: BTreeMap<JobId, Time>,
+    ended: BTreeSet<JobId>,
+    /// Jobs that were cancelled before they were submitted: the messages changed places.
+    cancelled: BTreeSet<JobId>,
+    /// The ids of both sets in the order of their ends.
+    ended_at: VecDeque<(Time, JobId)>,
     /// Tags of VMs that died; their unknown jobs are cancelled where reports show them.
     dead: BTreeMap<u32, Time>,
     /// Until then a new owner takes no unreported engine for empty.
@@ -89,6 +96,7 @@
             queues: [Queue::default(), Queue::default()],
             ready: BTreeSet::new(),
             backoffs: BTreeSet::new(),
+            unpaid: VecDeque::new(),
             suspects: BTreeSet::new(),
             isolation: None,
             in_use: [0; 2],
@@ -100,7 +108,9 @@
             backoff: Backoff::default(),
             retries: 0,
             interactive_at: None,
-            ended: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            ended_at: VecDeque::new(),
             dead: BTreeMap::new(),
             confirm_until: Time::ZERO,
             options,
@@ -111,7 +121,7 @@
     ///
     /// A job that is known already is not accepted a second time: the first one goes on.
     pub fn submit(&mut self, now: Time, job: Job) -> Vec<Action> {
-        if self.jobs.contains_key(&job.id) {
+        if self.jobs.contains_key(&job.id) || self.cancelled.contains(&job.id) {
             return Vec::new();
         }
         if job.class == Class::Interactive {
@@ -129,10 +139,15 @@
     }
 
     /// Drops a job whose caller is gone and frees what it holds.
+    ///
+    /// A cancel that overtakes its job is remembered for some seconds, so that the job does not
+    /// run for nobody.
     pub fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
         let mut actions = self.abandon(now, id);
         if self.forget(now, id) {
             actions.extend(self.dispatch(now));
+        } else if !self.ended.contains(&id) && self.cancelled.insert(id) {
+            self.ended_at.push_back((now, id));
         }
         actions
     }
@@ -193,7 +208,8 @@
         }
         let known = self.jobs.remove(&id).is_some();
         if known {
-            self.ended.insert(id, now);
+            self.ended.insert(id);
+            self.ended_at.push_back((now, id));
         }
         known
     }
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench;
 pub mod check;
 pub mod cli;
+pub mod demo;
 pub mod document;
 pub mod ini;
 pub mod serve;
