Free work of VMs that died together, and keep streams at a partition

Cause: a new owner never heard of an entry VM that died together with the former owner, so that VM's work was not cancelled. At the start of a partition each side cancels the other side's work; the cut streams spent the retry budget, and callers got errors (`retry-budget`). The scheduler also cancelled work with a lost VM's tag for a minute, which on engines that both sides reach would cut the other side's streams at every poll.

Change: a host looks for unregistered work of VMs that are not in the view for 1 s to 6 s after it was opened or a VM was lost, and cancels each slot once. A call that is lost within 10 s after its request was registered with another owner is put down to the former owner: the request is submitted again without a charge to the engine or the budget, once for each registration.

Conclusion: single and double deaths free their slots, and a partition costs its streams no error.

--- a/crates/cumindoor/src/serve/cell/shared.rs
+++ b/crates/cumindoor/src/serve/cell/shared.rs
@@ -12,6 +12,7 @@
 mod place;
 mod post;
 mod status;
+mod strays;
 mod wire;
 
 use std::collections::BTreeMap;
--- a/crates/cumindoor/src/serve/cell/shared/core.rs
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -81,7 +81,7 @@
 
     pub(super) fn report(&mut self, now: Time, id: JobId, attempt: Attempt, progress: Progress) {
         let mut out = Out::new();
-        self.entry.report(id, attempt, progress, &mut out);
+        self.entry.report(now, (id, attempt), progress, &mut out);
         self.route(now, out);
     }
 
@@ -127,6 +127,7 @@
             self.owner.drop_vm(now, vm, &mut out);
         }
         let vms = &self.view.vms;
+        self.owner.set_live(vms.keys());
         self.leaving.retain(|vm, incarnation| {
             let current = vms.get(vm);
             current.is_some_and(|c| c.leaving || Some(c.incarnation) == *incarnation)
--- a/crates/cumindoor/src/serve/cell/shared/entry.rs
+++ b/crates/cumindoor/src/serve/cell/shared/entry.rs
@@ -1,6 +1,7 @@
 //! The entry VM's side: which owner each of its requests is registered with.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use coord::name::VmName;
 use coord::sched::{Attempt, Failure, Job, JobId, Prefilled, Stage};
@@ -14,6 +15,10 @@
 /// Messages to VMs, the own one included.
 pub(super) type Out = Vec<(VmName, Message)>;
 
+/// Time after a registration with another owner in which a lost engine call is put down to the
+/// former owner, which may have cancelled it.
+const CUT_WINDOW: Duration = Duration::from_secs(10);
+
 /// Where a request is, as its entry VM knows it.
 enum Place {
     /// Not on any engine.
@@ -38,6 +43,8 @@
     /// The highest attempt that the request was told.
     top: u32,
     place: Place,
+    /// When the running request was last registered with another owner.
+    moved: Option<Time>,
 }
 
 /// The running requests of this VM.
@@ -65,6 +72,7 @@
             base: 0,
             top: 0,
             place: Place::Waiting,
+            moved: None,
         };
         self.jobs.insert(id, tracked);
         id
@@ -135,17 +143,27 @@
     }
 
     /// Passes on a request's report.
+    ///
+    /// A call that the former owner has cancelled is not the engine's failure. The request is
+    /// submitted again, because a report would close the engine and spend the retry budget: a
+    /// partition cuts many streams at once.
     pub(super) fn report(
         &mut self,
-        id: JobId,
-        attempt: Attempt,
+        now: Time,
+        (id, attempt): (JobId, Attempt),
         progress: Progress,
         out: &mut Out,
     ) {
         let Some(tracked) = self.jobs.get_mut(&id) else {
             return;
         };
+        let cut = tracked.is_cut(now, attempt, progress);
         tracked.note(attempt, progress);
+        if cut {
+            let owner = tracked.owner.clone();
+            tracked.move_to(now, owner, out);
+            return;
+        }
         tracked.send_report(attempt, progress, out);
         if matches!(progress, Progress::Finished | Progress::Cancelled) {
             self.jobs.remove(&id);
@@ -205,6 +223,7 @@
             return;
         };
         self.base = 0;
+        self.moved = Some(now);
         let (attempt, stage, done) = (*attempt, stage.clone(), *done);
         let message = Message::Register {
             cell,
@@ -233,6 +252,24 @@
         out.push((owner, message));
     }
 
+    /// Returns true if an engine call was probably cancelled by the former owner.
+    fn is_cut(&mut self, now: Time, reported: Attempt, progress: Progress) -> bool {
+        let lost = matches!(
+            progress,
+            Progress::PrefillFailed(Failure::Lost)
+                | Progress::DecodeFailed {
+                    failure: Failure::Lost,
+                    ..
+                }
+        );
+        let current = matches!(self.place, Place::Running { attempt, .. } if attempt == reported);
+        if !lost || !current || self.job.once {
+            return false;
+        }
+        let moved = self.moved.take();
+        moved.is_some_and(|at| now.since(at) < CUT_WINDOW)
+    }
+
     /// Keeps what a new owner would have to know.
     fn note(&mut self, reported: Attempt, progress: Progress) {
         let Place::Running {
--- a/crates/cumindoor/src/serve/cell/shared/host.rs
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -1,6 +1,6 @@
 //! One cell on its owner: the scheduler, its engines and who is told its orders.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coord::name::{Upstream, VmName};
@@ -11,6 +11,7 @@
 
 use super::LEASE_TTL;
 use super::entry::Out;
+use super::strays::Strays;
 use super::wire::{Message, Order, WireProgress};
 use crate::serve::cell::local::order;
 use crate::serve::cell::{Input, Orphan};
@@ -37,6 +38,7 @@
     /// The last load report of each engine.
     reported: BTreeMap<Upstream, EngineReport>,
     early_until: Option<Time>,
+    strays: Strays,
 }
 
 impl Host {
@@ -51,6 +53,7 @@
             early: BTreeMap::new(),
             reported: BTreeMap::new(),
             early_until: Some(now + REPORT_WAIT),
+            strays: Strays::new(now),
         }
     }
 
@@ -179,12 +182,26 @@
             .collect()
     }
 
-    pub(super) fn input(&mut self, now: Time, input: &Input) -> Vec<Action> {
+    /// Takes a report; `live` has the tags of all VMs of the view.
+    pub(super) fn input(
+        &mut self,
+        now: Time,
+        input: &Input,
+        live: &BTreeSet<u32>,
+        orphans: &mut Vec<Orphan>,
+    ) -> Vec<Action> {
         match input {
             Input::Load(name, report) => {
                 if !self.engines.contains_key(name) {
                     return Vec::new();
                 }
+                let held = report.held.iter().copied();
+                let unknown = held.filter(|id| !self.jobs.contains_key(id));
+                let lost = self.strays.check(now, name, unknown, live);
+                orphans.extend(lost.into_iter().map(|id| Orphan {
+                    id,
+                    upstream: name.clone(),
+                }));
                 let mut actions = self.scheduler.load_report(now, name, report);
                 self.reported.insert(name.clone(), report.clone());
                 actions.extend(self.start_early(now));
@@ -198,11 +215,11 @@
     pub(super) fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
         self.early.retain(|_, job| job.vm != *vm);
         self.jobs.retain(|_, known| known.vm != *vm);
-        self.scheduler.vm_down(now, vm)
-    }
-
-    pub(super) fn vm_up(&mut self, vm: &VmName) {
+        self.strays.vm_down(now, vm);
+        let actions = self.scheduler.vm_down(now, vm);
+        // The VM may be alive on the other side of a partition: only `strays` looks for its work.
         self.scheduler.vm_up(vm);
+        actions
     }
 
     pub(super) fn set_engines(&mut self, now: Time, engines: &[(Engine, bool)]) -> Vec<Action> {
--- a/crates/cumindoor/src/serve/cell/shared/owner.rs
+++ b/crates/cumindoor/src/serve/cell/shared/owner.rs
@@ -1,10 +1,10 @@
 //! The owner's side: the cells of this VM and the leases of entry VMs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coord::name::{Service, VmName};
-use coord::sched::{Action, SchedOptions};
+use coord::sched::{Action, JobId, SchedOptions};
 use coord::time::Time;
 
 use super::LEASE_TTL;
@@ -31,6 +31,8 @@
     orphans: Vec<Orphan>,
     options: BTreeMap<Service, SchedOptions>,
     cells: Cells,
+    /// Tags in the ids of all VMs of the view.
+    live: BTreeSet<u32>,
 }
 
 impl Owner {
@@ -41,9 +43,6 @@
         if self.leases.get(vm).is_some_and(|lease| lease.boot != boot) {
             self.drop_vm(now, vm, out);
         }
-        if !self.leases.contains_key(vm) {
-            self.hosts.values_mut().for_each(|host| host.vm_up(vm));
-        }
         let lease = self.leases.entry(vm.clone()).or_insert_with(|| Lease {
             token: draw(),
             boot,
@@ -77,6 +76,11 @@
         self.hosts.keys().any(|cell| cell.group == *group)
     }
 
+    /// Notes which VMs are in the view.
+    pub(super) fn set_live<'a>(&mut self, vms: impl Iterator<Item = &'a VmName>) {
+        self.live = vms.map(JobId::tag_of).collect();
+    }
+
     /// Puts cells and options in force; returns true if a cell was taken over.
     pub(super) fn set_cells(
         &mut self,
@@ -185,7 +189,7 @@
             .iter_mut()
             .filter(|(cell, _)| cell.group == *group)
         {
-            let actions = host.input(now, input);
+            let actions = host.input(now, input, &self.live, &mut self.orphans);
             host.deliver(actions, out, &mut self.orphans);
         }
     }
--- a/crates/cumindoor/tests/nodes.rs
+++ b/crates/cumindoor/tests/nodes.rs
@@ -251,3 +251,53 @@
     assert_eq!(tokens, 8 * 30, "no stream was started again");
     nodes.nothing_held().await;
 }
+
+/// Guards against slots that stay taken when an entry VM and the owner die together, so that no
+/// VM that is left has ever heard of the work.
+#[tokio::test]
+async fn frees_slots_when_entry_vm_and_owner_die_together() {
+    let mut nodes = Nodes::start(3, 20).await;
+    let owner = nodes.owner().await;
+    let entry = nodes.others(&owner).remove(0);
+    nodes.hold(true);
+    let chats = nodes.chats(&[entry.clone(), owner.clone()], 3, 30);
+    nodes.streaming(6).await;
+
+    nodes.crash(&owner);
+    nodes.crash(&entry);
+    nodes.set_views(|_| true);
+
+    nodes.nothing_held().await;
+    drop(chats);
+}
+
+/// Guards against streams that fail when a partition cuts their VM off from the owner: the owner
+/// cannot tell it from a dead VM, and the side that is left goes on with its streams.
+#[tokio::test]
+async fn streams_survive_the_start_of_a_partition() {
+    let nodes = Nodes::start(2, 20).await;
+    nodes.owner().await;
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    nodes.hold(true);
+    let chats = nodes.chats(&all, 4, 60);
+    nodes.streaming(8).await;
+
+    nodes.set_view("vm-1", &["vm-1"]);
+    nodes.set_view("vm-2", &["vm-2"]);
+    let owns = |name: &str| nodes.status(name)["owners"][0]["owner"] == name;
+    until("both own the cell", || owns("vm-1") && owns("vm-2")).await;
+    let cancels = || {
+        nodes
+            .decodes
+            .iter()
+            .map(|e| e.counts().cancels)
+            .sum::<u64>()
+    };
+    until("streams of the other side are cancelled", || cancels() > 0).await;
+    nodes.hold(false);
+
+    for chat in chats {
+        chat.whole().await;
+    }
+    nodes.nothing_held().await;
+}
