Test the cells' messages in virtual time and fix two lost requests

Cause: a simulation of three VMs with lost, late, doubled and reordered messages, restarts, pauses and partitions found requests that never ended. First: a request that was registered again while it waited for load reports was cancelled in the scheduler, which ignores a later submission of a job that was cancelled before it was known. Second: an owner could take a batch, drop its sender's requests and answer only the second try; the sender took the token in that first answer for the one under which its request was taken.

Change: a host tells the scheduler only about jobs that it has handed over. A first answer to a batch that was tried before counts as a new token. The scheduler's seed comes from the cell and the time, so that a simulation repeats.

Conclusion: every request ends once, and no owner keeps an account of it.

--- a/crates/cumindoor/src/serve/cell/shared.rs
+++ b/crates/cumindoor/src/serve/cell/shared.rs
@@ -254,3 +254,6 @@
     let answer = cells.peers.call::<CellPart>(&vm, &batch, BATCH_LIMIT).await;
     cells.with(|core, now| core.answered(now, &vm, sent, answer.as_ref().ok()));
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cumindoor/src/serve/cell/shared/core.rs
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -175,7 +175,7 @@
         let mut out = Out::new();
         let token = self.owner.hear(now, &self.own, self.posts.boot, &mut out);
         let own = self.own.clone();
-        self.entry.heard(now, &own, token, &mut out);
+        self.entry.heard(now, &own, (token, false), &mut out);
         self.route(now, out);
     }
 
@@ -240,10 +240,11 @@
         receipt: Option<&Receipt>,
     ) {
         let accepted = receipt.filter(|receipt| receipt.accepted);
-        self.posts.sent(now, vm, batch, accepted.is_some());
+        let again = self.posts.sent(now, vm, batch, accepted.is_some());
         if let Some(receipt) = accepted {
             let mut out = Out::new();
-            self.entry.heard(now, vm, receipt.token, &mut out);
+            let heard = (receipt.token, again);
+            self.entry.heard(now, vm, heard, &mut out);
             self.route(now, out);
         }
     }
--- a/crates/cumindoor/src/serve/cell/shared/entry.rs
+++ b/crates/cumindoor/src/serve/cell/shared/entry.rs
@@ -115,9 +115,18 @@
     }
 
     /// Notes what an owner answered; registers again what it has dropped.
-    pub(super) fn heard(&mut self, now: Time, owner: &VmName, token: u64, out: &mut Out) {
+    ///
+    /// `again` tells that an earlier try of the answered batch had no answer: the owner may have
+    /// taken it and dropped it since, even if this is the first answer at all.
+    pub(super) fn heard(
+        &mut self,
+        now: Time,
+        owner: &VmName,
+        (token, again): (u64, bool),
+        out: &mut Out,
+    ) {
         let known = self.tokens.insert(owner.clone(), token);
-        if known.is_none_or(|known| known == token) {
+        if known.map_or(!again, |known| known == token) {
             return;
         }
         let here = self.jobs.values_mut();
--- a/crates/cumindoor/src/serve/cell/shared/host.rs
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -119,8 +119,12 @@
 
     /// Forgets a request that its entry VM looks after.
     pub(super) fn release(&mut self, now: Time, id: JobId) -> Vec<Action> {
-        self.jobs.remove(&id);
-        self.early.remove(&id);
+        let known = self.jobs.remove(&id).is_some();
+        let early = self.early.remove(&id).is_some();
+        if !known || early {
+            // The scheduler would ignore a later submission of a job that it does not know.
+            return Vec::new();
+        }
         let mut actions = self.scheduler.cancel(now, id);
         // The request cancels its own calls.
         actions
--- a/crates/cumindoor/src/serve/cell/shared/owner.rs
+++ b/crates/cumindoor/src/serve/cell/shared/owner.rs
@@ -125,7 +125,7 @@
             return false;
         }
         let options = self.options.get(&cell.group).cloned().unwrap_or_default();
-        let mut host = Host::new(now, options, draw());
+        let mut host = Host::new(now, options, cell.hash() ^ now.as_micros());
         if let Some(engines) = self.cells.get(cell) {
             // Nothing is registered yet, so there is nothing to be told.
             let _ = host.set_engines(now, engines);
--- a/crates/cumindoor/src/serve/cell/shared/post.rs
+++ b/crates/cumindoor/src/serve/cell/shared/post.rs
@@ -24,6 +24,8 @@
     first: u64,
     queue: VecDeque<Message>,
     flying: bool,
+    /// True if the last try was not acknowledged.
+    again: bool,
     /// Not sent before this instant.
     not_before: Time,
     /// When a batch was last sent.
@@ -56,6 +58,7 @@
             first: 0,
             queue: VecDeque::new(),
             flying: false,
+            again: false,
             not_before: Time::ZERO,
             sent: Time::ZERO,
         })
@@ -98,19 +101,27 @@
         due
     }
 
-    /// Notes whether a batch was acknowledged.
-    pub(super) fn sent(&mut self, now: Time, vm: &VmName, batch: (u64, usize), accepted: bool) {
-        let (session, count) = batch;
-        let Some(outbox) = self.outboxes.get_mut(vm).filter(|o| o.session == session) else {
-            return;
+    /// Notes whether a batch was acknowledged; returns true if an earlier try of it was not.
+    pub(super) fn sent(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        (session, count): (u64, usize),
+        accepted: bool,
+    ) -> bool {
+        let outbox = self.outboxes.get_mut(vm);
+        let Some(outbox) = outbox.filter(|o| o.session == session) else {
+            return false;
         };
         outbox.flying = false;
+        let again = std::mem::replace(&mut outbox.again, !accepted);
         if accepted {
             outbox.first += count as u64;
             outbox.queue.drain(..count);
         } else {
             outbox.not_before = now + RETRY_PAUSE;
         }
+        again
     }
 
     /// Returns the messages of a batch that were not received before.
--- /dev/null
+++ b/crates/cumindoor/src/serve/cell/shared/tests.rs
@@ -0,0 +1,400 @@
+//! Three VMs in virtual time whose messages are lost, late, doubled and reordered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::{Incarnation, VmName};
+use coord::sched::{
+    Attempt, Class, Engine, EngineReport, Failure, Job, JobId, Prefilled, Role, SchedOptions,
+};
+use coord::time::Time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::sync::mpsc;
+
+use super::core::Core;
+use super::place::{CellKey, Cells};
+use super::wire::{Batch, Receipt};
+use crate::serve::cell::{Input, Order, Progress};
+use crate::serve::view::{Member, View};
+
+const STEP: Duration = Duration::from_millis(5);
+
+enum Event {
+    /// The number of the call, sender, receiver and content.
+    Batch(u64, VmName, VmName, Batch),
+    Answer(u64, VmName, VmName, (u64, usize), Option<Receipt>),
+    Report(JobId, Attempt, Progress),
+    View(VmName, Arc<View>),
+}
+
+/// A request as the request path would run it.
+struct Run {
+    vm: VmName,
+    orders: mpsc::UnboundedReceiver<Order>,
+    attempt: Attempt,
+    engines: BTreeSet<String>,
+}
+
+struct World {
+    now: Time,
+    rng: ChaCha8Rng,
+    cores: BTreeMap<VmName, Core>,
+    events: BTreeMap<(Time, u64), Event>,
+    runs: BTreeMap<JobId, Run>,
+    number: u64,
+    /// Calls without an answer or a lapse of their time.
+    calls: BTreeSet<u64>,
+    faults: bool,
+    ended: usize,
+}
+
+fn names() -> [VmName; 3] {
+    ["vm-1", "vm-2", "vm-3"].map(VmName::from)
+}
+
+fn view(live: &[VmName], trusted: bool) -> Arc<View> {
+    let member = |vm: &VmName| {
+        Member {
+            data_centre: "dc".into(),
+            incarnation: Incarnation(1),
+            address: ([127, 0, 0, 1], 1).into(),
+            leaving: false,
+        }
+        .pair(vm)
+    };
+    let vms = live.iter().map(member).collect();
+    Arc::new(View { trusted, vms })
+}
+
+impl Member {
+    fn pair(self, vm: &VmName) -> (VmName, Self) {
+        (vm.clone(), self)
+    }
+}
+
+fn cells() -> Cells {
+    let engine = |name: &str, role| {
+        let name = name.into();
+        let data_centre = "dc".into();
+        let slots = 4;
+        (
+            Engine {
+                name,
+                data_centre,
+                role,
+                slots,
+            },
+            false,
+        )
+    };
+    let engines = vec![
+        engine("p-1", Role::Prefill),
+        engine("p-2", Role::Prefill),
+        engine("d-1", Role::Decode),
+        engine("d-2", Role::Decode),
+    ];
+    let group = "chat".into();
+    Cells::from([(CellKey { group, shard: 0 }, engines)])
+}
+
+fn core(now: Time, vm: &VmName) -> Core {
+    let mut core = Core::new(vm.clone());
+    core.set_view(now, view(&names(), true));
+    let options = SchedOptions {
+        prefill_ttl: Duration::from_mins(1),
+        ..SchedOptions::default()
+    };
+    core.set_cells(now, cells(), BTreeMap::from([("chat".into(), options)]));
+    core.tick(now);
+    core
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let now = Time::from_millis(1);
+        Self {
+            now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            cores: names().map(|vm| (vm.clone(), core(now, &vm))).into(),
+            events: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            number: 0,
+            calls: BTreeSet::new(),
+            faults: true,
+            ended: 0,
+        }
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.rng.random_range(0..one_in) == 0
+    }
+
+    fn after(&mut self, ms: u64, event: Event) {
+        self.number += 1;
+        let at = self.now + Duration::from_millis(ms);
+        self.events.insert((at, self.number), event);
+    }
+
+    fn delay(&mut self) -> u64 {
+        let late = self.faults && self.chance(20);
+        self.rng.random_range(1..if late { 2_000 } else { 20 })
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for vm in names() {
+            self.run_core(&vm);
+        }
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let event = entry.remove();
+            self.happen(event);
+        }
+        let ids: Vec<JobId> = self.runs.keys().copied().collect();
+        for id in ids {
+            self.obey(id);
+        }
+    }
+
+    fn run_core(&mut self, vm: &VmName) {
+        let report = self.now.as_micros() % 500_000 < 5_000;
+        let held = |engine: &str| {
+            let here = self
+                .runs
+                .iter()
+                .filter(|(_, run)| run.engines.contains(engine));
+            here.map(|(id, _)| *id).collect()
+        };
+        let reports = ["p-1", "p-2", "d-1", "d-2"].map(|e| (e, held(e)));
+        let core = self.cores.get_mut(vm).expect("a core");
+        core.tick(self.now);
+        core.take_orphans();
+        if report || core.take_over() {
+            for (engine, held) in reports {
+                let report = EngineReport { held, queue: 0 };
+                core.input(
+                    self.now,
+                    &"chat".into(),
+                    &Input::Load(engine.into(), report),
+                );
+            }
+        }
+        let entry = &core.entry;
+        let due = core
+            .posts
+            .due(self.now, super::RENEWAL, |to| entry.uses(to));
+        for (to, batch) in due {
+            self.send(vm, &to, &batch);
+        }
+    }
+
+    /// Sends a batch none, one or two times; without an answer it counts as lost after 200 ms.
+    fn send(&mut self, from: &VmName, to: &VmName, batch: &Batch) {
+        self.number += 1;
+        let call = self.number;
+        self.calls.insert(call);
+        let mut copies = 1;
+        if self.faults && self.chance(8) {
+            copies = if self.chance(2) { 0 } else { 2 };
+        }
+        for _ in 0..copies {
+            let delay = self.delay();
+            self.after(
+                delay,
+                Event::Batch(call, from.clone(), to.clone(), batch.clone()),
+            );
+        }
+        let sent = (batch.session, batch.messages.len());
+        let lost = Event::Answer(call, from.clone(), to.clone(), sent, None);
+        self.after(200, lost);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Batch(call, from, to, batch) => {
+                let sent = (batch.session, batch.messages.len());
+                let core = self.cores.get_mut(&to).expect("a core");
+                let receipt = core.receive(self.now, &from, batch);
+                if !(self.faults && self.chance(10)) {
+                    let delay = self.delay().min(190);
+                    self.after(delay, Event::Answer(call, from, to, sent, Some(receipt)));
+                }
+            }
+            Event::Answer(call, vm, to, sent, receipt) => {
+                if !self.calls.remove(&call) {
+                    return;
+                }
+                let core = self.cores.get_mut(&vm).expect("a core");
+                core.answered(self.now, &to, sent, receipt.as_ref());
+            }
+            Event::View(vm, view) => {
+                let core = self.cores.get_mut(&vm).expect("a core");
+                core.set_view(self.now, view);
+            }
+            Event::Report(id, attempt, progress) => self.report(id, attempt, progress),
+        }
+    }
+
+    fn report(&mut self, id: JobId, attempt: Attempt, progress: Progress) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        // The request path drops what it was doing when a new order comes.
+        if run.attempt != attempt {
+            return;
+        }
+        let vm = run.vm.clone();
+        match progress {
+            Progress::PrefillDone(_) | Progress::DecodeStarted => {}
+            _ => run.engines.clear(),
+        }
+        if progress == Progress::Finished {
+            self.runs.remove(&id);
+            self.ended += 1;
+        }
+        let core = self.cores.get_mut(&vm).expect("a core");
+        core.report(self.now, id, attempt, progress);
+    }
+
+    fn obey(&mut self, id: JobId) {
+        let Some(order) = self
+            .runs
+            .get_mut(&id)
+            .and_then(|run| run.orders.try_recv().ok())
+        else {
+            return;
+        };
+        let run = self.runs.get_mut(&id).expect("a run");
+        let (attempt, engine, done) = match order {
+            Order::Prefill {
+                attempt, prefill, ..
+            } => {
+                let done = Progress::PrefillDone(Prefilled::default());
+                (attempt, prefill, done)
+            }
+            Order::Decode {
+                attempt, decode, ..
+            } => (attempt, decode, Progress::Finished),
+            Order::Refuse { .. } => {
+                self.runs.remove(&id);
+                self.ended += 1;
+                return;
+            }
+            Order::Cancel { .. } => return,
+        };
+        assert!(attempt > run.attempt, "{id} was told {attempt} twice");
+        run.attempt = attempt;
+        run.engines = BTreeSet::from([engine.to_string()]);
+        let ms = self.rng.random_range(10..300);
+        if done == Progress::Finished {
+            self.after(5, Event::Report(id, attempt, Progress::DecodeStarted));
+        }
+        let full = Progress::DecodeFailed {
+            failure: Failure::Full,
+            delivered: 0,
+        };
+        let refused = done == Progress::Finished && self.chance(20);
+        let event = if refused { full } else { done };
+        self.after(
+            if refused { 1 } else { ms },
+            Event::Report(id, attempt, event),
+        );
+    }
+
+    fn submit(&mut self) {
+        let vm = names()[self.rng.random_range(0..3)].clone();
+        self.number += 1;
+        let job = Job {
+            id: JobId::new(&vm, u128::from(self.number)),
+            vm: vm.clone(),
+            organisation: "org".into(),
+            service: "chat".into(),
+            class: Class::Patient,
+            deadline: self.now + Duration::from_hours(1),
+            token_target: Duration::from_millis(26),
+            prompt_tokens: 1_000,
+            max_tokens: 100,
+            prefix: Vec::new(),
+            fingerprint: u128::from(self.number),
+            once: false,
+            offset: 0,
+            suspect: false,
+        };
+        let id = job.id;
+        let (sender, orders) = mpsc::unbounded_channel();
+        let core = self.cores.get_mut(&vm).expect("a core");
+        core.submit(self.now, job, sender);
+        let (attempt, engines) = (Attempt(0), BTreeSet::new());
+        let run = Run {
+            vm,
+            orders,
+            attempt,
+            engines,
+        };
+        self.runs.insert(id, run);
+    }
+
+    /// Lets a VM die and come back, be paused, or lose sight of others; views change late.
+    fn fault(&mut self) {
+        let vm = names()[self.rng.random_range(0..3)].clone();
+        let rest: Vec<VmName> = names().into_iter().filter(|name| *name != vm).collect();
+        match self.rng.random_range(0..3) {
+            0 => {
+                self.cores.insert(vm.clone(), core(self.now, &vm));
+                let before = self.runs.len();
+                self.runs.retain(|_, run| run.vm != vm);
+                self.ended += before - self.runs.len();
+            }
+            1 => self.after(1, Event::View(vm.clone(), view(&names(), false))),
+            _ => self.after(
+                1,
+                Event::View(vm.clone(), view(std::slice::from_ref(&vm), true)),
+            ),
+        }
+        for name in names() {
+            let lost = self.rng.random_range(1..1_000);
+            if name != vm {
+                self.after(lost, Event::View(name.clone(), view(&rest, true)));
+            }
+            let back = self.rng.random_range(1_500..4_000);
+            self.after(back, Event::View(name, view(&names(), true)));
+        }
+    }
+}
+
+/// Guards against requests that are forgotten, told an order twice or left in an owner's account
+/// when messages are lost, late, doubled and reordered while owners change.
+#[rstest]
+fn every_request_ends_once(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64) {
+    let mut world = World::new(seed);
+
+    for step in 0..6_000 {
+        if step % 20 == 0 {
+            world.submit();
+        }
+        if step % 1_000 == 500 {
+            world.fault();
+        }
+        world.step();
+    }
+    world.faults = false;
+    for _ in 0..12_000 {
+        world.step();
+    }
+
+    assert_eq!(world.runs.len(), 0, "requests without an end");
+    assert_eq!(world.ended, 300);
+    for (vm, core) in &world.cores {
+        assert!(core.entry.owners().is_empty(), "{vm} keeps requests");
+        for host in core.owner.hosts().values() {
+            let state = host.status(world.now);
+            assert!(host.is_empty(), "{vm} keeps registrations");
+            assert_eq!((state.running, state.interactive, state.patient), (0, 0, 0));
+        }
+    }
+}
