--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -28,6 +28,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often idle connections to upstreams are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// Time for last events and cancels after the stop limit has passed.
+const CUT_TIME: Duration = Duration::from_secs(2);
 /// How often gauges are taken and counters are sent.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -152,18 +154,26 @@
         shared.context.runs.close();
     }
 
-    /// Waits within the stop limit until no request is left after [`Self::close`].
+    /// Waits within the stop limit until no request is left after [`Self::close`]; what is left
+    /// then ends with an error.
     ///
     /// Returns true if every request ended by itself.
     pub async fn finished(&self) -> bool {
-        let shared = &self.shared;
-        let context = &shared.context;
-        let finished = async {
-            shared.connections.wait().await;
-            context.runs.wait().await;
-            context.canceller.idle().await;
-        };
-        timeout(context.options.stop_limit, finished).await.is_ok()
+        let context = &self.shared.context;
+        let complete = timeout(context.options.stop_limit, self.idle()).await;
+        if complete.is_err() {
+            context.cut.cancel();
+            // Engines must not work on for callers that this process leaves behind.
+            let _ = timeout(CUT_TIME, self.idle()).await;
+        }
+        complete.is_ok()
+    }
+
+    /// Waits until no connection, request or cancel is left.
+    async fn idle(&self) {
+        self.shared.connections.wait().await;
+        self.shared.context.runs.wait().await;
+        self.shared.context.canceller.idle().await;
     }
 
     /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
