Ask the next platform address after a failed read

Cause: the settings promise that the next address of the configuration service is asked when one fails, but the client took one address only.

Change: `Platform::any_of` takes all addresses; each of its two connections moves on after a failed read. `Node::join` passes all addresses of the settings.

Conclusion: a VM learns documents and lists while one replica is down.

--- a/crates/cumindoor/src/serve/node/join.rs
+++ b/crates/cumindoor/src/serve/node/join.rs
@@ -7,7 +7,6 @@
 use coord::config::{self, Validator};
 use coord::member::{self, Standing};
 use coord::sched::Role;
-use eyre::OptionExt;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -62,8 +61,8 @@
     ///
     /// Returns the error of a listening socket.
     pub async fn join(settings: &Settings, mut options: NodeOptions) -> eyre::Result<Self> {
-        let platform = settings.platform.addresses.first();
-        let platform = platform.ok_or_eyre("the settings name no platform")?.0;
+        let addresses = settings.platform.addresses.iter();
+        let platform = Platform::any_of(addresses.map(|address| address.0).collect());
         let cluster_options = ClusterOptions {
             name: settings.vm.name.clone(),
             zone: settings.vm.data_centre.clone(),
@@ -74,7 +73,7 @@
             config: config::Options::default(),
         };
         let peers = options.peers.clone();
-        let cluster = Cluster::new(cluster_options, peers, Platform::new(platform));
+        let cluster = Cluster::new(cluster_options, peers, platform);
         options.router = cluster.register(options.router);
         let (feed, follow) = feed(&cluster);
         let running = cluster.clone();
--- a/crates/cumindoor/src/serve/platform.rs
+++ b/crates/cumindoor/src/serve/platform.rs
@@ -101,17 +101,31 @@
 /// A client with one connection for documents and one for the list.
 #[derive(Debug)]
 pub struct Platform {
-    addr: SocketAddr,
-    documents: Mutex<Option<SendRequest<Empty<Bytes>>>>,
-    list: Mutex<Option<SendRequest<Empty<Bytes>>>>,
+    addrs: Vec<SocketAddr>,
+    documents: Mutex<Lane>,
+    list: Mutex<Lane>,
+}
+
+/// One connection and the address that it leads to.
+#[derive(Debug, Default)]
+struct Lane {
+    open: Option<SendRequest<Empty<Bytes>>>,
+    /// Counts the failed reads: each one moves on to the next address.
+    failures: usize,
 }
 
 impl Platform {
     /// Returns a client that connects with the first read.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
+        Self::any_of(vec![addr])
+    }
+
+    /// As [`new`](Self::new), with several addresses; after a failed read the next one is asked.
+    #[must_use]
+    pub fn any_of(addrs: Vec<SocketAddr>) -> Self {
         Self {
-            addr,
+            addrs,
             documents: Mutex::default(),
             list: Mutex::default(),
         }
@@ -141,48 +155,59 @@
 
     async fn read<T: DeserializeOwned>(
         &self,
-        connection: &Mutex<Option<SendRequest<Empty<Bytes>>>>,
+        lane: &Mutex<Lane>,
         path: &str,
         wait: Duration,
     ) -> eyre::Result<T> {
-        let mut connection = connection.lock().await;
+        let mut lane = lane.lock().await;
+        eyre::ensure!(!self.addrs.is_empty(), "the platform has no address");
+        let addr = self.addrs[lane.failures % self.addrs.len()];
         // Taken out, so that a failure or the end of this future drops the connection.
-        let open = connection.take();
-        let reading = timeout(wait + COMPLETE, self.exchange(open, path, wait));
-        let place = || format!("cannot read {path} from the platform at {}", self.addr);
-        let (sender, body) = reading.await.wrap_err_with(place)?.wrap_err_with(place)?;
-        *connection = Some(sender);
-        serde_json::from_slice(&body).wrap_err_with(place)
+        let open = lane.open.take();
+        let reading = timeout(wait + COMPLETE, exchange(addr, open, path, wait));
+        let place = || format!("cannot read {path} from the platform at {addr}");
+        let answer = reading.await.map_err(Into::into).flatten();
+        let read = answer.and_then(|(sender, body)| Ok((sender, serde_json::from_slice(&body)?)));
+        match read {
+            Ok((sender, answer)) => {
+                lane.open = Some(sender);
+                Ok(answer)
+            }
+            Err(error) => {
+                lane.failures += 1;
+                Err(error).wrap_err_with(place)
+            }
+        }
     }
+}
 
-    async fn exchange(
-        &self,
-        open: Option<SendRequest<Empty<Bytes>>>,
-        path: &str,
-        wait: Duration,
-    ) -> eyre::Result<(SendRequest<Empty<Bytes>>, Bytes)> {
-        let mut sender = match open {
-            Some(sender) if !sender.is_closed() => sender,
-            _ => timeout(GRACE, self.connect()).await??,
-        };
-        timeout(GRACE, sender.ready()).await??;
-        let request = Request::get(path)
-            .header(HOST, self.addr.to_string())
-            .body(Empty::new())?;
-        let response = timeout(wait + GRACE, sender.send_request(request)).await??;
-        let status = response.status();
-        let body = collect(response.into_body()).await?;
-        eyre::ensure!(status.is_success(), "the answer has status {status}");
-        Ok((sender, body))
-    }
+async fn exchange(
+    addr: SocketAddr,
+    open: Option<SendRequest<Empty<Bytes>>>,
+    path: &str,
+    wait: Duration,
+) -> eyre::Result<(SendRequest<Empty<Bytes>>, Bytes)> {
+    let mut sender = match open {
+        Some(sender) if !sender.is_closed() => sender,
+        _ => timeout(GRACE, connect(addr)).await??,
+    };
+    timeout(GRACE, sender.ready()).await??;
+    let request = Request::get(path)
+        .header(HOST, addr.to_string())
+        .body(Empty::new())?;
+    let response = timeout(wait + GRACE, sender.send_request(request)).await??;
+    let status = response.status();
+    let body = collect(response.into_body()).await?;
+    eyre::ensure!(status.is_success(), "the answer has status {status}");
+    Ok((sender, body))
+}
 
-    async fn connect(&self) -> eyre::Result<SendRequest<Empty<Bytes>>> {
-        let stream = TcpStream::connect(self.addr).await?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-        // The task ends when the sender is dropped or the connection closes.
-        tokio::spawn(connection);
-        Ok(sender)
-    }
+async fn connect(addr: SocketAddr) -> eyre::Result<SendRequest<Empty<Bytes>>> {
+    let stream = TcpStream::connect(addr).await?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    // The task ends when the sender is dropped or the connection closes.
+    tokio::spawn(connection);
+    Ok(sender)
 }
 
 /// Reads a body whose parts follow one another without long silence.
--- a/crates/cumindoor/tests/nodes.rs
+++ b/crates/cumindoor/tests/nodes.rs
@@ -6,6 +6,8 @@
 
 use common::nodes::{Nodes, document};
 use common::{patiently, until};
+use cumindoor::serve::platform::Platform;
+use standin::PlatformOptions;
 
 /// Guards against a request that fails because its VM does not own the cell.
 #[tokio::test]
@@ -301,3 +303,21 @@
     }
     nodes.nothing_held().await;
 }
+
+/// Guards against a VM that learns nothing while one replica of the platform is down.
+#[tokio::test]
+async fn asks_the_next_platform_address_after_a_failure() {
+    let down = standin::Platform::spawn(PlatformOptions::default()).await;
+    let down = down.unwrap();
+    let up = standin::Platform::spawn(PlatformOptions::default()).await;
+    let up = up.unwrap();
+    up.put_document("celeste", &document(3)).unwrap();
+    down.go_down().await;
+    let client = Platform::any_of(vec![down.addr(), up.addr()]);
+
+    let first = client.documents(0, Duration::ZERO).await;
+    let second = client.documents(0, Duration::ZERO).await;
+
+    assert!(first.is_err());
+    assert_eq!(second.unwrap().documents.len(), 1);
+}
