--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -139,24 +139,38 @@
     ///
     /// Returns true if every request ended by itself.
     pub async fn stop(&self) -> bool {
+        self.close();
+        let complete = self.finished().await;
+        self.supervisor.stop();
+        complete
+    }
+
+    /// Stops accepting connections and requests; those in progress go on.
+    pub fn close(&self) {
         let shared = &self.shared;
-        let context = &shared.context;
         shared.stopping.cancel();
         shared.lock_listener().take();
         shared.connections.close();
-        context.runs.close();
-        let complete = timeout(context.options.stop_limit, self.finished()).await;
+        shared.context.runs.close();
+    }
+
+    /// Waits within the stop limit until no request is left after [`Self::close`]; what is left
+    /// then ends with an error.
+    ///
+    /// Returns true if every request ended by itself.
+    pub async fn finished(&self) -> bool {
+        let context = &self.shared.context;
+        let complete = timeout(context.options.stop_limit, self.idle()).await;
         if complete.is_err() {
             context.cut.cancel();
             // Engines must not work on for callers that this process leaves behind.
-            let _ = timeout(CUT_TIME, self.finished()).await;
+            let _ = timeout(CUT_TIME, self.idle()).await;
         }
-        self.supervisor.stop();
         complete.is_ok()
     }
 
     /// Waits until no connection, request or cancel is left.
-    async fn finished(&self) {
+    async fn idle(&self) {
         self.shared.connections.wait().await;
         self.shared.context.runs.wait().await;
         self.shared.context.canceller.idle().await;
