Avoid an engine whose transfer stalled

Cause: the scheduler closed an engine after a lost call but not after a stalled transfer. An engine with a stalled transfer holds the fewest streams, so every retry of the job chose it again.

Change: a stalled transfer closes the decode engine for a time that doubles with each failure in a row, as a lost call does.

Check: a_stalled engine test in sched_failure fails without the change (the same engine is chosen) and passes with it; sched_basic and sched_failure pass.

--- a/crates/coord/src/sched/results.rs
+++ b/crates/coord/src/sched/results.rs
@@ -139,8 +139,10 @@
         let slot = &mut self.fleet.slots[engine];
         match failure {
             Failure::Full => slot.full_until = now + super::recover::FULL_PAUSE,
-            Failure::Lost => slot.failed(now),
-            Failure::Evicted | Failure::Stalled => {}
+            // An engine with a stalled transfer holds the fewest streams, so it would be the
+            // first choice of every retry if it stayed open.
+            Failure::Lost | Failure::Stalled => slot.failed(now),
+            Failure::Evicted => {}
         }
     }
 
--- a/crates/coord/tests/sched_failure.rs
+++ b/crates/coord/tests/sched_failure.rs
@@ -46,6 +46,23 @@
     assert_eq!(refusal(&again), None);
 }
 
+/// Guards against a request that is given to the same engine again after each stalled transfer,
+/// while another engine has free slots, until its deadline has passed.
+#[test]
+fn an_engine_whose_transfer_stalled_is_avoided() {
+    let mut sched = cell(1, 2, 4);
+    let one = patient(at(0), 1);
+    let first = sched.submit(at(0), one.clone());
+    let started = sched.prefill_done(at(30), one.id, prefills(&first)[0].1, DONE);
+    let (_, attempt, stalled) = decodes(&started)[0].clone();
+
+    sched.decode_failed(at(1_030), one.id, attempt, Failure::Stalled, 0);
+    let again = sched.tick(at(1_100));
+    let second = sched.prefill_done(at(1_130), one.id, prefills(&again)[0].1, DONE);
+
+    assert_ne!(decodes(&second)[0].2, stalled);
+}
+
 /// Guards against a once-only request that runs twice (H5).
 #[test]
 fn a_once_only_job_is_not_started_again_after_its_dispatch() {
