Add scenarios: a test language over the real state machines

Cause: requirements H1 to H8 have to hold under faults alone and in pairs, and each fault needs a test that reads like the fault.

Change: the crate scenario parses tests/scenarios/*.scn (winnow), runs them in virtual time on members, configuration, ownership, claims and schedulers of each VM with fake engines and a fake platform, and checks expectations. Each file is a test.

--- /dev/null
+++ b/crates/scenario/src/cell.rs
@@ -0,0 +1,370 @@
+//! The owner of a cell: hosts its scheduler for the entry VMs.
+//!
+//! An entry VM repeats what it runs every half second, as with leases: the owner submits or
+//! resumes what it does not know, repeats orders that were lost and drops what is not named.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coord::name::{Service, Upstream, VmName};
+use coord::sched::{
+    Action, Attempt, CacheEvent, Engine, EngineReport, JobId, Role, SchedOptions, Scheduler,
+};
+use coord::time::Time;
+use rand::RngExt;
+
+use crate::ast::{Events, Kind};
+use crate::register::{CellMessage, Item, Progress};
+use crate::vm::Letter;
+use crate::world::World;
+
+/// The time that a new owner waits for running jobs to be registered.
+const TTL: Duration = Duration::from_secs(3);
+
+/// The age below which a job that its entry VM does not name is kept: its message may be on the way.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// An owned cell.
+pub struct Cell {
+    scheduler: Scheduler,
+    engines: BTreeMap<Upstream, bool>,
+    entries: BTreeMap<JobId, Entry>,
+    dead: BTreeSet<VmName>,
+}
+
+struct Entry {
+    vm: VmName,
+    since: Time,
+    last: Option<Action>,
+}
+
+fn attempt_of(action: &Action) -> Option<Attempt> {
+    match action {
+        Action::StartPrefill { attempt, .. } | Action::StartDecode { attempt, .. } => {
+            Some(*attempt)
+        }
+        _ => None,
+    }
+}
+
+fn job_of(action: &Action) -> JobId {
+    match action {
+        Action::StartPrefill { id, .. }
+        | Action::StartDecode { id, .. }
+        | Action::Refuse { id, .. }
+        | Action::Cancel { id, .. } => *id,
+    }
+}
+
+impl Cell {
+    /// Returns whether the job of an item is lost: it has had attempts that this owner never saw,
+    /// and nothing of it runs that could be registered.
+    fn has_lost(&self, item: &Item) -> bool {
+        let unknown = !self.entries.contains_key(&item.job.id);
+        let ended = matches!(item.report, Some(Progress::Finished));
+        unknown && !ended && item.stage.is_none() && item.attempt > Attempt::default()
+    }
+
+    fn item(&mut self, now: Time, from: &VmName, item: Item) -> Vec<Action> {
+        let id = item.job.id;
+        let mut actions = Vec::new();
+        if let Some(entry) = self.entries.get(&id) {
+            let last = entry.last.iter();
+            let newer = last.filter(|last| attempt_of(last) > Some(item.attempt));
+            if item.report.is_none() {
+                actions.extend(newer.cloned());
+            }
+        } else if !matches!(item.report, Some(Progress::Finished)) {
+            let entry = Entry {
+                vm: from.clone(),
+                since: now,
+                last: None,
+            };
+            self.entries.insert(id, entry);
+            let mut job = item.job.clone();
+            job.deadline = now + item.left;
+            actions = match &item.stage {
+                Some(stage) => self.scheduler.resume(now, job, item.attempt, stage),
+                None => self.scheduler.submit(now, job),
+            };
+        }
+        if let Some(report) = item.report {
+            actions.extend(self.report(now, id, item.attempt, &report));
+        }
+        actions
+    }
+
+    fn report(&mut self, now: Time, id: JobId, attempt: Attempt, report: &Progress) -> Vec<Action> {
+        let scheduler = &mut self.scheduler;
+        match report {
+            Progress::PrefillDone(done) => scheduler.prefill_done(now, id, attempt, *done),
+            Progress::PrefillFailed(why) => scheduler.prefill_failed(now, id, attempt, *why),
+            Progress::DecodeStarted => scheduler.decode_started(now, id, attempt),
+            Progress::DecodeFailed(why, count) => {
+                scheduler.decode_failed(now, id, attempt, *why, *count)
+            }
+            Progress::Finished => {
+                self.entries.remove(&id);
+                scheduler.finished(now, id, attempt)
+            }
+        }
+    }
+
+    /// Cancels what `vm` no longer names.
+    fn keep(&mut self, now: Time, vm: &VmName, named: &BTreeSet<JobId>) -> Vec<Action> {
+        let own = self.entries.iter().filter(|(_, entry)| entry.vm == *vm);
+        let old = own.filter(|(id, e)| !named.contains(*id) && now.since(e.since) > GRACE);
+        let gone: Vec<JobId> = old.map(|(id, _)| *id).collect();
+        gone.iter().flat_map(|id| self.cancel(now, *id)).collect()
+    }
+
+    fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
+        self.entries.remove(&id);
+        self.scheduler.cancel(now, id)
+    }
+
+    fn set_dead(&mut self, now: Time, dead: &BTreeSet<VmName>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for vm in dead.difference(&self.dead) {
+            self.entries.retain(|_, entry| entry.vm != *vm);
+            actions.extend(self.scheduler.vm_down(now, vm));
+        }
+        for vm in self.dead.difference(dead) {
+            self.scheduler.vm_up(vm);
+        }
+        self.dead.clone_from(dead);
+        actions
+    }
+
+    fn set_engines(
+        &mut self,
+        now: Time,
+        engines: &BTreeMap<Upstream, (Engine, bool)>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for name in self
+            .engines
+            .keys()
+            .filter(|name| !engines.contains_key(*name))
+        {
+            actions.extend(self.scheduler.engine_down(now, name));
+        }
+        for (name, (engine, leaving)) in engines {
+            if self.engines.get(name) == Some(leaving) {
+                continue;
+            }
+            actions.extend(self.scheduler.engine_up(now, engine.clone()));
+            if *leaving {
+                actions.extend(self.scheduler.engine_leaving(now, name));
+            }
+        }
+        let states = engines
+            .iter()
+            .map(|(name, (_, leaving))| (name.clone(), *leaving));
+        self.engines = states.collect();
+        actions
+    }
+}
+
+impl World {
+    /// Calls an owned cell and sends its orders.
+    fn cell(
+        &mut self,
+        vm: usize,
+        service: &Service,
+        call: impl FnOnce(&mut Cell, Time) -> Vec<Action>,
+    ) {
+        let now = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let Some(owned) = state.cells.get_mut(service) else {
+            return;
+        };
+        let actions = call(owned, now);
+        for action in actions {
+            self.order(vm, service, action);
+        }
+    }
+
+    fn order(&mut self, vm: usize, service: &Service, action: Action) {
+        let id = job_of(&action);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let Some(cell) = state.cells.get_mut(service) else {
+            return;
+        };
+        let Some(entry) = cell.entries.get_mut(&id) else {
+            if let Action::Cancel { upstream, .. } = action {
+                self.cancel_on(vm, &upstream, id, None);
+            }
+            return;
+        };
+        if attempt_of(&action).is_some() {
+            entry.last = Some(action.clone());
+        }
+        let to = entry.vm.clone();
+        if matches!(action, Action::Refuse { .. }) {
+            cell.entries.remove(&id);
+        }
+        self.post(vm, &to, &Letter::Cell(CellMessage::Order(action)));
+    }
+
+    pub fn cell_message(&mut self, vm: usize, from: &VmName, message: CellMessage) {
+        match message {
+            CellMessage::Ask {
+                service,
+                full,
+                items,
+            } => {
+                let items = self.return_lost(vm, from, &service, items);
+                self.cell(vm, &service, |cell, now| {
+                    let named: BTreeSet<JobId> = items.iter().map(|i| i.job.id).collect();
+                    let items = items.into_iter();
+                    let mut actions: Vec<_> =
+                        items.flat_map(|item| cell.item(now, from, item)).collect();
+                    if full {
+                        actions.extend(cell.keep(now, from, &named));
+                    }
+                    actions
+                });
+            }
+            CellMessage::Cancel { service, id } => {
+                self.cell(vm, &service, |cell, now| cell.cancel(now, id));
+            }
+            CellMessage::Order(action) => self.obey(vm, from, action),
+            CellMessage::Lost(id) => {
+                if self
+                    .run(vm, id)
+                    .is_some_and(|run| run.owner.as_ref() == Some(from))
+                {
+                    self.rename(vm, id);
+                }
+            }
+        }
+    }
+
+    /// Tells the sender which of its items are lost; returns the others.
+    fn return_lost(
+        &mut self,
+        vm: usize,
+        from: &VmName,
+        service: &Service,
+        items: Vec<Item>,
+    ) -> Vec<Item> {
+        let cells = self.vms[vm].state.as_ref().map(|state| &state.cells);
+        let Some(cell) = cells.and_then(|cells| cells.get(service)) else {
+            return items;
+        };
+        let (lost, known): (Vec<_>, Vec<_>) = items.into_iter().partition(|i| cell.has_lost(i));
+        for item in lost {
+            let message = CellMessage::Lost(item.job.id);
+            self.post(vm, from, &Letter::Cell(message));
+        }
+        known
+    }
+
+    pub fn tick_cells(&mut self, vm: usize) {
+        let Some(state) = &self.vms[vm].state else {
+            return;
+        };
+        let owned: Vec<Service> = state.cells.keys().cloned().collect();
+        for service in owned {
+            self.cell(vm, &service, |cell, now| cell.scheduler.tick(now));
+        }
+    }
+
+    /// Takes over and gives up cells after the view or the list of upstreams changed.
+    pub fn change_cells(&mut self, vm: usize) {
+        let clock = self.vms[vm].clock(self.now);
+        let services = self.scenario.services.clone();
+        for def in services {
+            let Kind::Model {
+                slots,
+                prefill,
+                step,
+                ..
+            } = def.kind
+            else {
+                continue;
+            };
+            let service = Service::from(def.name.as_str());
+            let own = self.vms[vm].owner(&service) == Some(self.vms[vm].name.clone());
+            let seed = self.rng.random();
+            let Some(state) = &mut self.vms[vm].state else {
+                return;
+            };
+            if !own || !state.members.trusted(clock) {
+                state.cells.remove(&service);
+                continue;
+            }
+            let cell = state.cells.entry(service.clone()).or_insert_with(|| {
+                let options = SchedOptions {
+                    step,
+                    ..SchedOptions::default()
+                };
+                let mut scheduler = Scheduler::new(options, seed);
+                scheduler.take_over(clock, TTL);
+                let (engines, entries) = (BTreeMap::new(), BTreeMap::new());
+                Cell {
+                    scheduler,
+                    engines,
+                    entries,
+                    dead: BTreeSet::new(),
+                }
+            });
+            let engine = |name: &Upstream, number: u32| Engine {
+                name: name.clone(),
+                data_centre: "links".into(),
+                role: if number <= prefill {
+                    Role::Prefill
+                } else {
+                    Role::Decode
+                },
+                slots,
+            };
+            let engines = state.table.iter().filter_map(|(name, leaving)| {
+                let number = name.as_str().strip_prefix(&format!("{service}-"))?;
+                Some((name.clone(), (engine(name, number.parse().ok()?), *leaving)))
+            });
+            let engines: BTreeMap<_, _> = engines.collect();
+            let gone = state
+                .listed
+                .iter()
+                .filter(|vm| !state.view.members.contains_key(*vm));
+            let gone: BTreeSet<VmName> = gone.cloned().collect();
+            let mut actions = cell.set_engines(clock, &engines);
+            actions.extend(cell.set_dead(clock, &gone));
+            for action in actions {
+                self.order(vm, &service, action);
+            }
+        }
+    }
+
+    /// Takes an engine's own account of its load.
+    pub fn load(&mut self, vm: usize, name: &Upstream, service: &Service, held: Vec<JobId>) {
+        let report = EngineReport { held, queue: 0 };
+        self.cell(vm, service, |cell, now| {
+            cell.scheduler.load_report(now, name, &report)
+        });
+    }
+
+    /// Sends a cache event of an engine to the owner of its cell.
+    pub fn cache_event(&mut self, name: &Upstream, service: &Service, event: CacheEvent) {
+        let delay = match self.events {
+            Events::Well => Duration::from_millis(100),
+            Events::Late => Duration::from_secs(2),
+            Events::Lost => return,
+        };
+        let (name, service) = (name.clone(), service.clone());
+        self.after(delay, move |world| {
+            for vm in 0..world.vms.len() {
+                if !world.net.cut(world.vms[vm].name.as_str(), name.as_str()) {
+                    let call = |cell: &mut Cell, now| cell.scheduler.cache_event(now, &name, event);
+                    world.cell(vm, &service, call);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/once.rs
@@ -0,0 +1,299 @@
+//! Once-only requests and plain calls at their entry VM: claims, attached answers, dispatch.
+
+use std::collections::BTreeMap;
+
+use coord::claim::{self, AttemptId, ClaimOptions, Claims, Key, Outcome, Start, VmList};
+use coord::name::{Upstream, VmName};
+use coord::sched::{Action, JobId};
+use coord::time::Time;
+
+use crate::caller::Last;
+use crate::engine::Reply;
+use crate::platform::List;
+use crate::request::{Phase, Run};
+use crate::vm::Letter;
+use crate::world::World;
+
+/// Tries of a repeatable plain call.
+const PLAIN_TRIES: u32 = 3;
+
+/// The wall clock at the origin of the world, in milliseconds of Unix time.
+const UNIX_MS: u64 = 1_800_000_000_000;
+
+/// What a holder tells a VM that attached.
+#[derive(Clone, Debug)]
+pub enum Relay {
+    /// The attempt runs.
+    Running,
+    /// The attempt has ended with this answer.
+    Done(Last, Vec<u64>),
+    /// The holder knows nothing of the attempt, or its answer is lost.
+    Unknown,
+}
+
+impl World {
+    /// Obeys an order, or starts a plain call, after the request's claim is won.
+    pub fn claim_first(&mut self, vm: usize, id: JobId, order: Option<Action>) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let Some(run) = state.runs.get_mut(&id) else {
+            return;
+        };
+        let wanted = run.key.clone().filter(|_| run.once);
+        let (Some(key), None) = (wanted, run.claim) else {
+            if matches!(run.phase, Phase::Claim(_)) && run.claim.is_some() {
+                run.phase = Phase::Claim(order);
+                return;
+            }
+            return self.begin(vm, id, order);
+        };
+        let Some(claims) = &mut state.claims else {
+            return self.finish(vm, id, Some(Last::NotRun));
+        };
+        let (attempt, actions) = claims.start(clock, Key::new(&"org".into(), &key));
+        run.claim = Some(attempt);
+        run.phase = Phase::Claim(order);
+        self.claimed(vm, actions);
+    }
+
+    fn begin(&mut self, vm: usize, id: JobId, order: Option<Action>) {
+        match order {
+            Some(order) => self.start_prefill(vm, order),
+            None => self.start_plain(vm, id),
+        }
+    }
+
+    /// Carries out the actions of claims.
+    fn claimed(&mut self, vm: usize, actions: Vec<claim::Action>) {
+        for action in actions {
+            match action {
+                claim::Action::Send { to, message } => {
+                    self.post(vm, &to, &Letter::Claim(message));
+                }
+                claim::Action::Decided { attempt, outcome } => self.decided(vm, attempt, outcome),
+            }
+        }
+    }
+
+    fn decided(&mut self, vm: usize, attempt: AttemptId, outcome: Outcome) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let mut runs = state.runs.iter_mut();
+        let Some((id, run)) = runs.find(|(_, run)| run.claim == Some(attempt)) else {
+            return;
+        };
+        let Phase::Claim(order) = run.phase.clone() else {
+            return;
+        };
+        let id = *id;
+        let checked = match (outcome, &mut state.claims) {
+            (Outcome::Dispatch, Some(claims)) => claims.dispatch(clock, attempt).err(),
+            (outcome, _) => Some(outcome),
+        };
+        let text = format!("{} claims {id}: {checked:?}", self.vms[vm].name);
+        self.note(&text);
+        match checked {
+            None => self.begin(vm, id, order),
+            Some(Outcome::Attach { holder }) => self.attach(vm, id, holder.vm, holder.attempt),
+            Some(Outcome::NotRun { .. }) => self.finish(vm, id, Some(Last::NotRun)),
+            Some(_) => self.finish(vm, id, Some(Last::Unknown)),
+        }
+    }
+
+    fn attach(&mut self, vm: usize, id: JobId, holder: VmName, attempt: AttemptId) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        run.phase = Phase::Attached(holder, attempt);
+        run.since = clock;
+        if let Some(owner) = run.owner.clone() {
+            self.leave_cell(vm, &owner, id);
+        }
+        self.ask_holder(vm, id);
+    }
+
+    /// Asks the holder of a key for its answer; repeated until the answer is there.
+    pub fn ask_holder(&mut self, vm: usize, id: JobId) {
+        let Some(Phase::Attached(holder, attempt)) = self.run(vm, id).map(|run| run.phase.clone())
+        else {
+            return;
+        };
+        self.post(vm, &holder, &Letter::Attach(attempt, id));
+    }
+
+    /// Answers a VM that attaches to an attempt of this one.
+    pub fn attached(&mut self, vm: usize, from: &VmName, attempt: AttemptId, id: JobId) {
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let running = state.runs.values().any(|run| run.claim == Some(attempt));
+        let relay = match state.answers.get(&attempt) {
+            Some(relay) => relay.clone(),
+            None if running => {
+                let followers = state.followers.entry(attempt).or_default();
+                followers.insert(id, from.clone());
+                Relay::Running
+            }
+            None => Relay::Unknown,
+        };
+        self.post(vm, from, &Letter::Relay(id, relay));
+    }
+
+    /// Takes what the holder of the key says.
+    pub fn relayed(&mut self, vm: usize, id: JobId, relay: Relay) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if !matches!(run.phase, Phase::Attached(..)) {
+            return;
+        }
+        run.since = clock;
+        let request = run.request.clone();
+        match relay {
+            Relay::Running => {}
+            Relay::Unknown => self.finish(vm, id, Some(Last::Unknown)),
+            Relay::Done(last, tokens) => {
+                for token in tokens {
+                    self.tell_token(&request, token);
+                }
+                self.finish(vm, id, Some(last));
+            }
+        }
+    }
+
+    /// Keeps the answer of a claimed request for those who attach, and gives up an unused claim.
+    pub fn settle_claim(&mut self, vm: usize, run: &Run, last: Option<Last>) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let Some(attempt) = run.claim else {
+            return;
+        };
+        if !run.dispatched()
+            && let Some(claims) = &mut state.claims
+        {
+            claims.cancel(clock, attempt);
+        }
+        let relay = match last {
+            Some(Last::Whole) => Relay::Done(Last::Whole, run.tokens.clone()),
+            Some(last) => Relay::Done(last, Vec::new()),
+            None => Relay::Unknown,
+        };
+        state.answers.insert(attempt, relay.clone());
+        let followers: BTreeMap<JobId, VmName> =
+            state.followers.remove(&attempt).unwrap_or_default();
+        for (id, follower) in followers {
+            self.post(vm, &follower, &Letter::Relay(id, relay.clone()));
+        }
+    }
+
+    /// Takes the published list of VMs into the claims; the first one starts them.
+    pub fn claim_list(&mut self, vm: usize, list: &List) {
+        let clock = self.vms[vm].clock(self.now);
+        let name = self.vms[vm].name.clone();
+        let unix_ms = UNIX_MS + self.now.as_micros() / 1_000;
+        let retention = self.scenario.retention;
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let vms = VmList::new(list.revision, list.vms.keys().cloned());
+        let Some(claims) = &mut state.claims else {
+            let start = Start {
+                incarnation: state.members.incarnation(),
+                boot: state.boot,
+                unix_ms,
+                seed: unix_ms ^ coord::hash::hash64(name.as_str().as_bytes()),
+            };
+            let options = ClaimOptions {
+                retention,
+                ..ClaimOptions::default()
+            };
+            state.claims = Some(Claims::new(name, start, options, vms));
+            return;
+        };
+        let actions = claims.adopt(clock, vms);
+        self.claimed(vm, actions);
+    }
+
+    /// Calls the claims of a VM and carries out their actions.
+    pub fn call_claims(
+        &mut self,
+        vm: usize,
+        call: impl FnOnce(&mut Claims, Time) -> Vec<claim::Action>,
+    ) {
+        let clock = self.vms[vm].clock(self.now);
+        let state = self.vms[vm].state.as_mut();
+        if let Some(claims) = state.and_then(|state| state.claims.as_mut()) {
+            let actions = call(claims, clock);
+            self.claimed(vm, actions);
+        }
+    }
+
+    /// Starts a plain call on the next upstream that is not leaving.
+    pub fn start_plain(&mut self, vm: usize, id: JobId) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let Some(run) = state.runs.get_mut(&id) else {
+            return;
+        };
+        let prefix = format!("{}-", run.service);
+        let named = state
+            .table
+            .iter()
+            .filter(|(name, _)| name.as_str().starts_with(&prefix));
+        let live = named.filter(|(_, leaving)| !**leaving);
+        let live: Vec<Upstream> = live.map(|(name, _)| name.clone()).collect();
+        if live.is_empty() {
+            let last = run.refusal();
+            return self.finish(vm, id, Some(last));
+        }
+        let start = usize::try_from(id.0 % 64).unwrap_or(0);
+        let to = live[(start + run.attempt.0 as usize) % live.len()].clone();
+        run.attempt.0 += 1;
+        run.phase = Phase::Plain(to.clone());
+        run.dispatch(clock);
+        if let Some(call) = self.call(vm, id, to) {
+            self.start_call(call, World::plain);
+        }
+    }
+
+    pub fn plain_replied(&mut self, vm: usize, id: JobId, reply: &Reply) {
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        match reply {
+            Reply::Token(_, token) => {
+                run.tokens.push(*token);
+                let request = run.request.clone();
+                self.tell_token(&request, *token);
+            }
+            Reply::Finish => self.finish(vm, id, Some(Last::Whole)),
+            Reply::Unreached => self.plain_failed(vm, id, false),
+            _ => self.plain_failed(vm, id, true),
+        }
+    }
+
+    /// A plain call failed; `sent` tells whether the upstream may have taken it.
+    pub fn plain_failed(&mut self, vm: usize, id: JobId, sent: bool) {
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if !sent {
+            run.undo();
+        }
+        if run.attempt.0 >= PLAIN_TRIES || (run.once && run.dispatched()) {
+            let last = run.refusal();
+            return self.finish(vm, id, Some(last));
+        }
+        self.start_plain(vm, id);
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/route.rs
@@ -0,0 +1,352 @@
+//! One request at its entry VM, as `serve::route` of the router handles it.
+
+use std::time::Duration;
+
+use coord::name::{Upstream, VmName};
+use coord::sched::{Action, Attempt, Failure, JobId, Reason, Stage};
+use rand::RngExt;
+
+use crate::caller::Last;
+use crate::engine::{Call, Reply};
+use crate::register::Progress;
+use crate::request::Phase;
+use crate::world::World;
+
+/// The time without progress after which a caller counts as gone.
+const CALLER_SILENCE: Duration = Duration::from_secs(30);
+
+/// The time that a prefill may take beyond four times its expected duration.
+const PREFILL_SLACK: Duration = Duration::from_secs(2);
+
+/// The time that an import may take.
+const IMPORT_LIMIT: Duration = Duration::from_secs(1);
+
+/// The time without bytes after which a stream or a relay counts as lost.
+const STREAM_LIMIT: Duration = Duration::from_secs(2);
+
+impl World {
+    /// Ends steps that took too long.
+    pub fn check_limits(&mut self, vm: usize, id: JobId) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        let waited = clock.since(run.since);
+        let expected = Duration::from_secs_f64(f64::from(run.job.prompt_tokens) / 40_000.0);
+        if clock >= run.until {
+            let last = run.refusal();
+            return self.finish(vm, id, Some(last));
+        }
+        if run
+            .unread
+            .is_some_and(|at| clock.since(at) > CALLER_SILENCE)
+        {
+            return self.finish(vm, id, None);
+        }
+        match run.phase.clone() {
+            Phase::Prefill(on) if waited > PREFILL_SLACK + expected * 4 => {
+                self.fail(vm, id, &on, Failure::Lost);
+            }
+            Phase::Import(on) if waited > IMPORT_LIMIT => {
+                self.fail(vm, id, &on, Failure::Stalled);
+            }
+            Phase::Stream(on) if waited > STREAM_LIMIT => self.fail(vm, id, &on, Failure::Lost),
+            Phase::Plain(_) if waited > STREAM_LIMIT => self.plain_failed(vm, id, true),
+            Phase::Attached(..) if waited > STREAM_LIMIT => {
+                self.finish(vm, id, Some(Last::Unknown));
+            }
+            _ => {}
+        }
+    }
+
+    /// Obeys an order of the owner of a cell.
+    pub fn obey(&mut self, vm: usize, from: &VmName, action: Action) {
+        let (id, attempt) = match &action {
+            Action::StartPrefill { id, attempt, .. } | Action::StartDecode { id, attempt, .. } => {
+                (*id, Some(*attempt))
+            }
+            Action::Refuse { id, .. } | Action::Cancel { id, .. } => (*id, None),
+        };
+        let Some(run) = self.run(vm, id) else {
+            return self.leave_cell(vm, from, id);
+        };
+        // A late or doubled order, or one of a former owner, is out of date.
+        let late = attempt.is_some_and(|attempt| attempt <= run.attempt);
+        if late || run.owner.as_ref() != Some(from) {
+            return;
+        }
+        match action {
+            Action::StartPrefill { .. } => self.claim_first(vm, id, Some(action)),
+            Action::StartDecode { .. } => self.start_decode(vm, action),
+            Action::Refuse { reason, .. } => {
+                let unknown = run.dispatched() || reason == Reason::Unknown;
+                let last = if unknown { Last::Unknown } else { Last::NotRun };
+                self.note(&format!("{id} is refused: {reason}"));
+                self.finish(vm, id, Some(last));
+            }
+            Action::Cancel { upstream, .. } => self.cancel_calls(vm, id, Some(&upstream)),
+        }
+    }
+
+    fn cancel_calls(&mut self, vm: usize, id: JobId, on: Option<&Upstream>) {
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        let named = |call: &(Upstream, Attempt)| on.is_none_or(|on| *on == call.0);
+        let calls: Vec<_> = run.asked.extract_if(.., |call| named(call)).collect();
+        for (upstream, attempt) in calls {
+            self.cancel_on(vm, &upstream, id, Some(attempt));
+        }
+    }
+
+    /// Obeys an order to prefill; the claim of a once-only request, if any, is won.
+    pub fn start_prefill(&mut self, vm: usize, action: Action) {
+        let Action::StartPrefill {
+            id,
+            attempt,
+            prefill,
+            decode,
+        } = action
+        else {
+            return;
+        };
+        self.cancel_calls(vm, id, None);
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        run.attempt = attempt;
+        run.stage = Some(Stage::Prefill {
+            prefill: prefill.clone(),
+            decode,
+        });
+        run.report = None;
+        run.prefilled = None;
+        run.phase = Phase::Prefill(prefill.clone());
+        run.dispatch(clock);
+        run.asked.insert((prefill.clone(), attempt));
+        if let Some(call) = self.call(vm, id, prefill) {
+            self.start_call(call, World::prefill);
+        }
+    }
+
+    fn start_decode(&mut self, vm: usize, action: Action) {
+        let Action::StartDecode {
+            id,
+            attempt,
+            decode,
+            source,
+        } = action
+        else {
+            return;
+        };
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        run.attempt = attempt;
+        let (from, to) = (source.clone(), decode.clone());
+        run.stage = Some(Stage::Decode {
+            source: from,
+            decode: to,
+        });
+        let ready = run.prefilled.clone().filter(|(from, _)| *from == source);
+        let Some((from, prefilled)) = ready else {
+            return self.report(vm, id, Progress::DecodeFailed(Failure::Evicted, 0));
+        };
+        run.report = None;
+        run.phase = Phase::Import(decode.clone());
+        run.dispatch(clock);
+        run.first = run.job.offset;
+        run.asked.insert((decode.clone(), attempt));
+        if let Some(call) = self.call(vm, id, decode) {
+            let source = (from, (id, prefilled));
+            self.start_call(call, move |world, call| world.decode(call, source));
+        }
+    }
+
+    pub fn call(&mut self, vm: usize, id: JobId, to: Upstream) -> Option<Call> {
+        let life = self.vms[vm].life;
+        self.run(vm, id).map(|run| Call {
+            vm,
+            life,
+            id: (id, run.attempt),
+            to,
+            request: run.request.clone(),
+            body: run.body.clone(),
+            key: run.key.clone(),
+            poison: run.poison,
+            prompt: run.job.prompt_tokens,
+            offset: run.job.offset,
+            tokens: run.job.offset + run.job.max_tokens,
+        })
+    }
+
+    fn report(&mut self, vm: usize, id: JobId, progress: Progress) {
+        if let Some(run) = self.run(vm, id) {
+            run.report = Some(progress);
+            self.ask(vm, id);
+        }
+    }
+
+    /// An upstream answered.
+    pub fn replied(&mut self, vm: usize, call: &Call, reply: &Reply) {
+        let id = call.id.0;
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        let current = match &run.phase {
+            Phase::Prefill(on) | Phase::Import(on) | Phase::Stream(on) | Phase::Plain(on) => {
+                *on == call.to && run.attempt == call.id.1
+            }
+            _ => false,
+        };
+        // A late answer of an abandoned attempt.
+        if !current {
+            return;
+        }
+        run.since = clock;
+        if matches!(run.phase, Phase::Plain(_)) {
+            return self.plain_replied(vm, id, reply);
+        }
+        if matches!(reply, Reply::Full | Reply::Unreached) {
+            run.asked.remove(&(call.to.clone(), call.id.1));
+            run.undo();
+        }
+        match reply {
+            Reply::Prefilled(done) => {
+                run.prefilled = Some((call.to.clone(), call.id.1));
+                run.phase = Phase::Cell;
+                self.report(vm, id, Progress::PrefillDone(*done));
+            }
+            Reply::Token(index, token) => self.token(vm, id, &call.to, *index, *token),
+            Reply::Finish if run.job.max_tokens > 0 => {
+                // The end of the stream shows that tokens are missing.
+                self.fail(vm, id, &call.to, Failure::Lost);
+            }
+            Reply::Finish => self.finish(vm, id, Some(Last::Whole)),
+            Reply::Full => self.fail(vm, id, &call.to, Failure::Full),
+            Reply::Evicted => self.fail(vm, id, &call.to, Failure::Evicted),
+            Reply::Broken | Reply::Unreached => self.fail(vm, id, &call.to, Failure::Lost),
+            Reply::Cancelled => self.rename(vm, id),
+        }
+    }
+
+    fn token(&mut self, vm: usize, id: JobId, on: &Upstream, index: u32, token: u64) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if index < run.job.offset {
+            return;
+        }
+        if index > run.job.offset {
+            return self.fail(vm, id, on, Failure::Lost);
+        }
+        run.tokens.push(token);
+        run.job.offset += 1;
+        run.job.prompt_tokens += 1;
+        run.job.max_tokens = run.job.max_tokens.saturating_sub(1);
+        let request = run.request.clone();
+        let first = matches!(run.phase, Phase::Import(_));
+        if first {
+            run.phase = Phase::Stream(on.clone());
+            if let Some(source) = run.prefilled.take() {
+                run.asked.remove(&source);
+            }
+        }
+        let silent = self
+            .callers
+            .get(&request)
+            .is_some_and(|caller| caller.silent);
+        if let Some(run) = self.run(vm, id).filter(|_| silent) {
+            run.unread.get_or_insert(clock);
+        }
+        if first {
+            self.report(vm, id, Progress::DecodeStarted);
+        }
+        self.tell_token(&request, token);
+    }
+
+    /// A step on an engine failed: the owner decides how to go on.
+    fn fail(&mut self, vm: usize, id: JobId, on: &Upstream, failure: Failure) {
+        self.note(&format!("{on} fails {id}: {failure}"));
+        let full = failure == Failure::Full;
+        if !full {
+            self.cancel_calls(vm, id, None);
+        }
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if run.once && run.dispatched() && !full {
+            return self.finish(vm, id, Some(Last::Unknown));
+        }
+        let count = run.job.offset - run.first;
+        let progress = match run.phase {
+            Phase::Prefill(_) => Progress::PrefillFailed(failure),
+            _ => Progress::DecodeFailed(failure, count),
+        };
+        run.first = run.job.offset;
+        run.phase = Phase::Cell;
+        if !full {
+            run.prefilled = None;
+        }
+        self.report(vm, id, progress);
+    }
+
+    /// Starts again under a new id, because engines remember the old one as cancelled, or because
+    /// the owner of the cell does not know the job.
+    pub fn rename(&mut self, vm: usize, id: JobId) {
+        self.cancel_calls(vm, id, None);
+        let new = JobId::new(&self.vms[vm].name, self.rng.random());
+        let clock = self.vms[vm].clock(self.now);
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if run.once && run.dispatched() {
+            return self.finish(vm, id, Some(Last::Unknown));
+        }
+        if let Some(owner) = run.owner.take() {
+            self.leave_cell(vm, &owner, id);
+        }
+        if let Some(state) = &mut self.vms[vm].state
+            && let Some(mut run) = state.runs.remove(&id)
+        {
+            run.job.id = new;
+            run.attempt = Attempt::default();
+            run.stage = None;
+            run.report = None;
+            run.prefilled = None;
+            run.first = run.job.offset;
+            run.phase = Phase::Cell;
+            run.since = clock;
+            state.runs.insert(new, run);
+        }
+        self.ask(vm, new);
+    }
+
+    /// Ends a request; without `last`, its caller is gone.
+    pub fn finish(&mut self, vm: usize, id: JobId, last: Option<Last>) {
+        let Some(run) = self.run(vm, id) else {
+            return;
+        };
+        if last == Some(Last::Whole) {
+            run.asked.clear();
+            self.report(vm, id, Progress::Finished);
+        } else {
+            self.cancel_calls(vm, id, None);
+            if let Some(owner) = self.run(vm, id).and_then(|run| run.owner.clone()) {
+                self.leave_cell(vm, &owner, id);
+            }
+        }
+        let removed = self.vms[vm].state.as_mut().and_then(|s| s.runs.remove(&id));
+        let Some(run) = removed else {
+            return;
+        };
+        self.settle_claim(vm, &run, last);
+        if let Some(last) = last {
+            self.tell(&run.request, last);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/vm.rs
@@ -0,0 +1,404 @@
+//! One VM: its process, its state machines and their messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::claim::{self, AttemptId, Claims};
+use coord::config::{self, Answer, Config};
+use coord::hash::hash64;
+use coord::member::{self, Me, Members, View};
+use coord::name::{DataCentre, Service, Upstream, VmName};
+use coord::sched::{Attempt, JobId};
+use coord::time::Time;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::cell::Cell;
+use crate::names;
+use crate::once::Relay;
+use crate::platform::UPSTREAMS;
+use crate::register::CellMessage;
+use crate::request::Run;
+use crate::world::{Event, World};
+
+/// The time between two calls of the state machines.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The time between two readings of the list and of the engines' load.
+const POLL: Duration = Duration::from_millis(500);
+
+/// A message between VMs.
+#[derive(Clone)]
+pub enum Letter {
+    Member(member::Packet),
+    Config(config::Message),
+    Cell(CellMessage),
+    Claim(claim::Message),
+    /// Asks for the answer of an attempt, on behalf of a request of the sender.
+    Attach(AttemptId, JobId),
+    Relay(JobId, Relay),
+}
+
+pub struct Vm {
+    pub name: VmName,
+    pub zone: DataCentre,
+    number: usize,
+    /// The rate of its clock, up to 1% off.
+    rate: f64,
+    pub up: bool,
+    pub paused: bool,
+    /// Increases with each start.
+    pub life: u32,
+    started: Time,
+    /// What reached the process while it was paused.
+    pub held: Vec<Event>,
+    /// The time by which this VM sees the list later than others.
+    pub list_lag: Duration,
+    /// When its planned stop began.
+    pub stopping: Option<Time>,
+    pub state: Option<State>,
+    /// The highest revision seen in force of each document, in this life.
+    watch: BTreeMap<Arc<str>, u64>,
+}
+
+/// The memory of a process.
+pub struct State {
+    pub members: Members,
+    pub config: Config,
+    pub cells: BTreeMap<Service, Cell>,
+    /// Claims exist once the VM knows the list.
+    pub claims: Option<Claims>,
+    /// How claimed requests of this process ended.
+    pub answers: BTreeMap<AttemptId, Relay>,
+    /// Requests of other VMs that wait for the answer of an attempt.
+    pub followers: BTreeMap<AttemptId, BTreeMap<JobId, VmName>>,
+    /// The instant of the start.
+    pub boot: Time,
+    pub runs: BTreeMap<JobId, Run>,
+    pub view: Arc<View>,
+    trusted: bool,
+    /// The VMs that the list has.
+    pub listed: BTreeSet<VmName>,
+    /// Upstreams that the VM knows; `true` for one that is leaving.
+    pub table: BTreeMap<Upstream, bool>,
+    /// Cancels that engines have not acknowledged.
+    pub cancels: BTreeSet<(Upstream, JobId, Option<Attempt>)>,
+    /// When the running requests are registered again.
+    pub next_ask: Time,
+}
+
+impl Vm {
+    pub fn new(number: usize, zones: &[String], rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            name: names::vm(number).as_str().into(),
+            zone: zones[number % zones.len()].as_str().into(),
+            number,
+            rate: 1.0 + rng.random_range(-0.01..0.01),
+            up: false,
+            paused: false,
+            life: 0,
+            started: Time::ZERO,
+            held: Vec::new(),
+            list_lag: Duration::ZERO,
+            stopping: None,
+            state: None,
+            watch: BTreeMap::new(),
+        }
+    }
+
+    fn me(&self, boot: u64) -> Me {
+        let port = u16::try_from(self.number).unwrap_or(u16::MAX);
+        Me {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            addr: ([10, 0, 0, 1], port).into(),
+            boot,
+        }
+    }
+
+    /// Returns the instant on the process's own clock.
+    pub fn clock(&self, now: Time) -> Time {
+        Time::from_millis(5_000) + now.since(self.started).mul_f64(self.rate)
+    }
+
+    fn begin(&mut self, now: Time, seed: u64) {
+        self.end();
+        self.up = true;
+        self.started = now;
+        let clock = self.clock(now);
+        let me = self.me(now.as_micros() / 1_000);
+        let members = Members::new(me, member::Options::default(), seed, clock);
+        let options = config::Options::default();
+        let config = Config::new(self.name.clone(), validator(), options, seed, clock);
+        self.state = Some(State {
+            view: members.view(),
+            members,
+            config,
+            cells: BTreeMap::new(),
+            claims: None,
+            answers: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            boot: clock,
+            runs: BTreeMap::new(),
+            trusted: false,
+            listed: BTreeSet::new(),
+            table: BTreeMap::new(),
+            cancels: BTreeSet::new(),
+            next_ask: Time::ZERO,
+        });
+    }
+
+    fn end(&mut self) {
+        self.life += 1;
+        self.up = false;
+        self.paused = false;
+        self.held.clear();
+        self.stopping = None;
+        self.state = None;
+        self.watch.clear();
+    }
+
+    /// Returns the VM that owns the cell of a service in this VM's view.
+    pub fn owner(&self, service: &Service) -> Option<VmName> {
+        let owners = self.state.as_ref()?.view.owners();
+        owners.owner(hash64(service.as_str().as_bytes())).cloned()
+    }
+
+    /// Returns whether the VM takes requests.
+    pub fn serving(&self) -> bool {
+        let ready = self.state.as_ref().is_some_and(|s| s.config.ready());
+        self.up && ready && self.stopping.is_none()
+    }
+}
+
+/// Texts that start with `bad` are malformed.
+fn validator() -> config::Validator {
+    Arc::new(|_: &str, text: &str| {
+        if text.starts_with("bad") {
+            Err(vec!["line 1: the text is malformed".to_owned()])
+        } else {
+            Ok(())
+        }
+    })
+}
+
+impl World {
+    pub fn start_vm(&mut self, vm: usize) {
+        if self.vms[vm].up {
+            return;
+        }
+        let seed = self.rng.random();
+        self.vms[vm].begin(self.now, seed);
+        let life = self.vms[vm].life;
+        self.tick_vm(vm, life);
+        self.poll(vm, life);
+    }
+
+    /// Ends a process: its memory is lost and its connections break.
+    pub fn kill_vm(&mut self, vm: usize) {
+        let life = self.vms[vm].life;
+        self.vms[vm].end();
+        for caller in self.callers.values_mut() {
+            if caller.vm == vm && caller.life == life && caller.last.is_empty() {
+                caller.closed = true;
+            }
+        }
+    }
+
+    pub fn wake_vm(&mut self, vm: usize) {
+        self.vms[vm].paused = false;
+        for event in std::mem::take(&mut self.vms[vm].held) {
+            event(self);
+        }
+    }
+
+    /// Begins a planned stop; a second signal changes nothing.
+    pub fn stop_vm(&mut self, vm: usize) {
+        if !self.vms[vm].up || self.vms[vm].stopping.is_some() {
+            return;
+        }
+        self.vms[vm].stopping = Some(self.now);
+        let name = self.vms[vm].name.clone();
+        self.platform.change_list(self.now, |list| {
+            list.vms.insert(name, true);
+        });
+        self.drive(vm, |state, now| (state.members.leave(now), Vec::new()));
+    }
+
+    /// Ends a stopping process that has no request left, once its peers know that it leaves.
+    fn leave_vm(&mut self, vm: usize) {
+        /// The time in which the news of the stop reaches every VM.
+        const HANDOVER: Duration = Duration::from_secs(2);
+        let since = self.vms[vm].stopping;
+        let told = since.is_some_and(|at| self.now.since(at) > HANDOVER);
+        let idle = self.vms[vm]
+            .state
+            .as_ref()
+            .is_some_and(|s| s.runs.is_empty());
+        if told && idle {
+            let name = self.vms[vm].name.clone();
+            self.note(&format!("{name} exits"));
+            self.kill_vm(vm);
+            self.platform.change_list(self.now, |list| {
+                list.vms.remove(&name);
+            });
+        }
+    }
+
+    fn tick_vm(&mut self, vm: usize, life: u32) {
+        if self.vms[vm].life != life {
+            return;
+        }
+        if !self.vms[vm].paused {
+            self.drive(vm, |state, now| {
+                (state.members.tick(now), state.config.tick(now))
+            });
+            self.call_claims(vm, Claims::tick);
+            self.tick_cells(vm);
+            self.tick_runs(vm);
+            self.leave_vm(vm);
+        }
+        self.after(TICK, move |world| world.tick_vm(vm, life));
+    }
+
+    fn poll(&mut self, vm: usize, life: u32) {
+        if self.vms[vm].life != life {
+            return;
+        }
+        if !self.vms[vm].paused {
+            self.read_list(vm);
+            self.ask_load(vm);
+        }
+        let pace = POLL.mul_f64(self.rng.random_range(0.9..1.1));
+        self.after(pace, move |world| world.poll(vm, life));
+    }
+
+    fn read_list(&mut self, vm: usize) {
+        let platform_cut = self.net.cut(self.vms[vm].name.as_str(), "platform");
+        let lag = self.vms[vm].list_lag;
+        let Some(list) = self.platform.list(self.now, lag).filter(|_| !platform_cut) else {
+            return;
+        };
+        let vms = &self.vms;
+        let listed = list.vms.iter().filter_map(|(name, leaving)| {
+            let vm = vms.iter().find(|vm| vm.name == *name)?;
+            let me = vm.me(0);
+            let (name, zone, addr) = (me.name, me.zone, me.addr);
+            Some(member::Listed {
+                name,
+                zone,
+                addr,
+                leaving: *leaving,
+            })
+        });
+        let listed: Vec<_> = listed.collect();
+        self.claim_list(vm, &list);
+        self.drive(vm, move |state, now| {
+            state.listed = list.vms.keys().cloned().collect();
+            let member = state.members.list(now, list.revision, &listed);
+            let config = &mut state.config;
+            (
+                member,
+                config.snapshot(now, UPSTREAMS, list.revision, &list.upstreams),
+            )
+        });
+    }
+
+    /// Takes the answer to a read of the configuration service.
+    pub fn answered(&mut self, vm: usize, answer: Option<Answer>) {
+        self.drive(vm, |state, now| {
+            let Some(answer) = answer else {
+                state.config.failed(now);
+                return (Vec::new(), Vec::new());
+            };
+            (Vec::new(), state.config.answer(now, &answer))
+        });
+    }
+
+    pub fn receive(&mut self, vm: usize, from: &VmName, letter: Letter) {
+        match letter {
+            Letter::Member(packet) => self.drive(vm, |state, now| {
+                (state.members.receive(now, packet), Vec::new())
+            }),
+            Letter::Config(message) => self.drive(vm, |state, now| {
+                (Vec::new(), state.config.receive(now, from, message))
+            }),
+            Letter::Cell(message) => self.cell_message(vm, from, message),
+            Letter::Claim(message) => {
+                self.call_claims(vm, |claims, now| claims.receive(now, from, message));
+            }
+            Letter::Attach(attempt, id) => self.attached(vm, from, attempt, id),
+            Letter::Relay(id, relay) => self.relayed(vm, id, relay),
+        }
+    }
+
+    /// Calls the state machines of membership and configuration and carries out their actions.
+    fn drive(
+        &mut self,
+        vm: usize,
+        call: impl FnOnce(&mut State, Time) -> (Vec<member::Action>, Vec<config::Action>),
+    ) {
+        let clock = self.vms[vm].clock(self.now);
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let (member, config) = call(state, clock);
+        let trusted = state.members.trusted(clock);
+        let changed = member.contains(&member::Action::Changed) || trusted != state.trusted;
+        if changed {
+            state.trusted = trusted;
+            state.view = state.members.view();
+            state.config.view(&state.view, trusted);
+        }
+        for action in member {
+            if let member::Action::Send { to, packet, .. } = action {
+                self.post(vm, &to, &Letter::Member(packet));
+            }
+        }
+        let mut list = false;
+        for action in config {
+            match action {
+                config::Action::Send { to, message } => {
+                    self.post(vm, &to, &Letter::Config(message));
+                }
+                config::Action::Read { since, wait } => self.read(vm, since, wait),
+                config::Action::InForce { name, .. } => list |= name.starts_with(UPSTREAMS),
+                _ => {}
+            }
+        }
+        self.check_force(vm);
+        if changed || list {
+            self.read_table(vm);
+            self.change_cells(vm);
+        }
+    }
+
+    fn read_table(&mut self, vm: usize) {
+        let Some(state) = &mut self.vms[vm].state else {
+            return;
+        };
+        let entries = state.config.store().iter();
+        let upstreams = entries.filter_map(|(name, _, text)| {
+            let name = name.strip_prefix(UPSTREAMS)?;
+            Some((name.into(), **text == *"leaving"))
+        });
+        state.table = upstreams.collect();
+    }
+
+    /// Checks that no document in force goes back within the life of a process.
+    fn check_force(&mut self, vm: usize) {
+        let vm = &mut self.vms[vm];
+        let Some(state) = &vm.state else {
+            return;
+        };
+        for (name, revision, _) in state.config.store().iter() {
+            let before = vm.watch.entry(Arc::clone(name)).or_insert(0);
+            if revision < *before {
+                let place = format!("H8: {} went from revision {before} of {name}", vm.name);
+                self.broken.push(format!("{place} back to {revision}"));
+            }
+            *before = revision;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/tests/scenarios.rs
@@ -0,0 +1,46 @@
+//! Runs every file of `tests/scenarios` as a test of its own.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use libtest_mimic::{Arguments, Failed, Trial};
+
+/// Guards against requirements that a fault of the fleet breaks; the file names them.
+fn check(path: &Path) -> Result<(), Failed> {
+    let name = path.file_name().unwrap_or_default().to_string_lossy();
+    let source = std::fs::read_to_string(path)?;
+    let scenario = scenario::parse(&name, &source).map_err(|faults| list(&faults))?;
+
+    let verdict = scenario::run(&scenario);
+
+    if verdict.faults.is_empty() {
+        return Ok(());
+    }
+    let trace = verdict.trace.join("\n");
+    Err(format!("{}\n\ntrace:\n{trace}", list(&verdict.faults)).into())
+}
+
+fn list(faults: &[scenario::Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::from_args();
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/scenarios");
+    let files = std::fs::read_dir(folder).expect("the folder of scenarios can be read");
+    let files = files.map(|file| file.expect("the folder can be listed").path());
+    let mut files: Vec<PathBuf> = files
+        .filter(|p| p.extension().is_some_and(|e| e == "scn"))
+        .collect();
+    files.sort();
+    let trials = files.into_iter().map(|path| {
+        let name = path
+            .file_stem()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .into_owned();
+        Trial::test(name, move || check(&path))
+    });
+    libtest_mimic::run(&arguments, trials.collect()).exit_code()
+}
