Join the leases of engine slots into the scenarios' VMs

Change: each entry VM keeps a Holder, each owned cell a Leases table; expiry, renewal, the load report and a VM's death free slots through them. An owner that does not trust its view after a pause does not act.

--- a/crates/scenario/src/cell.rs
+++ b/crates/scenario/src/cell.rs
@@ -6,14 +6,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use coord::lease::{LeaseOptions, Leases};
 use coord::name::{Service, Upstream, VmName};
 use coord::sched::{
-    Action, Attempt, CacheEvent, Engine, EngineReport, JobId, Role, SchedOptions, Scheduler,
+    Action, Attempt, CacheEvent, Engine, EngineReport, JobId, SchedOptions, Scheduler,
 };
 use coord::time::Time;
-use rand::RngExt;
 
-use crate::ast::{Events, Kind};
+use crate::ast::Events;
 use crate::register::{CellMessage, Item, Progress};
 use crate::vm::Letter;
 use crate::world::World;
@@ -29,6 +29,7 @@
     scheduler: Scheduler,
     engines: BTreeMap<Upstream, bool>,
     entries: BTreeMap<JobId, Entry>,
+    pub leases: Leases,
     dead: BTreeSet<VmName>,
 }
 
@@ -57,6 +58,33 @@
 }
 
 impl Cell {
+    /// Returns the state of a new owner.
+    pub fn new(now: Time, step: Duration, seed: u64) -> Self {
+        let options = SchedOptions {
+            step,
+            ..SchedOptions::default()
+        };
+        let mut scheduler = Scheduler::new(options, seed);
+        scheduler.take_over(now, TTL);
+        Self {
+            scheduler,
+            engines: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            leases: Leases::new(now, LeaseOptions::default()),
+            dead: BTreeSet::new(),
+        }
+    }
+
+    /// Returns whether the owner takes a VM for dead.
+    pub fn is_dead(&self, vm: &VmName) -> bool {
+        self.dead.contains(vm)
+    }
+
+    /// Returns the entry VM of a job.
+    pub fn entry_vm(&self, id: JobId) -> Option<&VmName> {
+        self.entries.get(&id).map(|entry| &entry.vm)
+    }
+
     /// Returns whether the job of an item is lost: it has had attempts that this owner never saw,
     /// and nothing of it runs that could be registered.
     fn has_lost(&self, item: &Item) -> bool {
@@ -118,12 +146,12 @@
         gone.iter().flat_map(|id| self.cancel(now, *id)).collect()
     }
 
-    fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
+    pub fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
         self.entries.remove(&id);
         self.scheduler.cancel(now, id)
     }
 
-    fn set_dead(&mut self, now: Time, dead: &BTreeSet<VmName>) -> Vec<Action> {
+    pub fn set_dead(&mut self, now: Time, dead: &BTreeSet<VmName>) -> Vec<Action> {
         let mut actions = Vec::new();
         for vm in dead.difference(&self.dead) {
             self.entries.retain(|_, entry| entry.vm != *vm);
@@ -136,7 +164,7 @@
         actions
     }
 
-    fn set_engines(
+    pub fn set_engines(
         &mut self,
         now: Time,
         engines: &BTreeMap<Upstream, (Engine, bool)>,
@@ -167,18 +195,24 @@
 }
 
 impl World {
+    /// Returns a cell that the VM owns. A VM that was paused does not act as owner before it trusts
+    /// its view again.
+    pub fn owned(&mut self, vm: usize, service: &Service) -> Option<&mut Cell> {
+        let clock = self.vms[vm].clock(self.now);
+        let state = self.vms[vm].state.as_mut()?;
+        let trusted = state.members.trusted(clock);
+        state.cells.get_mut(service).filter(|_| trusted)
+    }
+
     /// Calls an owned cell and sends its orders.
-    fn cell(
+    pub fn cell(
         &mut self,
         vm: usize,
         service: &Service,
         call: impl FnOnce(&mut Cell, Time) -> Vec<Action>,
     ) {
         let now = self.vms[vm].clock(self.now);
-        let Some(state) = &mut self.vms[vm].state else {
-            return;
-        };
-        let Some(owned) = state.cells.get_mut(service) else {
+        let Some(owned) = self.owned(vm, service) else {
             return;
         };
         let actions = call(owned, now);
@@ -187,12 +221,10 @@
         }
     }
 
-    fn order(&mut self, vm: usize, service: &Service, action: Action) {
+    pub fn order(&mut self, vm: usize, service: &Service, action: Action) {
         let id = job_of(&action);
-        let Some(state) = &mut self.vms[vm].state else {
-            return;
-        };
-        let Some(cell) = state.cells.get_mut(service) else {
+        self.grant(vm, service, id, &action);
+        let Some(cell) = self.owned(vm, service) else {
             return;
         };
         let Some(entry) = cell.entries.get_mut(&id) else {
@@ -272,73 +304,7 @@
         let owned: Vec<Service> = state.cells.keys().cloned().collect();
         for service in owned {
             self.cell(vm, &service, |cell, now| cell.scheduler.tick(now));
-        }
-    }
-
-    /// Takes over and gives up cells after the view or the list of upstreams changed.
-    pub fn change_cells(&mut self, vm: usize) {
-        let clock = self.vms[vm].clock(self.now);
-        let services = self.scenario.services.clone();
-        for def in services {
-            let Kind::Model {
-                slots,
-                prefill,
-                step,
-                ..
-            } = def.kind
-            else {
-                continue;
-            };
-            let service = Service::from(def.name.as_str());
-            let own = self.vms[vm].owner(&service) == Some(self.vms[vm].name.clone());
-            let seed = self.rng.random();
-            let Some(state) = &mut self.vms[vm].state else {
-                return;
-            };
-            if !own || !state.members.trusted(clock) {
-                state.cells.remove(&service);
-                continue;
-            }
-            let cell = state.cells.entry(service.clone()).or_insert_with(|| {
-                let options = SchedOptions {
-                    step,
-                    ..SchedOptions::default()
-                };
-                let mut scheduler = Scheduler::new(options, seed);
-                scheduler.take_over(clock, TTL);
-                let (engines, entries) = (BTreeMap::new(), BTreeMap::new());
-                Cell {
-                    scheduler,
-                    engines,
-                    entries,
-                    dead: BTreeSet::new(),
-                }
-            });
-            let engine = |name: &Upstream, number: u32| Engine {
-                name: name.clone(),
-                data_centre: "links".into(),
-                role: if number <= prefill {
-                    Role::Prefill
-                } else {
-                    Role::Decode
-                },
-                slots,
-            };
-            let engines = state.table.iter().filter_map(|(name, leaving)| {
-                let number = name.as_str().strip_prefix(&format!("{service}-"))?;
-                Some((name.clone(), (engine(name, number.parse().ok()?), *leaving)))
-            });
-            let engines: BTreeMap<_, _> = engines.collect();
-            let gone = state
-                .listed
-                .iter()
-                .filter(|vm| !state.view.members.contains_key(*vm));
-            let gone: BTreeSet<VmName> = gone.cloned().collect();
-            let mut actions = cell.set_engines(clock, &engines);
-            actions.extend(cell.set_dead(clock, &gone));
-            for action in actions {
-                self.order(vm, &service, action);
-            }
+            self.expire_leases(vm, &service);
         }
     }
 
--- a/crates/scenario/src/engine.rs
+++ b/crates/scenario/src/engine.rs
@@ -263,10 +263,11 @@
         });
     }
 
-    /// Asks every engine for its load; cancels what a predecessor of this process left there.
+    /// Asks every engine for its load.
     pub fn ask_load(&mut self, vm: usize) {
         let life = self.vms[vm].life;
-        let names: Vec<Upstream> = self.engines.keys().cloned().collect();
+        let engines = self.engines.iter().filter(|(_, engine)| engine.slots > 0);
+        let names: Vec<Upstream> = engines.map(|(name, _)| name.clone()).collect();
         for name in names {
             let on = name.clone();
             let arrive = move |world: &mut World| {
@@ -276,7 +277,7 @@
                 let (held, service) = (engine.held(), engine.service.clone());
                 world.after(HOP, move |world| {
                     world.on_vm(vm, life, move |world| {
-                        world.cancel_unknown(vm, &on, &held);
+                        world.check_held(vm, &on, &service, &held);
                         world.load(vm, &on, &service, held);
                     });
                 });
@@ -284,18 +285,4 @@
             self.call_engine(vm, &name, arrive, |_| ());
         }
     }
-
-    fn cancel_unknown(&mut self, vm: usize, on: &Upstream, held: &[JobId]) {
-        let tag = JobId::tag_of(&self.vms[vm].name);
-        let Some(state) = &self.vms[vm].state else {
-            return;
-        };
-        let own = held
-            .iter()
-            .filter(|id| id.tag() == tag && !state.runs.contains_key(*id));
-        let unknown: Vec<JobId> = own.copied().collect();
-        for id in unknown {
-            self.cancel_on(vm, on, id, None);
-        }
-    }
 }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -18,6 +18,8 @@
 mod calls;
 mod cell;
 mod engine;
+mod leases;
+mod lists;
 mod names;
 mod once;
 mod parse;
@@ -26,6 +28,7 @@
 mod request;
 mod route;
 mod run;
+mod takeover;
 mod vm;
 mod world;
 
--- a/crates/scenario/src/register.rs
+++ b/crates/scenario/src/register.rs
@@ -113,11 +113,16 @@
         }
     }
 
+    /// Returns the services that have cells.
+    pub fn model_services(&self) -> Vec<Service> {
+        let defs = self.scenario.services.iter();
+        let models = defs.filter(|def| matches!(def.kind, Kind::Model { .. }));
+        models.map(|def| def.name.as_str().into()).collect()
+    }
+
     fn ask_all(&mut self, vm: usize, ids: &[JobId]) {
-        for def in self.scenario.services.clone() {
-            let service = Service::from(def.name.as_str());
-            let model = matches!(def.kind, Kind::Model { .. });
-            let Some(owner) = self.vms[vm].owner(&service).filter(|_| model) else {
+        for service in self.model_services() {
+            let Some(owner) = self.vms[vm].owner(&service) else {
                 continue;
             };
             let mut items = Vec::new();
@@ -137,8 +142,7 @@
 
     /// Tells a cell that a job is over.
     pub fn leave_cell(&mut self, vm: usize, owner: &VmName, id: JobId) {
-        for def in self.scenario.services.clone() {
-            let service = def.name.as_str().into();
+        for service in self.model_services() {
             let message = CellMessage::Cancel { service, id };
             self.post(vm, owner, &Letter::Cell(message));
         }
--- a/crates/scenario/src/route.rs
+++ b/crates/scenario/src/route.rs
@@ -92,9 +92,10 @@
         let Some(run) = self.run(vm, id) else {
             return;
         };
-        let named = |call: &(Upstream, Attempt)| on.is_none_or(|on| *on == call.0);
-        let calls: Vec<_> = run.asked.extract_if(.., |call| named(call)).collect();
+        let named = |call: &&(Upstream, Attempt)| on.is_none_or(|on| *on == call.0);
+        let calls: Vec<_> = run.asked.iter().filter(named).cloned().collect();
         for (upstream, attempt) in calls {
+            self.drop_call(vm, id, &upstream, attempt);
             self.cancel_on(vm, &upstream, id, Some(attempt));
         }
     }
@@ -124,7 +125,8 @@
         run.prefilled = None;
         run.phase = Phase::Prefill(prefill.clone());
         run.dispatch(clock);
-        run.asked.insert((prefill.clone(), attempt));
+
+        self.add_call(vm, id, &prefill, attempt);
         if let Some(call) = self.call(vm, id, prefill) {
             self.start_call(call, World::prefill);
         }
@@ -158,7 +160,8 @@
         run.phase = Phase::Import(decode.clone());
         run.dispatch(clock);
         run.first = run.job.offset;
-        run.asked.insert((decode.clone(), attempt));
+
+        self.add_call(vm, id, &decode, attempt);
         if let Some(call) = self.call(vm, id, decode) {
             let source = (from, (id, prefilled));
             self.start_call(call, move |world, call| world.decode(call, source));
@@ -210,18 +213,21 @@
         if matches!(run.phase, Phase::Plain(_)) {
             return self.plain_replied(vm, id, reply);
         }
+        let missing = run.job.max_tokens > 0;
         if matches!(reply, Reply::Full | Reply::Unreached) {
-            run.asked.remove(&(call.to.clone(), call.id.1));
             run.undo();
+            self.drop_call(vm, id, &call.to, call.id.1);
         }
         match reply {
             Reply::Prefilled(done) => {
-                run.prefilled = Some((call.to.clone(), call.id.1));
-                run.phase = Phase::Cell;
+                if let Some(run) = self.run(vm, id) {
+                    run.prefilled = Some((call.to.clone(), call.id.1));
+                    run.phase = Phase::Cell;
+                }
                 self.report(vm, id, Progress::PrefillDone(*done));
             }
             Reply::Token(index, token) => self.token(vm, id, &call.to, *index, *token),
-            Reply::Finish if run.job.max_tokens > 0 => {
+            Reply::Finish if missing => {
                 // The end of the stream shows that tokens are missing.
                 self.fail(vm, id, &call.to, Failure::Lost);
             }
@@ -252,8 +258,8 @@
         let first = matches!(run.phase, Phase::Import(_));
         if first {
             run.phase = Phase::Stream(on.clone());
-            if let Some(source) = run.prefilled.take() {
-                run.asked.remove(&source);
+            if let Some((source, attempt)) = run.prefilled.take() {
+                self.drop_call(vm, id, &source, attempt);
             }
         }
         let silent = self
@@ -332,7 +338,10 @@
             return;
         };
         if last == Some(Last::Whole) {
-            run.asked.clear();
+            let calls = run.asked.clone();
+            for (upstream, attempt) in calls {
+                self.drop_call(vm, id, &upstream, attempt);
+            }
             self.report(vm, id, Progress::Finished);
         } else {
             self.cancel_calls(vm, id, None);
--- /dev/null
+++ b/crates/scenario/src/takeover.rs
@@ -0,0 +1,73 @@
+//! Which cells a VM owns, and with which engines.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coord::name::{Service, Upstream, VmName};
+use coord::sched::{Engine, Role};
+use rand::RngExt;
+
+use crate::ast::Kind;
+use crate::cell::Cell;
+use crate::world::World;
+
+impl World {
+    /// Takes over and gives up cells after the view or the list of upstreams changed.
+    pub fn change_cells(&mut self, vm: usize) {
+        let clock = self.vms[vm].clock(self.now);
+        let services = self.scenario.services.clone();
+        for def in services {
+            let Kind::Model {
+                slots,
+                prefill,
+                step,
+                ..
+            } = def.kind
+            else {
+                continue;
+            };
+            let service = Service::from(def.name.as_str());
+            let own = self.vms[vm].owner(&service) == Some(self.vms[vm].name.clone());
+            let seed = self.rng.random();
+            let Some(state) = &mut self.vms[vm].state else {
+                return;
+            };
+            if !own || !state.members.trusted(clock) {
+                state.cells.remove(&service);
+                continue;
+            }
+            let new = || Cell::new(clock, step, seed);
+            let cell = state.cells.entry(service.clone()).or_insert_with(new);
+            let engine = |name: &Upstream, number: u32| Engine {
+                name: name.clone(),
+                data_centre: "links".into(),
+                role: if number <= prefill {
+                    Role::Prefill
+                } else {
+                    Role::Decode
+                },
+                slots,
+            };
+            let engines = state.table.iter().filter_map(|(name, leaving)| {
+                let number = name.as_str().strip_prefix(&format!("{service}-"))?;
+                Some((name.clone(), (engine(name, number.parse().ok()?), *leaving)))
+            });
+            let engines: BTreeMap<_, _> = engines.collect();
+            let gone = state
+                .listed
+                .iter()
+                .filter(|vm| !state.view.members.contains_key(*vm));
+            let gone: BTreeSet<VmName> = gone.cloned().collect();
+            let newly = gone.iter().filter(|vm| !cell.is_dead(vm));
+            let newly: Vec<VmName> = newly.cloned().collect();
+            let leases = &mut cell.leases;
+            let freed = newly.iter().flat_map(|vm| leases.vm_down(clock, vm));
+            let freed: Vec<_> = freed.collect();
+            let mut actions = cell.set_engines(clock, &engines);
+            actions.extend(cell.set_dead(clock, &gone));
+            for action in actions {
+                self.order(vm, &service, action);
+            }
+            self.free(vm, freed);
+        }
+    }
+}
--- a/crates/scenario/src/vm.rs
+++ b/crates/scenario/src/vm.rs
@@ -7,6 +7,7 @@
 use coord::claim::{self, AttemptId, Claims};
 use coord::config::{self, Answer, Config};
 use coord::hash::hash64;
+use coord::lease::{Holder, LeaseOptions, Renew, Renewed};
 use coord::member::{self, Me, Members, View};
 use coord::name::{DataCentre, Service, Upstream, VmName};
 use coord::sched::{Attempt, JobId};
@@ -25,9 +26,6 @@
 /// The time between two calls of the state machines.
 const TICK: Duration = Duration::from_millis(50);
 
-/// The time between two readings of the list and of the engines' load.
-const POLL: Duration = Duration::from_millis(500);
-
 /// A message between VMs.
 #[derive(Clone)]
 pub enum Letter {
@@ -38,6 +36,8 @@
     /// Asks for the answer of an attempt, on behalf of a request of the sender.
     Attach(AttemptId, JobId),
     Relay(JobId, Relay),
+    Renew(Service, Renew),
+    Renewed(Service, Renewed),
 }
 
 pub struct Vm {
@@ -59,7 +59,7 @@
     pub stopping: Option<Time>,
     pub state: Option<State>,
     /// The highest revision seen in force of each document, in this life.
-    watch: BTreeMap<Arc<str>, u64>,
+    pub watch: BTreeMap<Arc<str>, u64>,
 }
 
 /// The memory of a process.
@@ -67,6 +67,8 @@
     pub members: Members,
     pub config: Config,
     pub cells: BTreeMap<Service, Cell>,
+    /// The leases of this VM's requests.
+    pub holder: Holder,
     /// Claims exist once the VM knows the list.
     pub claims: Option<Claims>,
     /// How claimed requests of this process ended.
@@ -107,7 +109,7 @@
         }
     }
 
-    fn me(&self, boot: u64) -> Me {
+    pub fn me(&self, boot: u64) -> Me {
         let port = u16::try_from(self.number).unwrap_or(u16::MAX);
         Me {
             name: self.name.clone(),
@@ -133,6 +135,11 @@
         let config = Config::new(self.name.clone(), validator(), options, seed, clock);
         self.state = Some(State {
             view: members.view(),
+            holder: Holder::new(
+                self.name.clone(),
+                members.incarnation(),
+                LeaseOptions::default(),
+            ),
             members,
             config,
             cells: BTreeMap::new(),
@@ -257,54 +264,12 @@
             self.call_claims(vm, Claims::tick);
             self.tick_cells(vm);
             self.tick_runs(vm);
+            self.tick_leases(vm);
             self.leave_vm(vm);
         }
         self.after(TICK, move |world| world.tick_vm(vm, life));
     }
 
-    fn poll(&mut self, vm: usize, life: u32) {
-        if self.vms[vm].life != life {
-            return;
-        }
-        if !self.vms[vm].paused {
-            self.read_list(vm);
-            self.ask_load(vm);
-        }
-        let pace = POLL.mul_f64(self.rng.random_range(0.9..1.1));
-        self.after(pace, move |world| world.poll(vm, life));
-    }
-
-    fn read_list(&mut self, vm: usize) {
-        let platform_cut = self.net.cut(self.vms[vm].name.as_str(), "platform");
-        let lag = self.vms[vm].list_lag;
-        let Some(list) = self.platform.list(self.now, lag).filter(|_| !platform_cut) else {
-            return;
-        };
-        let vms = &self.vms;
-        let listed = list.vms.iter().filter_map(|(name, leaving)| {
-            let vm = vms.iter().find(|vm| vm.name == *name)?;
-            let me = vm.me(0);
-            let (name, zone, addr) = (me.name, me.zone, me.addr);
-            Some(member::Listed {
-                name,
-                zone,
-                addr,
-                leaving: *leaving,
-            })
-        });
-        let listed: Vec<_> = listed.collect();
-        self.claim_list(vm, &list);
-        self.drive(vm, move |state, now| {
-            state.listed = list.vms.keys().cloned().collect();
-            let member = state.members.list(now, list.revision, &listed);
-            let config = &mut state.config;
-            (
-                member,
-                config.snapshot(now, UPSTREAMS, list.revision, &list.upstreams),
-            )
-        });
-    }
-
     /// Takes the answer to a read of the configuration service.
     pub fn answered(&mut self, vm: usize, answer: Option<Answer>) {
         self.drive(vm, |state, now| {
@@ -330,11 +295,13 @@
             }
             Letter::Attach(attempt, id) => self.attached(vm, from, attempt, id),
             Letter::Relay(id, relay) => self.relayed(vm, id, relay),
+            Letter::Renew(service, renew) => self.renew(vm, from, service, renew),
+            Letter::Renewed(service, renewed) => self.renewed(vm, from, &service, renewed),
         }
     }
 
     /// Calls the state machines of membership and configuration and carries out their actions.
-    fn drive(
+    pub fn drive(
         &mut self,
         vm: usize,
         call: impl FnOnce(&mut State, Time) -> (Vec<member::Action>, Vec<config::Action>),
@@ -373,32 +340,4 @@
             self.change_cells(vm);
         }
     }
-
-    fn read_table(&mut self, vm: usize) {
-        let Some(state) = &mut self.vms[vm].state else {
-            return;
-        };
-        let entries = state.config.store().iter();
-        let upstreams = entries.filter_map(|(name, _, text)| {
-            let name = name.strip_prefix(UPSTREAMS)?;
-            Some((name.into(), **text == *"leaving"))
-        });
-        state.table = upstreams.collect();
-    }
-
-    /// Checks that no document in force goes back within the life of a process.
-    fn check_force(&mut self, vm: usize) {
-        let vm = &mut self.vms[vm];
-        let Some(state) = &vm.state else {
-            return;
-        };
-        for (name, revision, _) in state.config.store().iter() {
-            let before = vm.watch.entry(Arc::clone(name)).or_insert(0);
-            if revision < *before {
-                let place = format!("H8: {} went from revision {before} of {name}", vm.name);
-                self.broken.push(format!("{place} back to {revision}"));
-            }
-            *before = revision;
-        }
-    }
 }
