Let an isolated suspect use its engines again after a failure

The engine that is kept for a suspect counted as failed until a decode on it succeeded, but nobody else may use it: the prefill was repeated 9 times in 16 s and no decode was started. And a suspect was started on its kept engines although one of them was closed or gone.

Change: a failure counts until the closure of the engine is over; a waiting suspect whose kept engines are closed, leaving or gone gets others.

Check: two tests in sched_failure fail without the change and pass with it; all tests of coord pass.

--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -198,6 +198,7 @@
 
     /// Starts the isolated suspect when its engines are empty, or chooses engines for one.
     fn start_suspect(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.renew_isolation(now);
         if self.isolation.is_none() {
             self.begin_isolation(now);
         }
@@ -216,6 +217,18 @@
         }
     }
 
+    /// Gives up the engines of a suspect that waits, if one of them has failed meanwhile.
+    fn renew_isolation(&mut self, now: Time) {
+        let Some(kept) = self.isolation else {
+            return;
+        };
+        let waits = self.suspects.contains(&kept.id);
+        let engines = [kept.prefill, kept.decode];
+        if waits && engines.iter().any(|i| self.fleet.slots[*i].unusable(now)) {
+            self.end_isolation();
+        }
+    }
+
     /// Keeps the least used engines for the first suspect, so that they run empty.
     fn begin_isolation(&mut self, now: Time) {
         let Some(id) = self.suspects.first().copied() else {
--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -125,8 +125,16 @@
     }
 
     /// Returns true if a job that has reserved a slot may use it.
-    pub(super) fn takes_reserved(&self) -> bool {
-        self.health == Health::Live && self.failures == 0
+    ///
+    /// A failure counts until its closure is over, not until the next success: an engine that is
+    /// kept for one suspect has no other job that could succeed.
+    pub(super) fn takes_reserved(&self, now: Time) -> bool {
+        self.health == Health::Live && (self.failures == 0 || self.closed_until <= now)
+    }
+
+    /// Returns true if the engine of an isolated job is closed or gone.
+    pub(super) fn unusable(&self, now: Time) -> bool {
+        self.health != Health::Live || self.closed_until > now
     }
 
     /// Returns the slots that are neither used nor reserved.
--- a/crates/coord/src/sched/place.rs
+++ b/crates/coord/src/sched/place.rs
@@ -229,7 +229,7 @@
     pub(super) fn slot_now(&self, now: Time, source: usize, reserved: usize) -> Option<usize> {
         let has_room = |s: &Slot| s.used + s.foreign < s.engine.slots && s.decodes();
         let first = &self.fleet.slots[reserved];
-        let kept = source == reserved || first.takes_reserved();
+        let kept = source == reserved || first.takes_reserved(now);
         if has_room(first) && first.full_until <= now && kept {
             return Some(reserved);
         }
--- a/crates/coord/tests/sched_failure.rs
+++ b/crates/coord/tests/sched_failure.rs
@@ -302,6 +302,45 @@
     assert!(prefills(&other).is_empty(), "one suspect at a time");
 }
 
+/// Guards against a suspect whose prefill is repeated without end, because the engine that is kept
+/// for it has failed before and is used by nobody else who could show that it works.
+#[test]
+fn a_suspect_uses_its_engine_again_after_a_failure() {
+    let mut sched = cell(1, 1, 4);
+    let suspect = Job {
+        suspect: true,
+        ..patient(at(0), 1)
+    };
+    let first = sched.submit(at(0), suspect.clone());
+    let started = sched.prefill_done(at(30), suspect.id, prefills(&first)[0].1, DONE);
+    let attempt = decodes(&started)[0].1;
+
+    sched.decode_failed(at(2_000), suspect.id, attempt, Failure::Lost, 0);
+    let closed = sched.tick(at(2_100));
+    let again = sched.tick(at(2_500));
+    let second = sched.prefill_done(at(2_530), suspect.id, prefills(&again)[0].1, DONE);
+
+    assert!(prefills(&closed).is_empty(), "its decode engine is closed");
+    assert_eq!(decodes(&second).len(), 1);
+}
+
+/// Guards against a suspect that waits for an engine that is gone while others are open.
+#[test]
+fn a_suspect_gets_other_engines_when_its_own_are_gone() {
+    let mut sched = cell(2, 1, 4);
+    let suspect = Job {
+        suspect: true,
+        ..patient(at(0), 1)
+    };
+    let first = prefills(&sched.submit(at(0), suspect.clone()));
+
+    sched.prefill_failed(at(10), suspect.id, first[0].1, Failure::Lost);
+    let again = prefills(&sched.tick(at(100)));
+
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].2, first[0].2);
+}
+
 /// Guards against a poison request that stays in the queue after its second charge.
 #[test]
 fn a_forbidden_fingerprint_is_refused() {
