Join poison detection into the scenarios' VMs

Change: the owner of a cell charges what ran on an upstream whose connection broke, isolates or refuses it, and passes the charges on to the next owners and from VM to VM.

--- a/crates/scenario/src/cell.rs
+++ b/crates/scenario/src/cell.rs
@@ -8,8 +8,9 @@
 
 use coord::lease::{LeaseOptions, Leases};
 use coord::name::{Service, Upstream, VmName};
+use coord::poison::Verdict;
 use coord::sched::{
-    Action, Attempt, CacheEvent, Engine, EngineReport, JobId, SchedOptions, Scheduler,
+    Action, Attempt, CacheEvent, Engine, EngineReport, JobId, Reason, SchedOptions, Scheduler,
 };
 use coord::time::Time;
 
@@ -26,10 +27,12 @@
 
 /// An owned cell.
 pub struct Cell {
-    scheduler: Scheduler,
+    pub scheduler: Scheduler,
     engines: BTreeMap<Upstream, bool>,
     entries: BTreeMap<JobId, Entry>,
     pub leases: Leases,
+    /// Attempts that a death was charged for.
+    charged: BTreeSet<(JobId, Attempt)>,
     dead: BTreeSet<VmName>,
 }
 
@@ -37,6 +40,7 @@
     vm: VmName,
     since: Time,
     last: Option<Action>,
+    fingerprint: u128,
 }
 
 fn attempt_of(action: &Action) -> Option<Attempt> {
@@ -71,10 +75,29 @@
             engines: BTreeMap::new(),
             entries: BTreeMap::new(),
             leases: Leases::new(now, LeaseOptions::default()),
+            charged: BTreeSet::new(),
             dead: BTreeSet::new(),
         }
     }
 
+    /// Returns the fingerprint of a job.
+    pub fn fingerprint(&self, id: JobId) -> Option<u128> {
+        self.entries.get(&id).map(|entry| entry.fingerprint)
+    }
+
+    /// Returns the fingerprints that run on an upstream and were not charged for this attempt.
+    pub fn uncounted(&mut self, on: &Upstream) -> Vec<u128> {
+        let mut found = Vec::new();
+        for (id, fingerprint) in self.scheduler.running_on(on) {
+            let last = self.entries.get(&id).and_then(|entry| entry.last.as_ref());
+            let attempt = last.and_then(attempt_of).unwrap_or_default();
+            if self.charged.insert((id, attempt)) {
+                found.push(fingerprint);
+            }
+        }
+        found
+    }
+
     /// Returns whether the owner takes a VM for dead.
     pub fn is_dead(&self, vm: &VmName) -> bool {
         self.dead.contains(vm)
@@ -107,6 +130,7 @@
                 vm: from.clone(),
                 since: now,
                 last: None,
+                fingerprint: item.job.fingerprint,
             };
             self.entries.insert(id, entry);
             let mut job = item.job.clone();
@@ -223,6 +247,7 @@
 
     pub fn order(&mut self, vm: usize, service: &Service, action: Action) {
         let id = job_of(&action);
+        let action = self.screen(vm, service, id, action);
         self.grant(vm, service, id, &action);
         let Some(cell) = self.owned(vm, service) else {
             return;
@@ -251,6 +276,7 @@
                 items,
             } => {
                 let items = self.return_lost(vm, from, &service, items);
+                let items = self.judge(vm, from, &service, items);
                 self.cell(vm, &service, |cell, now| {
                     let named: BTreeSet<JobId> = items.iter().map(|i| i.job.id).collect();
                     let items = items.into_iter();
@@ -297,6 +323,49 @@
         known
     }
 
+    /// Charges the deaths that the items report and refuses poison requests before they start.
+    fn judge(
+        &mut self,
+        vm: usize,
+        from: &VmName,
+        service: &Service,
+        items: Vec<Item>,
+    ) -> Vec<Item> {
+        let mut able = Vec::new();
+        for mut item in items {
+            if let Some(on) = &item.broken {
+                self.upstream_broken(vm, service, on);
+            }
+            let (id, fingerprint) = (item.job.id, item.job.fingerprint);
+            let known = self
+                .owned(vm, service)
+                .map(|cell| cell.fingerprint(id).is_some());
+            let whole = matches!(item.report, Some(Progress::Finished));
+            if whole {
+                self.clear(vm, service, fingerprint, true);
+            } else if known == Some(false) && item.stage.is_none() {
+                match self.verdict(vm, service, fingerprint) {
+                    Verdict::Run => {}
+                    Verdict::Isolate | Verdict::Wait => {
+                        item.job.suspect = true;
+                        self.clear(vm, service, fingerprint, false);
+                    }
+                    Verdict::Refuse { retry_after } => {
+                        let order = Action::Refuse {
+                            id,
+                            reason: Reason::Poison,
+                            retry_after: Some(retry_after),
+                        };
+                        self.post(vm, from, &Letter::Cell(CellMessage::Order(order)));
+                        continue;
+                    }
+                }
+            }
+            able.push(item);
+        }
+        able
+    }
+
     pub fn tick_cells(&mut self, vm: usize) {
         let Some(state) = &self.vms[vm].state else {
             return;
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -28,6 +28,7 @@
 mod request;
 mod route;
 mod run;
+mod suspects;
 mod takeover;
 mod vm;
 mod world;
--- a/crates/scenario/src/register.rs
+++ b/crates/scenario/src/register.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coord::name::{Service, VmName};
+use coord::name::{Service, Upstream, VmName};
 use coord::sched::{Action, Attempt, Failure, Job, JobId, Prefilled, Stage};
 
 use crate::ast::Kind;
@@ -34,6 +34,8 @@
     /// What runs on engines.
     pub stage: Option<Stage>,
     pub report: Option<Progress>,
+    /// The upstream whose connection broke under the attempt.
+    pub broken: Option<Upstream>,
 }
 
 /// A message between an entry VM and the owner of a cell.
@@ -90,6 +92,7 @@
             attempt: run.attempt,
             stage: run.stage.clone(),
             report: run.report.clone(),
+            broken: run.broken.clone(),
         })
     }
 
--- a/crates/scenario/src/request.rs
+++ b/crates/scenario/src/request.rs
@@ -48,6 +48,8 @@
     pub attempt: Attempt,
     pub stage: Option<Stage>,
     pub report: Option<Progress>,
+    /// The upstream whose connection broke under the present attempt.
+    pub broken: Option<Upstream>,
     pub owner: Option<VmName>,
     pub asked: BTreeSet<(Upstream, Attempt)>,
     pub prefilled: Option<(Upstream, Attempt)>,
@@ -140,6 +142,7 @@
             attempt: Attempt::default(),
             stage: None,
             report: None,
+            broken: None,
             owner: None,
             asked: BTreeSet::new(),
             prefilled: None,
--- a/crates/scenario/src/vm.rs
+++ b/crates/scenario/src/vm.rs
@@ -10,6 +10,7 @@
 use coord::lease::{Holder, LeaseOptions, Renew, Renewed};
 use coord::member::{self, Me, Members, View};
 use coord::name::{DataCentre, Service, Upstream, VmName};
+use coord::poison::{Charge, Suspects};
 use coord::sched::{Attempt, JobId};
 use coord::time::Time;
 use rand::RngExt;
@@ -36,6 +37,7 @@
     /// Asks for the answer of an attempt, on behalf of a request of the sender.
     Attach(AttemptId, JobId),
     Relay(JobId, Relay),
+    Charges(Service, Vec<Charge>),
     Renew(Service, Renew),
     Renewed(Service, Renewed),
 }
@@ -69,6 +71,8 @@
     pub cells: BTreeMap<Service, Cell>,
     /// The leases of this VM's requests.
     pub holder: Holder,
+    /// Charges of poison requests of each cell, own ones and copies.
+    pub suspects: BTreeMap<Service, Suspects>,
     /// Claims exist once the VM knows the list.
     pub claims: Option<Claims>,
     /// How claimed requests of this process ended.
@@ -143,6 +147,7 @@
             members,
             config,
             cells: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             claims: None,
             answers: BTreeMap::new(),
             followers: BTreeMap::new(),
@@ -295,6 +300,7 @@
             }
             Letter::Attach(attempt, id) => self.attached(vm, from, attempt, id),
             Letter::Relay(id, relay) => self.relayed(vm, id, relay),
+            Letter::Charges(service, charges) => self.receive_charges(vm, &service, &charges),
             Letter::Renew(service, renew) => self.renew(vm, from, service, renew),
             Letter::Renewed(service, renewed) => self.renewed(vm, from, &service, renewed),
         }
