Expect one answer in scenarios; ask a key at several VMs at once

A new outcome, ended, demands exactly one final answer, so that two attempts that wait for each other are seen.

--- a/crates/scenario/src/ast.rs
+++ b/crates/scenario/src/ast.rs
@@ -55,6 +55,7 @@
     ("answered", "expect NAME answered"),
     ("refused", "expect NAME refused not-run|unknown"),
     ("closed", "expect NAME closed"),
+    ("ended", "expect NAME ended"),
     ("runs", "expect NAME runs at most NUMBER"),
     ("held", "expect held zero by TIME"),
     ("revision", "expect revision NUMBER of NAME by TIME"),
@@ -186,6 +187,7 @@
         not_run: bool,
     },
     Closed(String),
+    Ended(String),
     Runs {
         name: String,
         most: u32,
--- a/crates/scenario/src/names.rs
+++ b/crates/scenario/src/names.rs
@@ -77,6 +77,7 @@
         match expect {
             Expect::Answered(name)
             | Expect::Closed(name)
+            | Expect::Ended(name)
             | Expect::Refused { name, .. }
             | Expect::Runs { name, .. } => missing("request", &self.requests, name),
             Expect::NoWork { on, .. } => missing("upstream", &self.upstreams, on),
--- a/crates/scenario/src/once.rs
+++ b/crates/scenario/src/once.rs
@@ -154,6 +154,10 @@
             return;
         }
         run.since = clock;
+        if let Relay::Done(_, tokens) = &relay {
+            // A third attempt may have attached to this one.
+            run.tokens.clone_from(tokens);
+        }
         let request = run.request.clone();
         match relay {
             Relay::Running => {}
--- a/crates/scenario/src/parse.rs
+++ b/crates/scenario/src/parse.rs
@@ -216,6 +216,7 @@
     match word(i)? {
         "answered" => Ok(Expect::Answered(name)),
         "closed" => Ok(Expect::Closed(name)),
+        "ended" => Ok(Expect::Ended(name)),
         "refused" => {
             let not_run = alt((key("not-run").value(true), key("unknown").value(false)));
             let not_run = { not_run }.parse_next(i)?;
--- a/crates/scenario/src/route.rs
+++ b/crates/scenario/src/route.rs
@@ -358,7 +358,11 @@
                 self.leave_cell(vm, &owner, id);
             }
         }
-        let removed = self.vms[vm].state.as_mut().and_then(|s| s.runs.remove(&id));
+        let now = self.now;
+        let removed = self.vms[vm].state.as_mut().and_then(|state| {
+            state.quiet = Some(now);
+            state.runs.remove(&id)
+        });
         let Some(run) = removed else {
             return;
         };
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -87,6 +87,7 @@
         Expect::Answered(name) => answered(world, name),
         Expect::Refused { name, not_run } => refused(world, name, *not_run),
         Expect::Closed(name) => closed(world, name),
+        Expect::Ended(name) => ended(world, name),
         Expect::Runs { name, most } => {
             let found = runs(world, name);
             (found > *most)
@@ -159,6 +160,12 @@
     })
 }
 
+fn ended(world: &World, name: &str) -> Option<String> {
+    let caller = world.callers.get(name)?;
+    let met = caller.last.len() == 1;
+    (!met).then(|| format!("expected one answer to {name}, found {}", ending(caller)))
+}
+
 /// Counts the runs of a request; requests with the same key are one.
 fn runs(world: &World, name: &str) -> u32 {
     let key = world
--- a/crates/scenario/src/vm.rs
+++ b/crates/scenario/src/vm.rs
@@ -90,6 +90,8 @@
     pub table: BTreeMap<Upstream, bool>,
     /// Cancels that engines have not acknowledged.
     pub cancels: BTreeSet<(Upstream, JobId, Option<Attempt>)>,
+    /// When the last request ended.
+    pub quiet: Option<Time>,
     /// When the running requests are registered again.
     pub next_ask: Time,
 }
@@ -157,6 +159,7 @@
             listed: BTreeSet::new(),
             table: BTreeMap::new(),
             cancels: BTreeSet::new(),
+            quiet: Some(now),
             next_ask: Time::ZERO,
         });
     }
@@ -242,12 +245,14 @@
     fn leave_vm(&mut self, vm: usize) {
         /// The time in which the news of the stop reaches every VM.
         const HANDOVER: Duration = Duration::from_secs(2);
+        let now = self.now;
         let since = self.vms[vm].stopping;
         let told = since.is_some_and(|at| self.now.since(at) > HANDOVER);
-        let idle = self.vms[vm]
-            .state
-            .as_ref()
-            .is_some_and(|s| s.runs.is_empty());
+        // The last bytes of an answer are flushed before the connections are closed.
+        let flushed = |state: &State| {
+            state.runs.is_empty() && state.quiet.is_some_and(|at| now.since(at) > TICK)
+        };
+        let idle = self.vms[vm].state.as_ref().is_some_and(flushed);
         if told && idle {
             let name = self.vms[vm].name.clone();
             self.note(&format!("{name} exits"));
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -41,6 +41,11 @@
     "expect r1 closed",
     "expect r1 answered"
 )]
+#[case(
+    "at 0s send r2 to vm-2 service chat\nat 0s send r1 to vm-1 service chat\nat 0s kill vm-1",
+    "expect r1 ended",
+    "expect r2 ended"
+)]
 #[case(
     "at 0s send r1 to vm-1 service chat\nat 5s resend r1 to vm-2 as r2",
     "expect r2 runs at most 0",
