--- a/crates/scenario/src/cell.rs
+++ b/crates/scenario/src/cell.rs
@@ -122,9 +122,8 @@
         if let Some(entry) = self.entries.get(&id) {
             let last = entry.last.iter();
             let newer = last.filter(|last| attempt_of(last) > Some(item.attempt));
-            if item.report.is_none() {
-                actions.extend(newer.cloned());
-            }
+            // The order was lost: the report that led to it is known already.
+            actions.extend(newer.cloned());
         } else if !matches!(item.report, Some(Progress::Finished)) {
             let entry = Entry {
                 vm: from.clone(),
