--- a/crates/coord/src/sched.rs
+++ b/crates/coord/src/sched.rs
@@ -17,6 +17,7 @@
 mod queue;
 mod recover;
 mod results;
+mod retries;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -56,6 +57,8 @@
     ready: BTreeSet<(Time, JobId)>,
     /// Jobs whose retry is due at an instant.
     backoffs: BTreeSet<(Time, JobId)>,
+    /// Patient jobs whose retry the budget has not paid yet, oldest first.
+    unpaid: VecDeque<JobId>,
     /// Waiting jobs that must run alone.
     suspects: BTreeSet<JobId>,
     isolation: Option<Isolation>,
@@ -72,7 +75,9 @@
     interactive_at: Option<Time>,
     /// Jobs that ended lately: a lagged load report may still name them.
     ended: BTreeSet<JobId>,
-    /// The same ids in the order of their ends.
+    /// Jobs that were cancelled before they were submitted: the messages changed places.
+    cancelled: BTreeSet<JobId>,
+    /// The ids of both sets in the order of their ends.
     ended_at: VecDeque<(Time, JobId)>,
     /// Tags of VMs that died; their unknown jobs are cancelled where reports show them.
     dead: BTreeMap<u32, Time>,
@@ -91,6 +96,7 @@
             queues: [Queue::default(), Queue::default()],
             ready: BTreeSet::new(),
             backoffs: BTreeSet::new(),
+            unpaid: VecDeque::new(),
             suspects: BTreeSet::new(),
             isolation: None,
             in_use: [0; 2],
@@ -103,6 +109,7 @@
             retries: 0,
             interactive_at: None,
             ended: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
             ended_at: VecDeque::new(),
             dead: BTreeMap::new(),
             confirm_until: Time::ZERO,
@@ -114,7 +121,7 @@
     ///
     /// A job that is known already is not accepted a second time: the first one goes on.
     pub fn submit(&mut self, now: Time, job: Job) -> Vec<Action> {
-        if self.jobs.contains_key(&job.id) {
+        if self.jobs.contains_key(&job.id) || self.cancelled.contains(&job.id) {
             return Vec::new();
         }
         if job.class == Class::Interactive {
@@ -132,10 +139,15 @@
     }
 
     /// Drops a job whose caller is gone and frees what it holds.
+    ///
+    /// A cancel that overtakes its job is remembered for some seconds, so that the job does not
+    /// run for nobody.
     pub fn cancel(&mut self, now: Time, id: JobId) -> Vec<Action> {
         let mut actions = self.abandon(now, id);
         if self.forget(now, id) {
             actions.extend(self.dispatch(now));
+        } else if !self.ended.contains(&id) && self.cancelled.insert(id) {
+            self.ended_at.push_back((now, id));
         }
         actions
     }
@@ -175,17 +187,17 @@
         self.queues[entry.job.class as usize].push(&entry.job, entry.order, cost);
     }
 
-    /// Takes a waiting job out of its queue.
-    fn dequeue(&mut self, id: JobId, charge: bool) {
+    /// Takes a waiting job out of its queue; if it starts, its organisation is charged.
+    fn dequeue(&mut self, id: JobId, start: Option<Time>) {
         let Some(entry) = self.jobs.get(&id) else {
             return;
         };
         self.suspects.remove(&id);
         let queue = &mut self.queues[entry.job.class as usize];
-        if charge {
-            queue.start(&entry.job.organisation, entry.order, id);
-        } else {
-            queue.remove(&entry.job.organisation, entry.order, id);
+        let (name, order) = (&entry.job.organisation, entry.order);
+        match start {
+            Some(now) => queue.start(now, name, order, id),
+            None => drop(queue.remove(name, order, id)),
         }
     }
 
--- a/crates/coord/src/sched/dispatch.rs
+++ b/crates/coord/src/sched/dispatch.rs
@@ -67,10 +67,9 @@
         engines: &Candidates,
     ) -> Option<(Choice, Option<usize>)> {
         let entry = self.jobs.get(&id)?;
-        let class = entry.job.class;
         let choice = self.place(now, entry, engines)?;
-        let room = choice.free && self.link_fits(entry, &choice);
-        let decode = room.then(|| self.slot_for(now, class, &choice)).flatten();
+        let room = choice.free && self.link_fits(now, entry, &choice);
+        let decode = room.then(|| self.slot_for(now, entry, &choice)).flatten();
         Some((choice, decode))
     }
 
@@ -105,17 +104,14 @@
 
     /// Starts a job's prefill and reserves its slot and its link room.
     pub(super) fn start(&mut self, now: Time, id: JobId, choice: Choice, decode: usize) -> Action {
-        self.dequeue(id, true);
+        self.dequeue(id, Some(now));
+        let time = Duration::from_micros(choice.time);
+        self.fleet.slots[choice.prefill].prefill_started(now, id, time);
         if let Some(entry) = self.jobs.get(&id) {
             let bytes = self.bytes(entry);
             self.homes.used(now, &entry.job.prefix, choice.prefill);
-            self.promise(bytes, choice.prefill);
+            self.promise(id, bytes, choice.prefill);
         }
-        self.fleet.slots[choice.prefill].prefill_started(
-            now,
-            id,
-            Duration::from_micros(choice.time),
-        );
         self.fleet.slots[decode].reserved += 1;
         let mut attempt = super::Attempt::default();
         if let Some(entry) = self.jobs.get_mut(&id) {
@@ -137,11 +133,13 @@
         }
     }
 
-    /// Reserves link room for a result of `bytes` on the engine `source`.
-    pub(super) fn promise(&mut self, bytes: u64, source: usize) {
-        let engine = &self.fleet.slots[source].engine;
-        if engine.role != Role::Both {
-            self.links.reserve(&engine.data_centre, bytes);
+    /// Reserves link room for the last prefill that was started on the engine `source`.
+    pub(super) fn promise(&mut self, id: JobId, bytes: u64, source: usize) {
+        let slot = &self.fleet.slots[source];
+        let ready = slot.busy_until;
+        if slot.engine.role != Role::Both {
+            self.links
+                .reserve(&slot.engine.data_centre, id, ready, bytes);
         }
     }
 
@@ -164,7 +162,11 @@
         else {
             return None;
         };
+        let alone = self.jobs.get(&id)?.job.suspect;
         let decode = self.slot_now(now, source, reserved)?;
+        if alone && decode != reserved {
+            return None;
+        }
         self.ready.remove(&(since, id));
         self.fleet.slots[reserved].reserved -= 1;
         self.fleet.slots[decode].used += 1;
@@ -185,20 +187,13 @@
         })
     }
 
-    /// Returns jobs to their queue whose backoff is over.
-    fn requeue_due(&mut self, now: Time) {
-        while let Some((until, id)) = self.backoffs.first().copied() {
-            if until > now {
-                return;
-            }
-            self.backoffs.pop_first();
-            self.requeue(now, id);
-        }
-    }
-
     /// Starts the isolated suspect when its engines are empty, or chooses engines for one.
     fn start_suspect(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.renew_isolation(now);
+        let kept = |i: usize| self.fleet.slots[i].takes_reserved(now);
+        let lost = |i: &Isolation| !kept(i.prefill) || !kept(i.decode);
+        if self.isolation.as_ref().is_some_and(lost) && self.suspects_wait() {
+            self.end_isolation();
+        }
         if self.isolation.is_none() {
             self.begin_isolation(now);
         }
@@ -217,16 +212,10 @@
         }
     }
 
-    /// Gives up the engines of a suspect that waits, if one of them has failed meanwhile.
-    fn renew_isolation(&mut self, now: Time) {
-        let Some(kept) = self.isolation else {
-            return;
-        };
-        let waits = self.suspects.contains(&kept.id);
-        let engines = [kept.prefill, kept.decode];
-        if waits && engines.iter().any(|i| self.fleet.slots[*i].unusable(now)) {
-            self.end_isolation();
-        }
+    /// Returns true if the isolated suspect has not been started.
+    fn suspects_wait(&self) -> bool {
+        let kept = self.isolation.as_ref();
+        kept.is_some_and(|i| self.suspects.contains(&i.id))
     }
 
     /// Keeps the least used engines for the first suspect, so that they run empty.
@@ -247,7 +236,8 @@
             return;
         };
         let both = source.engine.role == Role::Both;
-        let decode = open().filter(|(i, s)| s.decodes() && (!both || *i == prefill));
+        let decode =
+            open().filter(|(i, s)| s.engine.slots > 0 && s.decodes() && (!both || *i == prefill));
         let Some((decode, _)) = decode.min_by_key(|(_, s)| load(s)) else {
             return;
         };
--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -129,12 +129,7 @@
     /// A failure counts until its closure is over, not until the next success: an engine that is
     /// kept for one suspect has no other job that could succeed.
     pub(super) fn takes_reserved(&self, now: Time) -> bool {
-        self.health == Health::Live && (self.failures == 0 || self.closed_until <= now)
-    }
-
-    /// Returns true if the engine of an isolated job is closed or gone.
-    pub(super) fn unusable(&self, now: Time) -> bool {
-        self.health != Health::Live || self.closed_until > now
+        self.live() && (self.failures == 0 || self.closed_until <= now)
     }
 
     /// Returns the slots that are neither used nor reserved.
--- a/crates/cumindoor/benches/relay/router.rs
+++ b/crates/cumindoor/benches/relay/router.rs
@@ -23,12 +23,14 @@
     let service = ServiceSpec {
         organisation: Organisation::from("bench"),
         name: Service::from("chat"),
+        group: Service::from("chat"),
         kind: ServiceKind::Model,
         class: Class::Interactive,
         first_token: Duration::from_mins(10),
         token_target: Duration::from_millis(26),
         request_limit: Duration::from_hours(1),
         once: false,
+        once_paths: Vec::new(),
         open_limit: 100_000,
     };
     let upstream = UpstreamSpec {
--- a/crates/cumindoor/src/serve/caller.rs
+++ b/crates/cumindoor/src/serve/caller.rs
@@ -28,6 +28,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often idle connections to upstreams are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+/// Time for last events and cancels after the stop limit has passed.
+const CUT_TIME: Duration = Duration::from_secs(2);
+/// How often gauges are taken and counters are sent.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// A running router; dropping it ends it at once, [`Server::stop`] does so gracefully.
 pub struct Server {
@@ -93,6 +97,8 @@
         children.push(Spec::task("idle-connections", move || {
             sweep(Arc::clone(&context))
         }));
+        let measured = Arc::clone(shared);
+        children.push(Spec::task("metrics", move || report(Arc::clone(&measured))));
         children.extend(tasks);
         let root = Spec::group("router", Strategy::One, children);
         let (supervisor, mut changes) = Supervisor::spawn(root, Restarts::default());
@@ -133,20 +139,41 @@
     ///
     /// Returns true if every request ended by itself.
     pub async fn stop(&self) -> bool {
+        self.close();
+        let complete = self.finished().await;
+        self.supervisor.stop();
+        complete
+    }
+
+    /// Stops accepting connections and requests; those in progress go on.
+    pub fn close(&self) {
         let shared = &self.shared;
-        let context = &shared.context;
         shared.stopping.cancel();
         shared.lock_listener().take();
         shared.connections.close();
-        context.runs.close();
-        let finished = async {
-            shared.connections.wait().await;
-            context.runs.wait().await;
-            context.canceller.idle().await;
-        };
-        let complete = timeout(context.options.stop_limit, finished).await.is_ok();
-        self.supervisor.stop();
-        complete
+        shared.context.runs.close();
+    }
+
+    /// Waits within the stop limit until no request is left after [`Self::close`]; what is left
+    /// then ends with an error.
+    ///
+    /// Returns true if every request ended by itself.
+    pub async fn finished(&self) -> bool {
+        let context = &self.shared.context;
+        let complete = timeout(context.options.stop_limit, self.idle()).await;
+        if complete.is_err() {
+            context.cut.cancel();
+            // Engines must not work on for callers that this process leaves behind.
+            let _ = timeout(CUT_TIME, self.idle()).await;
+        }
+        complete.is_ok()
+    }
+
+    /// Waits until no connection, request or cancel is left.
+    async fn idle(&self) {
+        self.shared.connections.wait().await;
+        self.shared.context.runs.wait().await;
+        self.shared.context.canceller.idle().await;
     }
 
     /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
@@ -197,6 +224,20 @@
     }
 }
 
+/// Sends what is measured at intervals, and counters that wait for a full packet.
+async fn report(shared: Arc<Shared>) -> eyre::Result<()> {
+    let context = &shared.context;
+    let gauge = |name, value: usize| context.telemetry.gauge(name, value as u64);
+    loop {
+        tokio::time::sleep(REPORT_PERIOD).await;
+        gauge("caller.connections", shared.connections.len());
+        gauge("request.running", context.live.len());
+        gauge("cancel.pending", context.canceller.pending());
+        gauge("upstream.idle-connections", context.engines.pool().idle());
+        context.telemetry.flush();
+    }
+}
+
 async fn sweep(context: Arc<Context>) -> eyre::Result<()> {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -5,8 +5,10 @@
 
 use coord::name::{Organisation, Service};
 use coord::sched::JobId;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::claims::{Claims, LocalClaims};
 use crate::serve::cell::{Cell, Clock};
 use crate::serve::engine::EngineClient;
 use crate::serve::engine::cancel::Canceller;
@@ -30,12 +32,16 @@
     pub canceller: Canceller,
     /// Running requests.
     pub runs: TaskTracker,
+    /// Cancelled when running requests have to end because the stop limit has passed.
+    pub cut: CancellationToken,
     /// Open requests of each organisation.
     pub open: Open,
     /// Open calls of plain services' upstreams.
     pub balance: Balance,
     /// Requests that run on this VM now.
     pub live: Live,
+    /// Claims on idempotency keys of once-only requests; [`LocalClaims`] unless replaced.
+    pub claims: Arc<dyn Claims>,
     /// Counters and timers.
     pub telemetry: Telemetry,
 }
@@ -59,9 +65,11 @@
             engines,
             canceller: Canceller::new(),
             runs: TaskTracker::new(),
+            cut: CancellationToken::new(),
             open: Open::default(),
             balance: Balance::default(),
             live: Live::default(),
+            claims: Arc::new(LocalClaims::default()),
             telemetry,
         }
     }
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod nodes;
+pub mod processes;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,12 +50,14 @@
     ServiceSpec {
         organisation: Organisation::from("celeste"),
         name: Service::from(name),
+        group: Service::from(name),
         kind,
         class: Class::Interactive,
         first_token: PATIENCE,
         token_target: Duration::from_secs(1),
         request_limit: PATIENCE,
         once: false,
+        once_paths: Vec::new(),
         open_limit: 10_000,
     }
 }
@@ -201,7 +206,6 @@
         let addr = self.server.addr();
         let reading = tokio::spawn(async move {
             let answer = post(addr, "/v1/chat/completions", &[], body).await;
-            assert_eq!(answer.status, 200);
             answer.events().await
         });
         let busy = self.busy_decode().await;
@@ -293,15 +297,15 @@
 
 impl Answer {
     /// Reads the rest of the body.
-    pub async fn text(mut self) -> String {
-        let read = async {
-            while let Some(frame) = self.body.frame().await {
-                let data = frame.unwrap().into_data().unwrap();
-                self.buffer.push_str(std::str::from_utf8(&data).unwrap());
-            }
-        };
-        patiently("the end of the body", read).await;
-        self.buffer
+    pub async fn text(self) -> String {
+        self.try_text().await.unwrap()
+    }
+
+    /// Reads the rest of the body, which may break off.
+    pub async fn try_text(self) -> Result<String, hyper::Error> {
+        let rest = patiently("the end of the body", self.body.collect()).await?;
+        let rest = String::from_utf8(rest.to_bytes().to_vec()).unwrap();
+        Ok(self.buffer + &rest)
     }
 
     pub async fn json(self) -> Value {
@@ -311,14 +315,21 @@
 
     /// Reads the next server-sent event; `None` at the end of the body.
     pub async fn event(&mut self) -> Option<String> {
+        self.next_event().await.expect("the connection holds")
+    }
+
+    /// As [`Self::event`]; the outer `None` means that the connection broke.
+    pub async fn next_event(&mut self) -> Option<Option<String>> {
         loop {
             if let Some(end) = self.buffer.find("\n\n") {
                 let event = self.buffer[..end].to_owned();
                 self.buffer.drain(..end + 2);
-                return Some(event.strip_prefix("data: ").unwrap().to_owned());
+                return Some(Some(event.strip_prefix("data: ").unwrap().to_owned()));
             }
-            let frame = patiently("an event", self.body.frame()).await?;
-            let data = frame.unwrap().into_data().unwrap();
+            let Some(frame) = patiently("an event", self.body.frame()).await else {
+                return Some(None);
+            };
+            let data = frame.ok()?.into_data().unwrap();
             self.buffer.push_str(std::str::from_utf8(&data).unwrap());
         }
     }
@@ -326,6 +337,10 @@
     /// Reads a stream to its end.
     pub async fn events(mut self) -> Events {
         let mut events = Events::default();
+        if self.status != 200 {
+            events.error = Some(self.json().await["error"].clone());
+            return events;
+        }
         while let Some(event) = self.event().await {
             events.add(&event);
         }
--- a/crates/cumindoor/tests/serve_plain.rs
+++ b/crates/cumindoor/tests/serve_plain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{Answer, Fleet, Plan, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 async fn start(once: bool, plains: usize) -> Fleet {
     let mut plan = Plan::default();
@@ -120,3 +121,86 @@
         assert_eq!(answer.status, 200);
     }
 }
+
+/// Guards against a once-only call that runs a second time because its caller sent it again.
+#[tokio::test]
+async fn a_repeated_key_runs_once() {
+    let fleet = start(true, 2).await;
+
+    let first = call(&fleet, "same").await;
+    let second = call(&fleet, "same").await;
+    let (first_status, second_status) = (first.status, second.status);
+    let error = second.json().await["error"].clone();
+
+    assert_eq!(first_status, 200);
+    assert_eq!(second_status, 409);
+    assert_eq!(error["kind"], "unknown");
+    assert_eq!(runs(&fleet, "same"), 1);
+}
+
+/// Guards against a key that stays taken although its call never left the router.
+#[tokio::test]
+async fn a_key_is_free_again_if_nothing_was_sent() {
+    let fleet = start(true, 1).await;
+    fleet.plains[0].die().await;
+    let first = call(&fleet, "free").await.status;
+    fleet.plains[0].revive().await.unwrap();
+
+    let second = call(&fleet, "free").await.status;
+
+    assert_eq!(first, 503);
+    assert_eq!(second, 200);
+    assert_eq!(runs(&fleet, "free"), 1);
+}
+
+/// Guards against a once-only path that is repeated because its service allows repeats.
+#[tokio::test]
+async fn a_once_only_path_is_not_repeated() {
+    let mut plan = Plan::default();
+    plan.services[1].once_paths = vec![cumindoor::ini::PathPrefix("/orders".into())];
+    plan.plains = 2;
+    let fleet = plan.start().await;
+    for plain in &fleet.plains {
+        plain.fault(|fault| fault.fail_after = true);
+    }
+
+    let error = call(&fleet, "path").await.json().await["error"].clone();
+
+    assert_eq!(error["kind"], "unknown");
+    assert_eq!(runs(&fleet, "path"), 1);
+}
+
+/// Guards against bodies that are kept in memory as a whole or arrive changed.
+#[tokio::test]
+async fn streams_large_bodies() {
+    let fleet = start(true, 1).await;
+    let body = "saffron ".repeat(200_000);
+
+    let answer = common::post(fleet.server.addr(), "/stock/bulk", &[], body.clone()).await;
+    let json = answer.json().await;
+
+    assert_eq!(json["body"], body);
+}
+
+/// Guards against an answer that its upstream cut and that looks complete to the caller.
+#[tokio::test]
+async fn a_cut_answer_is_not_complete() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let raw = common::upstream("raw", "stock", None, listener.local_addr().unwrap());
+    let fleet = Plan::default().start().await;
+    let stock = common::service("stock", cumindoor::serve::ServiceKind::Plain);
+    fleet.table.replace(vec![stock], vec![raw]);
+    let cut = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = vec![0; 4096];
+        let _ = stream.read(&mut head).await.unwrap();
+        let start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+        stream.write_all(start).await.unwrap();
+    };
+
+    let call = common::post(fleet.server.addr(), "/stock/x", &[], String::new());
+    let (answer, ()) = tokio::join!(call, cut);
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.try_text().await.is_err());
+}
