--- a/crates/scenario/src/engine.rs
+++ b/crates/scenario/src/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use coord::name::{Service, Upstream};
+use coord::name::{Service, Upstream, VmName};
 use coord::sched::{Attempt, JobId, Prefilled};
 use coord::time::Time;
 
@@ -194,8 +194,9 @@
             });
         };
         let ack = acked.clone();
+        let by = self.vms[vm].name.clone();
         let arrive = move |world: &mut World| {
-            if world.cancel_arrives(&order) {
+            if world.cancel_arrives(&by, &order) {
                 world.after(HOP, ack);
             }
         };
@@ -208,7 +209,7 @@
     }
 
     /// Frees what a cancel names; returns `false` if the cancel is lost.
-    fn cancel_arrives(&mut self, (on, id, attempt): &(Upstream, JobId, Option<Attempt>)) -> bool {
+    fn cancel_arrives(&mut self, by: &VmName, (on, id, attempt): &Cancel) -> bool {
         let now = self.now;
         let Some(engine) = self.engines.get_mut(on) else {
             return true;
@@ -219,11 +220,15 @@
         }
         engine.cancelled.insert((*id, *attempt), now);
         let named = |call: &CallId| call.0 == *id && attempt.is_none_or(|a| a == call.1);
-        engine.prefills.retain(|call, _| !named(call));
+        let results = engine.prefills.extract_if(.., |call, _| named(call));
+        let results: Vec<_> = results.collect();
         let gone: Vec<_> = engine
             .streams
             .extract_if(.., |call, _| named(call))
             .collect();
+        for (_, held) in results.iter().chain(&gone) {
+            self.note(&format!("{by} frees {} on {on}", held.call.request));
+        }
         for (_, held) in gone {
             if !held.silent {
                 self.answer(&held.call, Reply::Cancelled);
