--- a/crates/cumindoor/src/serve/cell/shared/core.rs
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -273,9 +273,14 @@
         std::mem::take(&mut self.taken_over)
     }
 
+    /// Returns true if no other VM's request is registered here and those that stay have all
+    /// messages. A VM that stops as well may have ended already.
     pub(super) fn is_drained(&self) -> bool {
-        !self.owner.serves_others(&self.own)
-            && self.posts.is_empty(|vm| self.view.vms.contains_key(vm))
+        let stays = |vm: &VmName| {
+            let member = self.view.vms.get(vm);
+            member.is_some_and(|m| !m.leaving) && !self.leaving.contains_key(vm)
+        };
+        !self.owner.serves_others(&self.own) && self.posts.is_empty(stays)
     }
 
     /// Replaces the state after a panic; the requests see their channels close.
