Let only a majority of the listed VMs cancel the work of VMs taken for dead

Cause: KNOWN-RED h5-one-vm-cut-off-beside-streams: a VM that lost contact with the seven others, but reached the engines, took them for dead and cancelled all their streams (H3, H5). Change: View::has_majority; the scenarios' VMs ask it before they cancel for others; a new statement takes a VM off the list, and VMs that were listed once and are in no view count as dead. Result: h5-one-vm-cut-off-beside-streams failed before and passes; h1-entry-vm-dies-and-owner-dies passed before and fails: six of eight VMs that die at once look like a partition until the list drops them. Conclusion: a VM that is cut off is frequent, the loss of most VMs at once is rare, so the majority decides.

--- a/crates/coord/src/member/types.rs
+++ b/crates/coord/src/member/types.rs
@@ -187,6 +187,24 @@
         able.map(|(name, m)| (name.clone(), m.zone.clone()))
             .collect()
     }
+
+    /// Returns `true` if the view has more than half of the listed VMs, or exactly half with the
+    /// first one by name.
+    ///
+    /// Only such a side of a partition may cancel the work of VMs that it takes for dead: the
+    /// other side may serve on. After the loss of more VMs at once, their work is cancelled when
+    /// the list no longer has them (`docs/design.md`, section 6.5).
+    #[must_use]
+    pub fn has_majority<'a>(&self, listed: impl IntoIterator<Item = &'a VmName>) -> bool {
+        let (mut all, mut seen, mut first) = (0, 0, None);
+        for vm in listed {
+            all += 1;
+            seen += usize::from(self.members.contains_key(vm));
+            first = first.into_iter().chain([vm]).min();
+        }
+        let tie = first.is_none_or(|vm| self.members.contains_key(vm));
+        seen * 2 > all || (seen * 2 == all && tie)
+    }
 }
 
 /// Times and bounds of the protocol. The defaults are derived in `docs/decisions/membership.md`.
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -1,13 +1,15 @@
 //! Membership, one transition at a time.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use coord::member::{
-    Action, Body, Health, Listed, MAX_NEWS, MAX_STATE, MAX_UPDATE_BYTES, Me, Members, Options,
-    Packet, Standing, Update, boot, incarnation,
+    Action, Body, Health, Listed, MAX_NEWS, MAX_STATE, MAX_UPDATE_BYTES, Me, Member, Members,
+    Options, Packet, Standing, Update, View, boot, incarnation,
 };
-use coord::name::Incarnation;
+use coord::name::{DataCentre, Incarnation, VmName};
 use coord::time::Time;
+use rstest::rstest;
 
 const NOW: Time = Time::from_millis(1_000);
 
@@ -323,3 +325,30 @@
         "tried {tried} times"
     );
 }
+
+/// Guards against two sides of a partition that both cancel the work of the other.
+#[rstest]
+#[case::most(&["vm-1", "vm-2", "vm-3"], true)]
+#[case::fewer(&["vm-4"], false)]
+#[case::half_with_the_first(&["vm-1", "vm-4"], true)]
+#[case::half_without_the_first(&["vm-2", "vm-3"], false)]
+fn one_side_of_a_partition_has_the_majority(#[case] seen: &[&str], #[case] expected: bool) {
+    let listed = ["vm-1", "vm-2", "vm-3", "vm-4"].map(VmName::from);
+    let view = View {
+        number: 1,
+        members: seen.iter().map(|vm| (VmName::from(*vm), live())).collect(),
+    };
+
+    let majority = view.has_majority(&listed);
+
+    assert_eq!(majority, expected);
+}
+
+fn live() -> Member {
+    Member {
+        zone: DataCentre::from("east"),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: Incarnation(1),
+        standing: Standing::Live,
+    }
+}
--- a/crates/scenario/src/ast.rs
+++ b/crates/scenario/src/ast.rs
@@ -46,6 +46,7 @@
     ("leave", "leave NAME"),
     ("return", "return NAME"),
     ("list-lag", "list-lag VM TIME"),
+    ("unlist", "unlist VM"),
     ("stall", "stall NAME"),
     ("unstall", "unstall NAME"),
 ];
@@ -170,6 +171,7 @@
     Leave(String),
     Return(String),
     ListLag(String, Duration),
+    Unlist(String),
     Stall(String),
     Unstall(String),
 }
--- a/crates/scenario/src/leases.rs
+++ b/crates/scenario/src/leases.rs
@@ -100,6 +100,9 @@
     /// Ends the leases that were not renewed in time, with their jobs.
     pub fn expire_leases(&mut self, vm: usize, service: &Service) {
         let clock = self.vms[vm].clock(self.now);
+        if !self.has_majority(vm) {
+            return;
+        }
         let Some(cell) = self.owned(vm, service) else {
             return;
         };
@@ -111,6 +114,12 @@
         }
     }
 
+    /// Returns true if the VM may cancel the work of VMs that it takes for dead.
+    fn has_majority(&self, vm: usize) -> bool {
+        let state = self.vms[vm].state.as_ref();
+        state.is_some_and(|state| state.view.has_majority(&state.listed))
+    }
+
     /// Takes an engine's list of held jobs into the leases of its cell and of its entry VM.
     pub fn check_held(&mut self, vm: usize, on: &Upstream, service: &Service, held: &[JobId]) {
         let clock = self.vms[vm].clock(self.now);
@@ -120,6 +129,10 @@
         };
         let mut cancels = state.holder.held(on, held);
         let live: Vec<VmName> = state.view.members.keys().cloned().collect();
+        if !state.view.has_majority(&state.listed) {
+            self.free(vm, cancels);
+            return;
+        }
         if let Some(cell) = self.owned(vm, service) {
             let total = u32::try_from(total).unwrap_or(u32::MAX);
             cancels.extend(cell.leases.report(clock, on, (held, total), &live));
--- a/crates/scenario/src/lists.rs
+++ b/crates/scenario/src/lists.rs
@@ -47,6 +47,7 @@
         self.claim_list(vm, &list);
         self.drive(vm, move |state, now| {
             state.listed = list.vms.keys().cloned().collect();
+            state.known.extend(list.vms.keys().cloned());
             let member = state.members.list(now, list.revision, &listed);
             let config = &mut state.config;
             (
--- a/crates/scenario/src/names.rs
+++ b/crates/scenario/src/names.rs
@@ -56,9 +56,11 @@
             Act::Cancel(name) => request(name),
             Act::Silence(name) if self.requests.contains(name) => None,
             Act::Kill(name) | Act::Start(name) => process(name),
-            Act::Pause(name) | Act::Wake(name) | Act::Stop(name) | Act::ListLag(name, _) => {
-                vm(name)
-            }
+            Act::Pause(name)
+            | Act::Wake(name)
+            | Act::Stop(name)
+            | Act::ListLag(name, _)
+            | Act::Unlist(name) => vm(name),
             Act::Partition(left, right) => left.iter().chain(right).find_map(|name| process(name)),
             Act::Silence(name)
             | Act::Delay(name, _)
--- a/crates/scenario/src/parse.rs
+++ b/crates/scenario/src/parse.rs
@@ -177,6 +177,7 @@
         "leave" => name(i).map(Act::Leave),
         "return" => name(i).map(Act::Return),
         "list-lag" => Ok(Act::ListLag(name(i)?, time(i)?)),
+        "unlist" => name(i).map(Act::Unlist),
         "stall" => name(i).map(Act::Stall),
         "unstall" => name(i).map(Act::Unstall),
         _ => Err(ContextError::new()),
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -323,6 +323,9 @@
             Act::Leave(name) => self.list_engine(&name, "leaving"),
             Act::Return(name) => self.list_engine(&name, "live"),
             Act::ListLag(name, lag) => self.vm(&name, |world, vm| world.vms[vm].list_lag = lag),
+            Act::Unlist(name) => self.platform.change_list(self.now, |list| {
+                list.vms.remove(&VmName::from(name.as_str()));
+            }),
             Act::Stall(name) => self.engine(&name, |engine| engine.stalled = true),
             Act::Unstall(name) => self.engine(&name, |engine| engine.stalled = false),
         }
--- a/crates/scenario/src/takeover.rs
+++ b/crates/scenario/src/takeover.rs
@@ -52,10 +52,11 @@
                 Some((name.clone(), (engine(name, number.parse().ok()?), *leaving)))
             });
             let engines: BTreeMap<_, _> = engines.collect();
+            let majority = state.view.has_majority(&state.listed);
             let gone = state
-                .listed
+                .known
                 .iter()
-                .filter(|vm| !state.view.members.contains_key(*vm));
+                .filter(|vm| majority && !state.view.members.contains_key(*vm));
             let gone: BTreeSet<VmName> = gone.cloned().collect();
             let newly = gone.iter().filter(|vm| !cell.is_dead(vm));
             let newly: Vec<VmName> = newly.cloned().collect();
--- a/crates/scenario/src/vm.rs
+++ b/crates/scenario/src/vm.rs
@@ -86,6 +86,8 @@
     trusted: bool,
     /// The VMs that the list has.
     pub listed: BTreeSet<VmName>,
+    /// All VMs that were listed since the start.
+    pub known: BTreeSet<VmName>,
     /// Upstreams that the VM knows; `true` for one that is leaving.
     pub table: BTreeMap<Upstream, bool>,
     /// Cancels that engines have not acknowledged.
@@ -157,6 +159,7 @@
             runs: BTreeMap::new(),
             trusted: false,
             listed: BTreeSet::new(),
+            known: BTreeSet::new(),
             table: BTreeMap::new(),
             cancels: BTreeSet::new(),
             quiet: Some(now),
