Take block size and prefill rate from the group's document

Cause: the request path used one block size and one prefill rate for all engines of a VM, whatever the documents said; a slower group's prefills could be given up too early.

Change: the table has what documents say about each group; the VM's options apply to a group without a document.

Conclusion: roles, slots, block size and prefill rate of a cell come from the list and documents.

--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -20,7 +20,9 @@
 
 pub use caller::Server;
 pub use node::{Feed, Node, NodeOptions};
-pub use spec::{HopTimes, Limits, ServeOptions, ServiceKind, ServiceSpec, Table, UpstreamSpec};
+pub use spec::{
+    GroupSpec, HopTimes, Limits, ServeOptions, ServiceKind, ServiceSpec, Table, UpstreamSpec,
+};
 
 use std::sync::Arc;
 
--- a/crates/cumindoor/src/serve/node/force.rs
+++ b/crates/cumindoor/src/serve/node/force.rs
@@ -6,9 +6,9 @@
 use coord::name::Service;
 
 use super::Feed;
-use crate::document::Document;
+use crate::document::{Document, Upstreams};
 use crate::serve::cell::shared::{Options, SharedCells};
-use crate::serve::{Table, UpstreamSpec};
+use crate::serve::{GroupSpec, Table, UpstreamSpec};
 
 /// The text of a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,7 +96,8 @@
         self.cells.set_options(state.options());
         let documents = state.good.values();
         let services = documents.flat_map(|(_, document)| document.service_specs());
-        self.table.replace(services.collect(), state.with_slots());
+        let (services, upstreams) = (services.collect(), state.with_slots());
+        self.table.replace_all(services, upstreams, state.groups());
     }
 }
 
@@ -108,6 +109,18 @@
             .collect()
     }
 
+    fn groups(&self) -> BTreeMap<Service, GroupSpec> {
+        let groups = self.good.values().flat_map(|(_, d)| &d.upstreams);
+        let spec = |(group, keys): (&Service, &Upstreams)| {
+            let spec = GroupSpec {
+                block_tokens: keys.block.0,
+                prefill_rate: keys.prefill_rate.0,
+            };
+            (group.clone(), spec)
+        };
+        groups.map(spec).collect()
+    }
+
     /// Returns the upstreams; an engine of a group that no document describes has no slot.
     fn with_slots(&self) -> Vec<UpstreamSpec> {
         let groups = self.good.values().flat_map(|(_, d)| &d.upstreams);
--- a/crates/cumindoor/src/serve/route/job.rs
+++ b/crates/cumindoor/src/serve/route/job.rs
@@ -38,6 +38,8 @@
 
 /// Returns the scheduler's view of `ask`.
 pub(super) fn build(context: &Context, spec: &ServiceSpec, ask: &Ask) -> Job {
+    let group = context.table.group(&spec.group);
+    let block_tokens = group.map_or(context.options.block_tokens, |g| g.block_tokens);
     Job {
         id: draw_id(&context.options.vm),
         vm: context.options.vm.clone(),
@@ -48,7 +50,7 @@
         token_target: spec.token_target,
         prompt_tokens: estimate_tokens(&ask.prompt),
         max_tokens: ask.max_tokens,
-        prefix: prefixes(&ask.prompt, context.options.block_tokens),
+        prefix: prefixes(&ask.prompt, block_tokens),
         fingerprint: fingerprint(spec, &ask.prompt),
         once: spec.once,
         suspect: false,
--- a/crates/cumindoor/src/serve/route/prefill.rs
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -80,7 +80,9 @@
     }
 
     fn prefill_limit(&self, prompt: &str) -> Duration {
-        let rate = self.context.options.prefill_rate.max(1);
+        let group = self.context.table.group(&self.spec.group);
+        let rate = group.map_or(self.context.options.prefill_rate, |g| g.prefill_rate);
+        let rate = rate.max(1);
         let expected = f64::from(job::estimate_tokens(prompt)) / f64::from(rate);
         SLACK + Duration::from_secs_f64(expected) * FACTOR
     }
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -88,10 +88,20 @@
     }
 }
 
+/// What a document says about a group of model engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupSpec {
+    /// Tokens in one block of the engines' prefix cache.
+    pub block_tokens: u32,
+    /// Prompt tokens that a prefill engine computes in one second.
+    pub prefill_rate: u32,
+}
+
 #[derive(Debug, Default)]
 struct Contents {
     services: BTreeMap<Service, BTreeMap<Organisation, Arc<ServiceSpec>>>,
     upstreams: BTreeMap<Upstream, UpstreamSpec>,
+    groups: BTreeMap<Service, GroupSpec>,
 }
 
 /// The services and upstreams that are in force now; clones share their contents.
@@ -119,7 +129,20 @@
 
     /// Puts new contents in force; requests in progress keep the specification they started with.
     pub fn replace(&self, services: Vec<ServiceSpec>, upstreams: Vec<UpstreamSpec>) {
-        let mut contents = Contents::default();
+        self.replace_all(services, upstreams, BTreeMap::new());
+    }
+
+    /// As [`Self::replace`], with what documents say about groups of engines.
+    pub fn replace_all(
+        &self,
+        services: Vec<ServiceSpec>,
+        upstreams: Vec<UpstreamSpec>,
+        groups: BTreeMap<Service, GroupSpec>,
+    ) {
+        let mut contents = Contents {
+            groups,
+            ..Contents::default()
+        };
         for spec in services {
             let by_name = contents.services.entry(spec.name.clone()).or_default();
             by_name.insert(spec.organisation.clone(), Arc::new(spec));
@@ -158,6 +181,12 @@
         own.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns what a document says about a group, or `None` if the VM's options apply.
+    #[must_use]
+    pub fn group(&self, name: &Service) -> Option<GroupSpec> {
+        self.read().groups.get(name).copied()
+    }
+
     /// Returns where an upstream listens.
     #[must_use]
     pub fn address(&self, name: &Upstream) -> Option<SocketAddr> {
--- a/crates/cumindoor/tests/nodes.rs
+++ b/crates/cumindoor/tests/nodes.rs
@@ -110,7 +110,7 @@
 #[tokio::test]
 async fn puts_documents_in_force_on_all_vms() {
     let nodes = Nodes::start(3, 20).await;
-    let good = document(7);
+    let good = document(7) + "prefill-rate = 20000 tokens/s\n";
 
     nodes.put_document("celeste", 2, &good);
     nodes.put_document("souk", 3, "[organisation]\nnam = souk\n");
@@ -130,6 +130,8 @@
     assert!(nodes.vms.keys().all(slots));
     for vm in nodes.vms.values() {
         assert_eq!(vm.node.in_force()["celeste"], 2);
+        let group = vm.node.server().context().table.group(&"chat".into());
+        assert_eq!(group.unwrap().prefill_rate, 20_000);
     }
 }
 
