--- a/crates/coord/src/sched/fleet.rs
+++ b/crates/coord/src/sched/fleet.rs
@@ -125,6 +125,9 @@
     }
 
     /// Returns true if a job that has reserved a slot may use it.
+    ///
+    /// A failure counts until its closure is over, not until the next success: an engine that is
+    /// kept for one suspect has no other job that could succeed.
     pub(super) fn takes_reserved(&self, now: Time) -> bool {
         self.live() && (self.failures == 0 || self.closed_until <= now)
     }
