Ask for a majority before the router cancels the work of lost VMs

Cause: a VM that is cut off from the others but reaches the engines cancelled all their streams. Change: the view carries whether it has the majority of the listed VMs; the owner keeps lost VMs and expired leases until it has, and looks for their work then.

--- a/crates/cumindoor/src/serve/cell/shared/core.rs
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -124,10 +124,11 @@
             .filter(|vm| !self.view.vms.contains_key(*vm));
         for vm in gone.filter(|vm| **vm != self.own) {
             self.posts.forget(vm);
-            self.owner.drop_vm(now, vm, &mut out);
+            self.owner.lose_vm(vm);
         }
         let vms = &self.view.vms;
         self.owner.set_live(vms.keys());
+        self.owner.set_majority(now, self.view.majority, &mut out);
         self.leaving.retain(|vm, incarnation| {
             let current = vms.get(vm);
             current.is_some_and(|c| c.leaving || Some(c.incarnation) == *incarnation)
--- a/crates/cumindoor/src/serve/cell/shared/host.rs
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -186,12 +186,17 @@
             .collect()
     }
 
-    /// Takes a report; `live` has the tags of all VMs of the view.
+    /// Starts to look for the work of VMs that are not in the view.
+    pub(super) fn look_for_strays(&mut self, now: Time) {
+        self.strays = Strays::new(now);
+    }
+
+    /// Takes a report; `live` has the tags of all VMs of the view, if it has the majority.
     pub(super) fn input(
         &mut self,
         now: Time,
         input: &Input,
-        live: &BTreeSet<u32>,
+        live: Option<&BTreeSet<u32>>,
         orphans: &mut Vec<Orphan>,
     ) -> Vec<Action> {
         match input {
@@ -201,7 +206,8 @@
                 }
                 let held = report.held.iter().copied();
                 let unknown = held.filter(|id| !self.jobs.contains_key(id));
-                let lost = self.strays.check(now, name, unknown, live);
+                let check = |live| self.strays.check(now, name, unknown, live);
+                let lost = live.map(check).unwrap_or_default();
                 orphans.extend(lost.into_iter().map(|id| Orphan {
                     id,
                     upstream: name.clone(),
--- a/crates/cumindoor/src/serve/cell/shared/owner.rs
+++ b/crates/cumindoor/src/serve/cell/shared/owner.rs
@@ -33,6 +33,10 @@
     cells: Cells,
     /// Tags in the ids of all VMs of the view.
     live: BTreeSet<u32>,
+    /// Whether the view has the majority of the listed VMs.
+    majority: bool,
+    /// VMs that left the view and whose requests have not been dropped.
+    lost: BTreeSet<VmName>,
 }
 
 impl Owner {
@@ -52,6 +56,30 @@
         lease.token
     }
 
+    /// Notes that a VM is not in the view any more.
+    pub(super) fn lose_vm(&mut self, vm: &VmName) {
+        self.lost.insert(vm.clone());
+    }
+
+    /// Notes whether the view has the majority of the listed VMs; with it, the requests of lost
+    /// VMs are dropped.
+    pub(super) fn set_majority(&mut self, now: Time, majority: bool, out: &mut Out) {
+        if majority && !self.majority {
+            self.hosts
+                .values_mut()
+                .for_each(|host| host.look_for_strays(now));
+        }
+        self.majority = majority;
+        if !majority {
+            return;
+        }
+        for vm in std::mem::take(&mut self.lost) {
+            if !self.live.contains(&JobId::tag_of(&vm)) {
+                self.drop_vm(now, &vm, out);
+            }
+        }
+    }
+
     /// Drops the requests of a VM that is gone and frees what they hold.
     pub(super) fn drop_vm(&mut self, now: Time, vm: &VmName, out: &mut Out) {
         if self.leases.remove(vm).is_none() {
@@ -189,14 +217,16 @@
             .iter_mut()
             .filter(|(cell, _)| cell.group == *group)
         {
-            let actions = host.input(now, input, &self.live, &mut self.orphans);
+            let live = self.majority.then_some(&self.live);
+            let actions = host.input(now, input, live, &mut self.orphans);
             host.deliver(actions, out, &mut self.orphans);
         }
     }
 
     /// Lets time pass: expired leases end, and the schedulers look at their queues.
     pub(super) fn tick(&mut self, now: Time, out: &mut Out) {
-        let expired = |lease: &Lease| now.since(lease.heard) > LEASE_TTL;
+        let majority = self.majority;
+        let expired = |lease: &Lease| majority && now.since(lease.heard) > LEASE_TTL;
         let all = self.leases.iter();
         let gone: Vec<VmName> = all
             .filter(|(_, lease)| expired(lease))
--- a/crates/cumindoor/src/serve/cell/shared/tests.rs
+++ b/crates/cumindoor/src/serve/cell/shared/tests.rs
@@ -66,7 +66,11 @@
         .pair(vm)
     };
     let vms = live.iter().map(member).collect();
-    Arc::new(View { trusted, vms })
+    Arc::new(View {
+        trusted,
+        majority: true,
+        vms,
+    })
 }
 
 impl Member {
@@ -398,3 +402,44 @@
         }
     }
 }
+
+/// Guards against a VM that is cut off from the others and cancels their work on the engines.
+#[test]
+fn only_a_majority_cancels_the_work_of_lost_vms() {
+    let [own, other, _] = names();
+    let id = JobId::new(&other, 1);
+    let mut now = Time::from_millis(1);
+    let mut core = core(now, &own);
+    let minority = View {
+        majority: false,
+        ..(*view(std::slice::from_ref(&own), true)).clone()
+    };
+
+    core.set_view(now, Arc::new(minority));
+    let cut_off = report_held(&mut core, &mut now, id);
+    core.set_view(now, view(&[own], true));
+    let majority = report_held(&mut core, &mut now, id);
+
+    assert_eq!(cut_off, Vec::new());
+    assert_eq!(majority, [id]);
+}
+
+/// Reports for ten seconds that an engine holds `id`; returns the ids that are cancelled.
+fn report_held(core: &mut Core, now: &mut Time, id: JobId) -> Vec<JobId> {
+    let mut cancelled = Vec::new();
+    for _ in 0..20 {
+        *now = *now + Duration::from_millis(500);
+        let report = EngineReport {
+            held: vec![id],
+            queue: 0,
+        };
+        core.input(
+            *now,
+            &"chat".into(),
+            &Input::Load("d-1".into(), report.clone()),
+        );
+        core.tick(*now);
+        cancelled.extend(core.take_orphans().into_iter().map(|orphan| orphan.id));
+    }
+    cancelled
+}
--- a/crates/cumindoor/src/serve/node/join.rs
+++ b/crates/cumindoor/src/serve/node/join.rs
@@ -145,7 +145,11 @@
     documents.mark_changed();
     listed.mark_changed();
     loop {
-        let view = view(&members.borrow_and_update(), cluster.trusted());
+        let view = view(
+            &members.borrow_and_update(),
+            cluster.trusted(),
+            &listed.borrow(),
+        );
         senders.view.send_if_modified(|current| {
             let changed = **current != view;
             *current = Arc::new(view);
@@ -174,7 +178,7 @@
     }
 }
 
-fn view(view: &member::View, trusted: bool) -> View {
+fn view(view: &member::View, trusted: bool, listed: &Listed) -> View {
     let members = view.members.iter();
     let vms = members.map(|(name, member)| {
         let member = Member {
@@ -187,6 +191,7 @@
     });
     View {
         trusted,
+        majority: view.has_majority(listed.vms.keys()),
         vms: vms.collect(),
     }
 }
--- a/crates/cumindoor/src/serve/view.rs
+++ b/crates/cumindoor/src/serve/view.rs
@@ -24,6 +24,9 @@
 pub struct View {
     /// False after a pause of this process, until peers have answered again.
     pub trusted: bool,
+    /// True if the view has the majority of the listed VMs. Without it, VMs that are not in the
+    /// view may serve on, on the other side of a partition, and their work is not cancelled.
+    pub majority: bool,
     /// The VMs by name.
     pub vms: BTreeMap<VmName, Member>,
 }
--- a/crates/cumindoor/tests/common/nodes.rs
+++ b/crates/cumindoor/tests/common/nodes.rs
@@ -168,6 +168,7 @@
         let members = live.iter().map(|vm| (VmName::from(*vm), self.member(vm)));
         let view = View {
             trusted: true,
+            majority: true,
             vms: members.collect(),
         };
         self.vms[name].peers.set_directory(view.directory());
