Describe the operation of a VM and compare the page with the code

Cause: nothing told operators what a refusal, counter, task name or log line means, how a VM is stopped and replaced, or what two versions side by side can and cannot do. Change: docs/operations.md. tests/operations.rs scans src/serve for refusal reasons, metric names, supervised tasks and log lines and compares each set with a table of the page, in both directions. A call whose name is not a literal has to be in a list of known ones, so that it cannot pass unseen. Two versions have not been run together.

--- /dev/null
+++ b/crates/cumindoor/tests/operations.rs
@@ -0,0 +1,220 @@
+//! Compares `docs/operations.md` with the refusals, metrics, tasks and log lines in the code.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use coord::sched::{Failure, Reason};
+use cumindoor::serve::refusal::Refusal;
+
+/// The calls that count.
+const METRICS: [&str; 6] = [
+    "telemetry.count(",
+    "telemetry.add(",
+    "telemetry.time(",
+    "telemetry.gauge(",
+    "\n        gauge(",
+    ".count_end(",
+];
+
+/// Counting calls that get their name from a caller that the scan sees as well, by file.
+const COUNTED: [(&str, &str); 3] = [
+    ("caller.rs", "name, value as u64"),
+    ("route.rs", "name"),
+    ("route/prefill.rs", "&name"),
+];
+
+/// Refusals that get their reason from a caller that the scan sees as well, by file.
+const REFUSED: [(&str, &str); 3] = [
+    ("plain/bodies.rs", "reason, message"),
+    (
+        "route.rs",
+        "StatusCode::SERVICE_UNAVAILABLE, reason, message",
+    ),
+    ("route.rs", "reason, message"),
+];
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Returns the source files below `dir` that are not tests, with their paths in `src/serve`.
+fn sources(dir: &Path, found: &mut Vec<(String, String)>) {
+    for entry in std::fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.strip_prefix(root().join("src/serve")).unwrap();
+        let name = name.to_str().unwrap().to_owned();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|end| end == "rs") && !name.ends_with("tests.rs") {
+            found.push((name, std::fs::read_to_string(&path).unwrap()));
+        }
+    }
+}
+
+fn serve_sources() -> Vec<(String, String)> {
+    let mut found = Vec::new();
+    sources(&root().join("src/serve"), &mut found);
+    let cli = std::fs::read_to_string(root().join("src/cli/serve.rs")).unwrap();
+    found.push(("cli/serve.rs".into(), cli));
+    found
+}
+
+/// Returns the text between the parenthesis that opens directly before `rest` and its end.
+fn arguments(rest: &str) -> &str {
+    let (mut depth, mut quoted, mut escaped) = (1, false, false);
+    for (at, c) in rest.char_indices() {
+        match c {
+            _ if escaped => escaped = false,
+            '\\' if quoted => escaped = true,
+            '"' => quoted = !quoted,
+            '(' if !quoted => depth += 1,
+            ')' if !quoted => depth -= 1,
+            _ => {}
+        }
+        if depth == 0 {
+            return &rest[..at];
+        }
+    }
+    panic!("a call without an end: {}", &rest[..rest.len().min(80)]);
+}
+
+/// Returns the arguments of every call of `call`.
+fn calls<'a>(text: &'a str, call: &'a str) -> impl Iterator<Item = &'a str> {
+    let found = text.match_indices(call);
+    found.map(move |(at, _)| arguments(&text[at + call.len()..]))
+}
+
+fn literal(arguments: &str) -> Option<&str> {
+    arguments.split('"').nth(1)
+}
+
+/// Names that the code gives to `wanted` calls, and the calls without one.
+fn named(wanted: &[&str]) -> (BTreeSet<String>, BTreeSet<(String, String)>) {
+    let (mut names, mut forwarded) = (BTreeSet::new(), BTreeSet::new());
+    for (file, text) in serve_sources() {
+        for arguments in wanted.iter().flat_map(|call| calls(&text, call)) {
+            if let Some(name) = literal(arguments) {
+                names.insert(name.to_owned());
+                continue;
+            }
+            let words: Vec<&str> = arguments.split_whitespace().collect();
+            let arguments = words.join(" ").trim_end_matches(',').to_owned();
+            forwarded.insert((file.clone(), arguments));
+        }
+    }
+    (names, forwarded)
+}
+
+fn assert_forwarded(found: &BTreeSet<(String, String)>, known: &[(&str, &str)]) {
+    let known = known.iter();
+    let known: BTreeSet<_> = known.map(|(f, a)| ((*f).into(), (*a).into())).collect();
+    assert_eq!(*found, known, "a name that the scan cannot follow");
+}
+
+fn page() -> String {
+    std::fs::read_to_string(root().join("../../docs/operations.md")).unwrap()
+}
+
+/// Returns the names in the first column of the tables of one section.
+fn rows(page: &str, title: &str) -> BTreeSet<String> {
+    let (_, rest) = page.split_once(&format!("\n## {title}\n")).unwrap();
+    let section = rest.split("\n## ").next().unwrap();
+    let rows = section.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.map(|row| row.split('`').next().unwrap().to_owned())
+        .collect()
+}
+
+/// Returns every reason that a scheduler gives; a new one does not compile here.
+fn scheduler_reasons() -> Vec<Reason> {
+    let next = |reason| match reason {
+        Reason::Deadline => Some(Reason::QueueFull),
+        Reason::QueueFull => Some(Reason::NoUpstream),
+        Reason::NoUpstream => Some(Reason::RetryBudget),
+        Reason::RetryBudget => Some(Reason::Poison),
+        Reason::Poison => Some(Reason::Unknown),
+        Reason::Unknown => None,
+    };
+    std::iter::successors(Some(Reason::Deadline), |reason| next(*reason)).collect()
+}
+
+/// Returns the word for each failure of a step; a new failure does not compile here.
+fn causes() -> Vec<&'static str> {
+    let next = |failure| match failure {
+        Failure::Full => ("full", Some(Failure::Evicted)),
+        Failure::Evicted => ("evicted", Some(Failure::Lost)),
+        Failure::Lost => ("lost", Some(Failure::Stalled)),
+        Failure::Stalled => ("stalled", None),
+    };
+    let all = std::iter::successors(Some(Failure::Full), |failure| next(*failure).1);
+    all.map(|failure| next(failure).0).collect()
+}
+
+/// Guards against a refusal that operators find no explanation for, and against a row that
+/// explains a refusal that no longer exists.
+#[test]
+fn page_has_every_refusal() {
+    let wanted = ["Refusal::not_run(", "Refusal::unknown(", "self.refusal("];
+    let (mut reasons, forwarded) = named(&wanted);
+    let scheduler = scheduler_reasons().into_iter();
+    reasons.extend(scheduler.map(|r| Refusal::from_reason(r, None, false).reason.to_owned()));
+
+    assert_forwarded(&forwarded, &REFUSED);
+    for sample in ["malformed", "cell-lost", "duplicate", "queue-full"] {
+        assert!(reasons.contains(sample), "the scan misses {sample}");
+    }
+    assert_eq!(rows(&page(), "Refusals"), reasons);
+}
+
+/// Guards against a metric that the page does not name, and against a row without a metric.
+#[test]
+fn page_has_every_metric() {
+    let (found, forwarded) = named(&METRICS);
+    assert_forwarded(&forwarded, &COUNTED);
+
+    let (steps, indirect) = named(&["self.count_failure("]);
+    assert_forwarded(&indirect, &[]);
+    let mut names: BTreeSet<String> = BTreeSet::new();
+    for name in found {
+        match name.as_str() {
+            "request.refused.{}" => drop(names.insert("request.refused.REASON".into())),
+            "supervisor.{}" => {
+                names.insert("supervisor.TASK.restarted".into());
+                names.insert("supervisor.TASK.gave-up".into());
+            }
+            _ => drop(names.insert(name)),
+        }
+    }
+    for step in &steps {
+        names.extend(
+            causes()
+                .iter()
+                .map(|cause| format!("{step}.failed.{cause}")),
+        );
+    }
+
+    for sample in ["request.started", "first-token", "cancel.pending", "tokens"] {
+        assert!(names.contains(sample), "the scan misses {sample}");
+    }
+    assert_eq!(steps.len(), 2, "prefill and decode");
+    assert_eq!(rows(&page(), "Metrics"), names);
+}
+
+/// Guards against the name of a supervised task in a counter or log line that no page explains.
+#[test]
+fn page_has_every_task() {
+    let (tasks, forwarded) = named(&["Spec::task(", "Spec::group("]);
+    assert_forwarded(&forwarded, &[]);
+
+    assert!(tasks.contains("cluster") && tasks.contains("router"));
+    assert_eq!(rows(&page(), "Supervised tasks"), tasks);
+}
+
+/// Guards against a log line that the page does not explain.
+#[test]
+fn page_has_every_log_line() {
+    let (lines, forwarded) = named(&["log::info!(", "log::warn!(", "log::error!("]);
+    assert_forwarded(&forwarded, &[]);
+
+    assert!(lines.contains("serving") && lines.contains("stopped"));
+    assert_eq!(rows(&page(), "Log lines"), lines);
+}
