Replay recorded traces and compare them with stated outcomes

Cause: a change of the policy could only be measured on drawn arrivals, and its figures were compared with expectations by hand.

The driver now plans a list of incidents, which follows from the case's fault or is read from the trace.

--- a/crates/cumindoor/src/bench.rs
+++ b/crates/cumindoor/src/bench.rs
@@ -15,11 +15,14 @@
 mod baseline;
 mod bound;
 mod case;
+mod expect;
 mod fake;
 mod flow;
+mod replay;
 mod report;
 mod router;
 mod sim;
+mod trace;
 
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -28,6 +31,9 @@
 use coord::sched::Scheduler;
 use eyre::{Context, ensure};
 
+pub use self::expect::SECTIONS as EXPECT_SECTIONS;
+pub use self::replay::{ReplayArgs, run as replay};
+
 use self::baseline::{Baseline, Rule};
 use self::case::Case;
 use self::report::Row;
@@ -69,6 +75,12 @@
     /// Writes the goodput shares as bars to this file.
     #[arg(long, value_name = "FILE.svg")]
     plot: Option<PathBuf>,
+    /// Writes the arrivals and faults of one case as a trace instead of running it.
+    #[arg(long, value_name = "FILE", requires = "case")]
+    record: Option<PathBuf>,
+    /// Seconds of the recorded run; the first fifth of them, up to 20 s, is not measured.
+    #[arg(long, requires = "record", value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    seconds: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -100,6 +112,9 @@
 /// Fails if no case has the name, or if the plot cannot be written.
 pub fn run(args: &BenchArgs) -> eyre::Result<()> {
     let What::Policy(args) = &args.what;
+    if let Some(file) = &args.record {
+        return replay::record(args, file);
+    }
     let rows = policy(args)?;
     match args.format {
         Format::Table => print!("{}", report::table(&rows)),
--- a/crates/cumindoor/src/bench/arrivals.rs
+++ b/crates/cumindoor/src/bench/arrivals.rs
@@ -143,7 +143,7 @@
             id: JobId::new(&vm, number as u128),
             vm,
             organisation: format!("org-{}", self.organisation).into(),
-            service: kind.name.into(),
+            service: (&*kind.name).into(),
             class: kind.class,
             deadline: now + kind.ttft,
             token_target: kind.itl,
--- a/crates/cumindoor/src/bench/case.rs
+++ b/crates/cumindoor/src/bench/case.rs
@@ -1,8 +1,11 @@
 //! The cases of the benchmark: fleets, loads and faults.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use coord::sched::{Class, Role, SchedOptions};
+use coord::time::Time;
+use serde::{Deserialize, Serialize};
 
 use super::fake::{CROWDING, DISTURBANCE, OVERHEAD};
 
@@ -10,7 +13,8 @@
 pub const TOKEN_BYTES: u64 = 70_000;
 
 /// A fault in the middle of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Fault {
     /// Nothing fails.
     None,
@@ -26,6 +30,27 @@
     LostEvents,
 }
 
+/// Something that dies or returns at an instant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Incident {
+    #[serde(rename = "at_us")]
+    pub at: Time,
+    pub kind: IncidentKind,
+    /// Name of the upstream, data centre or VM.
+    pub name: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum IncidentKind {
+    UpstreamDies,
+    UpstreamReturns,
+    DataCentreDies,
+    DataCentreReturns,
+    VmDies,
+}
+
 /// The faults with the end of a case's name.
 const FAULTS: [(Fault, &str); 6] = [
     (Fault::None, ""),
@@ -39,7 +64,7 @@
 /// Requests of one kind: a service, or a class of one.
 #[derive(Clone, Debug)]
 pub struct Kind {
-    pub name: &'static str,
+    pub name: Arc<str>,
     pub class: Class,
     /// Share of the cell's requests.
     pub share: f64,
@@ -76,9 +101,11 @@
 pub struct Case {
     pub name: String,
     pub cells: Vec<Cell>,
-    pub centres: Vec<&'static str>,
+    pub centres: Vec<Arc<str>>,
     pub load: Load,
     pub fault: Fault,
+    /// What a trace lists instead of the incidents that follow from `fault`.
+    pub incidents: Option<Vec<Incident>>,
     /// Length of the run in seconds, and of its beginning that is not measured.
     pub seconds: u64,
     pub warm: u64,
@@ -133,10 +160,10 @@
 /// Decode slots of an engine.
 pub const SLOTS: u32 = 20;
 
-fn kind(name: &'static str, class: Class, groups: u64, lengths: [u32; 3]) -> Kind {
+fn kind(name: &str, class: Class, groups: u64, lengths: [u32; 3]) -> Kind {
     let patient = class == Class::Patient;
     Kind {
-        name,
+        name: name.into(),
         class,
         share: 1.0,
         groups,
@@ -169,7 +196,7 @@
             cell(vec![reader], split, options(4, 8e9, 400)),
             cell(vec![desk], vec![(Role::Both, 3)], options(4, 8e9, 200)),
         ],
-        centres: vec!["boa-viagem", "suape", "olinda"],
+        centres: ["boa-viagem", "suape", "olinda"].map(Arc::from).to_vec(),
         ..base(8e9)
     }
 }
@@ -185,7 +212,9 @@
             cell(vec![writers], large, options(6, 8e9, 400)),
             cell(vec![desk], small, options(6, 4e9, 200)),
         ],
-        centres: vec!["hall-legumes", "hall-fruits", "quai-nord", "depot-froid"],
+        centres: ["hall-legumes", "hall-fruits", "quai-nord", "depot-froid"]
+            .map(Arc::from)
+            .to_vec(),
         ..base(12e9)
     }
 }
@@ -205,7 +234,9 @@
     Case {
         name: "target".into(),
         cells: vec![cell(kinds, engines, options(12, 30e9, 600))],
-        centres: vec!["n1", "n2", "n3", "n4", "s1", "s2", "s3", "s4"],
+        centres: ["n1", "n2", "n3", "n4", "s1", "s2", "s3", "s4"]
+            .map(Arc::from)
+            .to_vec(),
         load: Load::Open(90),
         organisations: 42_000,
         ..base(30e9)
@@ -221,7 +252,7 @@
     Case {
         name: format!("paper-{workers}/{prefixes}/{callers}"),
         cells: vec![cell(vec![chat], vec![(Role::Both, workers)], options)],
-        centres: vec!["dc"],
+        centres: ["dc"].map(Arc::from).to_vec(),
         load: Load::Closed(callers),
         fixed: true,
         ..base(8e9)
@@ -246,6 +277,7 @@
         centres: Vec::new(),
         load: Load::Open(90),
         fault: Fault::None,
+        incidents: None,
         seconds: 180,
         warm: 20,
         organisations: 200,
--- /dev/null
+++ b/crates/cumindoor/src/bench/expect.rs
@@ -0,0 +1,244 @@
+//! Stated outcomes of a replay, as an INI file.
+
+use std::fmt;
+
+use crate::ini::{self, Count, Finding, Findings, KeySpec, Keys, Section, Setting, Span, quote};
+
+use super::report::Row;
+
+/// A share of a whole.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Share(pub f64);
+
+impl Setting for Share {
+    const UNIT: &'static str = "a share from 0 to 1 such as `0.95`";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let plain = text.chars().all(|c| c.is_ascii_digit() || c == '.');
+        let share = text
+            .parse()
+            .ok()
+            .filter(|s| plain && (0.0..=1.0).contains(s));
+        share
+            .map(Self)
+            .ok_or_else(|| format!("expected {}", Self::UNIT))
+    }
+
+    fn print(&self) -> String {
+        self.0.to_string()
+    }
+}
+
+ini::section! {
+    /// Outcomes of the whole run.
+    pub struct Run {
+        /// Share of the arrivals that met both targets, at least.
+        goodput_share: Option<Share> = "goodput-share" Absent,
+        /// Share of computed prompt tokens whose result was never used, at most.
+        wasted_prefill_share: Option<Share> = "wasted-prefill-share" Absent,
+        /// Complete answers, at least.
+        answered: Option<Count> = "answered" Absent,
+        /// Requests without an answer or a refusal, at most.
+        lost: Count = "lost" Value("0"),
+    }
+}
+
+ini::section! {
+    /// Refusals, at most, by reason.
+    pub struct Refused {
+        /// The deadline cannot be met.
+        deadline: Option<Count> = "deadline" Absent,
+        /// The queue is full.
+        queue_full: Option<Count> = "queue-full" Absent,
+        /// No upstream is available.
+        no_upstream: Option<Count> = "no-upstream" Absent,
+        /// The retry budget is spent.
+        retry_budget: Option<Count> = "retry-budget" Absent,
+        /// The request has brought upstreams down.
+        poison: Option<Count> = "poison" Absent,
+        /// The outcome is unknown.
+        unknown: Option<Count> = "unknown" Absent,
+    }
+}
+
+ini::section! {
+    /// Outcomes of one service.
+    pub struct Service {
+        /// Share of the service's arrivals that met both targets, at least.
+        goodput_share: Option<Share> = "goodput-share" Absent,
+        /// 95th percentile of the time to first token, at most.
+        ttft_p95: Option<Span> = "ttft-p95" Absent,
+    }
+}
+
+/// The sections of an expectations file with their keys.
+pub const SECTIONS: &[(&str, &[KeySpec])] = &[
+    ("run", Run::KEYS),
+    ("refused", Refused::KEYS),
+    ("`[service NAME]`", Service::KEYS),
+];
+
+/// What a section expects.
+enum Part {
+    Run(Run),
+    Refused(Refused),
+    Service(String, Service),
+}
+
+/// The sections of an expectations file.
+pub struct Expectations {
+    file: String,
+    parts: Vec<(Section, Part)>,
+}
+
+impl Expectations {
+    /// Reads a file; `services` are the names that the trace has, if it could be read.
+    pub fn parse(
+        file: &str,
+        text: &str,
+        services: Option<&[String]>,
+    ) -> Result<Self, Vec<Finding>> {
+        let mut findings = Findings::new(file);
+        let sections = ini::sections(text, &mut findings);
+        ini::repeated_titles(&sections, &mut findings);
+        if sections.is_empty() && findings.is_empty() {
+            findings.add(
+                1,
+                "the file states nothing; expected [run], [refused] or [service NAME]",
+            );
+        }
+        let mut parts = Vec::new();
+        for section in sections {
+            if let Some(part) = read(&section, services, &mut findings) {
+                parts.push((section, part));
+            }
+        }
+        if findings.is_empty() {
+            return Ok(Self {
+                file: file.into(),
+                parts,
+            });
+        }
+        Err(findings.into_list())
+    }
+
+    /// Returns the differences between the stated and the measured outcomes.
+    pub fn differences(&self, row: &Row) -> Vec<Finding> {
+        let mut findings = Findings::new(&self.file);
+        let mut lost_stated = false;
+        for (section, part) in &self.parts {
+            let mut compare = Compare {
+                section,
+                findings: &mut findings,
+            };
+            match part {
+                Part::Run(run) => {
+                    lost_stated = true;
+                    compare.run(run, row);
+                }
+                Part::Refused(refused) => compare.refused(refused, row),
+                Part::Service(name, service) => compare.service(name, service, row),
+            }
+        }
+        if !lost_stated && row.lost > 0 {
+            findings.add(1, format!("expected lost at most 0, got {}", row.lost));
+        }
+        findings.into_list()
+    }
+}
+
+fn read(section: &Section, services: Option<&[String]>, findings: &mut Findings) -> Option<Part> {
+    match (section.kind(), section.subject()) {
+        ("run", "") => section.read(findings).map(Part::Run),
+        ("refused", "") => section.read(findings).map(Part::Refused),
+        ("service", name) => {
+            if let Some(services) = services.filter(|s| !s.iter().any(|s| s == name)) {
+                let names = services.join(", ");
+                let text = format!("the trace has no service {}; it has {names}", quote(name));
+                findings.add(section.line, text);
+            }
+            let part = section.read(findings)?;
+            Some(Part::Service(name.into(), part))
+        }
+        _ => {
+            let title = quote(&section.title);
+            let text = format!("{title} is no section; expected run, refused or service NAME");
+            findings.add(section.line, text);
+            None
+        }
+    }
+}
+
+/// Compares the values of one section.
+struct Compare<'a> {
+    section: &'a Section,
+    findings: &'a mut Findings,
+}
+
+impl Compare<'_> {
+    fn at_least<T: PartialOrd + fmt::Display>(&mut self, key: &str, bound: Option<T>, got: &T) {
+        if let Some(bound) = bound.filter(|bound| got < bound) {
+            self.add(key, &format!("at least {bound}, got {got}"));
+        }
+    }
+
+    fn at_most<T: PartialOrd + fmt::Display>(&mut self, key: &str, bound: Option<T>, got: &T) {
+        if let Some(bound) = bound.filter(|bound| got > bound) {
+            self.add(key, &format!("at most {bound}, got {got}"));
+        }
+    }
+
+    fn add(&mut self, key: &str, text: &str) {
+        let line = self.section.line_of(key);
+        self.findings.add(line, format!("expected {key} {text}"));
+    }
+
+    fn run(&mut self, run: &Run, row: &Row) {
+        let share = |s: Option<Share>| s.map(|s| s.0);
+        let count = |c: Count| u64::from(c.0);
+        self.at_least(
+            "goodput-share",
+            share(run.goodput_share),
+            &row.goodput_share,
+        );
+        let wasted = share(run.wasted_prefill_share);
+        self.at_most("wasted-prefill-share", wasted, &row.wasted_prefill_share);
+        self.at_least("answered", run.answered.map(count), &row.answered);
+        self.at_most("lost", Some(count(run.lost)), &row.lost);
+    }
+
+    fn refused(&mut self, refused: &Refused, row: &Row) {
+        for (key, reason, bound) in [
+            ("deadline", "Deadline", refused.deadline),
+            ("queue-full", "QueueFull", refused.queue_full),
+            ("no-upstream", "NoUpstream", refused.no_upstream),
+            ("retry-budget", "RetryBudget", refused.retry_budget),
+            ("poison", "Poison", refused.poison),
+            ("unknown", "Unknown", refused.unknown),
+        ] {
+            let got = row.refused.get(reason).copied().unwrap_or(0);
+            self.at_most(key, bound.map(|c| u64::from(c.0)), &got);
+        }
+    }
+
+    /// Compares each class of the service, so that none hides behind another.
+    fn service(&mut self, name: &str, service: &Service, row: &Row) {
+        let rows: Vec<_> = row.services.iter().filter(|s| *s.name == *name).collect();
+        if rows.is_empty() {
+            let text = format!("expected measured requests to {name}, got none");
+            self.findings.add(self.section.line, text);
+        }
+        for got in rows {
+            let share = service.goodput_share.map(|s| s.0);
+            self.at_least("goodput-share", share, &got.goodput_share);
+            let bound = service.ttft_p95.map(|t| t.0.as_secs_f64() * 1_000.0);
+            if let Some(bound) = bound.filter(|bound| got.ttft_ms.p95 > *bound) {
+                let text = format!("at most {bound} ms, got {} ms", got.ttft_ms.p95);
+                self.add("ttft-p95", &text);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/cumindoor/src/bench/flow.rs
+++ b/crates/cumindoor/src/bench/flow.rs
@@ -14,7 +14,7 @@
 use super::sim::{CALLER_HOP, Event, HOP, LIST_LAG, Sim};
 
 /// The VM that owns the cells in the fault `vm-dies`.
-const OWNER: u32 = 0;
+pub(super) const OWNER: u32 = 0;
 
 impl Sim<'_> {
     /// Sends an engine's answer through the entry VM to the cell's owner.
--- a/crates/cumindoor/src/bench/report.rs
+++ b/crates/cumindoor/src/bench/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::sync::Arc;
 
 use coord::time::Time;
 use hdrhistogram::Histogram;
@@ -22,7 +23,7 @@
 /// Figures of one service.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServiceRow {
-    pub name: &'static str,
+    pub name: Arc<str>,
     pub goodput_share: f64,
     pub ttft_ms: Percentiles,
     pub itl_ms: Percentiles,
@@ -37,6 +38,9 @@
     /// Requests per second that met both targets, and their share of the arrivals.
     pub goodput_per_s: f64,
     pub goodput_share: f64,
+    /// Complete answers, and requests without an answer or a refusal.
+    pub answered: u64,
+    pub lost: u64,
     pub wasted_prefill_share: f64,
     pub cached_token_share: f64,
     /// Share of the arrivals whose answer is complete but missed a target.
@@ -152,6 +156,8 @@
         seed,
         goodput_per_s: all.good as f64 / (case.seconds - case.warm) as f64,
         goodput_share: all.share(),
+        answered: all.good + all.late,
+        lost: all.arrived - all.good - all.late - refused.values().sum::<u64>(),
         late_share: share(all.late, all.arrived),
         wasted_prefill_share: share(wasted, used + wasted),
         cached_token_share: share(cached, prompt),
@@ -169,7 +175,7 @@
 
 fn service(kind: &Kind, samples: &Samples) -> ServiceRow {
     ServiceRow {
-        name: kind.name,
+        name: kind.name.clone(),
         goodput_share: samples.share(),
         ttft_ms: percentiles(&samples.ttft),
         itl_ms: percentiles(&samples.itl),
--- a/crates/cumindoor/src/bench/sim.rs
+++ b/crates/cumindoor/src/bench/sim.rs
@@ -11,8 +11,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::arrivals::{Request, number};
-use super::case::{Case, Fault, Load, SLOTS};
+use super::case::{Case, Fault, Incident, IncidentKind, Load, SLOTS};
 use super::fake::Fake;
+use super::flow::OWNER;
 use super::router::{Input, Router};
 
 /// One-way latency between two data centres, and to a caller.
@@ -146,7 +147,7 @@
                 let centre = index % self.case.centres.len();
                 let engine = Engine {
                     name: format!("{}-{index}", spec.kinds[0].name).into(),
-                    data_centre: self.case.centres[centre].into(),
+                    data_centre: (&*self.case.centres[centre]).into(),
                     role,
                     slots: if role == Role::Prefill { 0 } else { SLOTS },
                 };
@@ -172,28 +173,65 @@
         }
         self.after(TICK, Event::Tick);
         self.after(REPORT_EVERY, Event::Sample);
-        let fault = Time::from_millis(self.case.seconds * 1_000 / 3);
-        for engine in self.victims() {
-            self.at(fault, Event::Die(engine));
-            self.at(fault + Duration::from_secs(20), Event::Revive(engine));
+        for incident in self.incidents() {
+            self.plan_incident(&incident);
         }
-        if self.case.fault == Fault::VmDies {
-            self.at(fault, Event::OwnerDies);
-            self.at(fault + OWNER_GAP, Event::NewOwner);
+    }
+
+    fn plan_incident(&mut self, incident: &Incident) {
+        use IncidentKind::{DataCentreDies, UpstreamDies, VmDies};
+        let (at, name) = (incident.at, incident.name.as_str());
+        if incident.kind == VmDies {
+            self.at(at, Event::OwnerDies);
+            self.at(at + OWNER_GAP, Event::NewOwner);
+            return;
+        }
+        for engine in 0..self.engines.len() {
+            let spec = &self.engines[engine].spec;
+            let (upstream, centre) = (spec.name.as_str(), spec.data_centre.as_str());
+            match incident.kind {
+                UpstreamDies if upstream == name => self.at(at, Event::Die(engine)),
+                DataCentreDies if centre == name => self.at(at, Event::Die(engine)),
+                IncidentKind::UpstreamReturns if upstream == name => {
+                    self.at(at, Event::Revive(engine));
+                }
+                IncidentKind::DataCentreReturns if centre == name => {
+                    self.at(at, Event::Revive(engine));
+                }
+                _ => {}
+            }
         }
     }
 
-    fn victims(&self) -> Vec<usize> {
-        let of = |role| self.engines.iter().position(|e| e.spec.role == role);
+    /// Returns what dies and returns: as listed, or as the case's fault says.
+    pub fn incidents(&self) -> Vec<Incident> {
+        use IncidentKind::{
+            DataCentreDies, DataCentreReturns, UpstreamDies, UpstreamReturns, VmDies,
+        };
+        if let Some(listed) = &self.case.incidents {
+            return listed.clone();
+        }
+        let at = Time::from_millis(self.case.seconds * 1_000 / 3);
+        let incident = |at, kind, name: &str| Incident {
+            at,
+            kind,
+            name: name.into(),
+        };
+        let pair = |dies, returns, name: &str| {
+            let back = at + Duration::from_secs(20);
+            [incident(at, dies, name), incident(back, returns, name)]
+        };
+        let first = |role| self.engines.iter().find(|e| e.spec.role == role);
         match self.case.fault {
-            Fault::UpstreamDies => [of(Role::Prefill), of(Role::Decode)]
+            Fault::UpstreamDies => [first(Role::Prefill), first(Role::Decode)]
                 .into_iter()
                 .flatten()
+                .flat_map(|e| pair(UpstreamDies, UpstreamReturns, e.spec.name.as_str()))
                 .collect(),
             Fault::DataCentreDies => {
-                let all = self.engines.iter().enumerate();
-                all.filter(|(_, e)| e.centre == 0).map(|(i, _)| i).collect()
+                pair(DataCentreDies, DataCentreReturns, &self.case.centres[0]).into()
             }
+            Fault::VmDies => vec![incident(at, VmDies, &format!("vm-{OWNER}"))],
             _ => Vec::new(),
         }
     }
@@ -243,6 +281,9 @@
             Event::Evict(engine, life, id, expires) => self.evict(engine, life, id, expires),
             Event::Sample => self.sample(),
             Event::Tick => self.tick(),
+            // A data centre may die with an upstream that is already dead.
+            Event::Die(engine) if !self.engines[engine].alive => {}
+            Event::Revive(engine) if self.engines[engine].alive => {}
             Event::Die(engine) => self.die(engine),
             Event::Revive(engine) => self.revive(engine),
             Event::OwnerDies => self.owner_dies(),
--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -63,6 +63,15 @@
     Status(StatusArgs),
     /// Measure parts of the router
     Bench(bench::BenchArgs),
+    /// Run the scheduler over a recorded trace and compare its figures with expectations
+    ///
+    /// Each difference is printed as `file:line: expected what, got what`. The formats are
+    /// described in docs/replay.md.
+    #[command(
+        after_help = "Exit status: 0 if all expectations hold, 1 with differences or findings, \
+                            2 if a file cannot be read or the usage is wrong."
+    )]
+    Replay(bench::ReplayArgs),
     /// Run one stand-in of an external system until SIGTERM
     #[command(hide = true)]
     Standin(standin::StandinArgs),
@@ -121,6 +130,7 @@
         Command::Demo(args) => block_on(demo::run(args.keep)),
         Command::Status(args) => block_on(show_status(args)),
         Command::Bench(args) => bench::run(&args),
+        Command::Replay(args) => return bench::replay(&args),
         Command::Standin(args) => block_on(standin::run(args)),
     };
     match result {
--- a/crates/cumindoor/tests/pages.rs
+++ b/crates/cumindoor/tests/pages.rs
@@ -5,7 +5,7 @@
 
 use cumindoor::check::{Source, check};
 use cumindoor::ini::{KeySpec, section_page};
-use cumindoor::{document, settings};
+use cumindoor::{bench, document, settings};
 
 const START: &str = "<!-- keys -->\n";
 const END: &str = "<!-- end of keys -->\n";
@@ -27,6 +27,7 @@
 #[rstest::rstest]
 #[case::settings("docs/settings.md", settings::SECTIONS)]
 #[case::documents("docs/documents.md", document::SECTIONS)]
+#[case::replay("docs/replay.md", bench::EXPECT_SECTIONS)]
 fn page_has_every_key(#[case] name: &str, #[case] sections: &[(&str, &[KeySpec])]) {
     let page = std::fs::read_to_string(path(name)).unwrap();
     let (before, rest) = page.split_once(START).unwrap();
