--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod config;
 pub mod hash;
+pub mod lease;
 pub mod member;
 pub mod name;
 pub mod owner;
