Claim keys of once-only requests over all VMs

Cause: a key was remembered by the VM that it reached only, so a caller that sent it through two VMs had the request run twice, and a claim was never checked again before the dispatch. A planned stop waited 30 s for cancels of an engine that had ended.

Change: - serve::claim runs coord::claim through the part `claim` of the peer router: claimant, granter, filling and reading of earlier lists. A claim that lapsed in a queue is made again. - A refusal with `not-run` of a request with a key needs a fresh proof; without one it says `unknown`. - coord::claim: `withdraw` frees a key whose dispatched attempt no upstream worked on (refused as full, or nothing sent), `finish` drops what `withdraw` needs. - The published list has one more document, `@vms`: all names of one revision. The entries of one revision arrive one by one, so two VMs could have counted quorums of different sets under one number. - `once-retention` applies; `require-key` (default yes) refuses once-only calls without a key with 400 `key-required`. A key belongs to its organisation and service. - A refused connection settles a cancel: nothing is held there.

--- a/crates/coord/src/claim.rs
+++ b/crates/coord/src/claim.rs
@@ -122,6 +122,7 @@
     granter: Granter,
     rounds: BTreeMap<AttemptId, Round>,
     won: BTreeMap<AttemptId, Round>,
+    dispatched: BTreeMap<AttemptId, Round>,
     abandoned: BTreeMap<AttemptId, Abandoned>,
     rng: ChaCha8Rng,
 }
@@ -138,6 +139,7 @@
             lists: Lists::new(list),
             rounds: BTreeMap::new(),
             won: BTreeMap::new(),
+            dispatched: BTreeMap::new(),
             abandoned: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(start.seed),
         }
@@ -188,6 +190,7 @@
         };
         let limit = self.options.round_limit;
         if now.since(round.started) <= limit {
+            self.dispatched.insert(attempt, round);
             return Ok(());
         }
         let refusal = round.refusal(now, limit);
@@ -203,6 +206,19 @@
         }
     }
 
+    /// Releases an attempt after [`Claims::dispatch`] although no upstream did any of its work
+    /// and none will: nothing was sent, or every upstream refused it as not run.
+    pub fn withdraw(&mut self, now: Time, attempt: AttemptId) {
+        if let Some(round) = self.dispatched.remove(&attempt) {
+            self.abandoned.insert(attempt, round.abandon(now));
+        }
+    }
+
+    /// Notes that a dispatched attempt has ended; its record stays for the retention time.
+    pub fn finish(&mut self, attempt: AttemptId) {
+        self.dispatched.remove(&attempt);
+    }
+
     /// Puts a list in force that the platform published.
     pub fn adopt(&mut self, now: Time, list: VmList) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/cumindoor/benches/relay/router.rs
+++ b/crates/cumindoor/benches/relay/router.rs
@@ -31,6 +31,7 @@
         request_limit: Duration::from_hours(1),
         once: false,
         once_paths: Vec::new(),
+        require_key: true,
         open_limit: 100_000,
     };
     let upstream = UpstreamSpec {
--- a/crates/cumindoor/src/document.rs
+++ b/crates/cumindoor/src/document.rs
@@ -75,6 +75,8 @@
         deadline: Span = "deadline" Value("2 min") ["10 ms" to "24 h"],
         /// Whether a request must run at most once: it is not retried or resumed after its dispatch.
         once: bool = "once" Value("no"),
+        /// Whether a once-only request without an `Idempotency-Key` is refused: nothing else stops its repetition.
+        require_key: bool = "require-key" Value("yes"),
         /// Longest prompt.
         max_prompt: Tokens = "max-prompt" Value("32000 tokens") ["1 tokens" to "4000000 tokens"],
         /// Longest output; requests may ask for less.
@@ -101,6 +103,8 @@
         once: bool = "once" Value("no"),
         /// Paths below the service's own whose calls must run at most once; only with `once = no`.
         once_paths: Vec<PathPrefix> = "once-paths" Value(""),
+        /// Whether a once-only call without an `Idempotency-Key` is refused: nothing else stops its repetition.
+        require_key: bool = "require-key" Value("yes"),
         /// Open calls on one VM for each calling organisation.
         open_limit: Count = "open-limit" Value("1000") ["1" to "1000000"],
         /// Calls of all callers together over all VMs.
--- a/crates/cumindoor/src/document/specs.rs
+++ b/crates/cumindoor/src/document/specs.rs
@@ -43,6 +43,7 @@
         request_limit: keys.deadline.0,
         once: keys.once,
         once_paths: Vec::new(),
+        require_key: keys.require_key,
         open_limit: keys.open_limit.0 as usize,
     }
 }
@@ -59,6 +60,7 @@
         request_limit: keys.deadline.0,
         once: keys.once,
         once_paths: keys.once_paths.clone(),
+        require_key: keys.require_key,
         open_limit: keys.open_limit.0 as usize,
     }
 }
--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod cell;
+pub mod claim;
 pub mod cluster;
 pub mod engine;
 pub mod node;
--- a/crates/cumindoor/src/serve/caller/handler.rs
+++ b/crates/cumindoor/src/serve/caller/handler.rs
@@ -53,7 +53,10 @@
         .service(&organisation, &Service::from(parsed.model.as_str()))
         .filter(|spec| spec.kind == ServiceKind::Model)
         .ok_or_else(|| no_service(&organisation, &parsed.model))?;
-    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    let Some(guard) = context.open.enter(&spec) else {
+        let refusal = open_limit(&spec);
+        return Err(claims::proven(context, &spec, spec.once, &parts.headers, refusal).await);
+    };
     let claim = claims::claim(context, &spec, spec.once, &parts.headers).await?;
     let ask = Ask {
         prompt: std::mem::take(&mut parsed.prompt),
@@ -93,7 +96,11 @@
         .service(&organisation, &Service::from(name.as_str()))
         .filter(|spec| spec.kind == ServiceKind::Plain)
         .ok_or_else(|| no_service(&organisation, &name))?;
-    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    let Some(guard) = context.open.enter(&spec) else {
+        let once = spec.is_once(plain::inner_uri(request.uri())?.path());
+        let refusal = open_limit(&spec);
+        return Err(claims::proven(context, &spec, once, request.headers(), refusal).await);
+    };
     plain::call(context, &spec, request, guard).await
 }
 
--- a/crates/cumindoor/src/serve/cluster.rs
+++ b/crates/cumindoor/src/serve/cluster.rs
@@ -19,6 +19,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime};
 
+use coord::claim::VmList;
 use coord::config::{self, Validator};
 use coord::member::{self, Me, View};
 use coord::name::{DataCentre, VmName};
@@ -133,6 +134,13 @@
         self.shared.published.listed.subscribe()
     }
 
+    /// Returns the names of the listed VMs as it changes, with the revision that claims name. All
+    /// names are those of that revision of the platform.
+    #[must_use]
+    pub fn vm_list(&self) -> watch::Receiver<Option<VmList>> {
+        self.shared.published.vm_list.subscribe()
+    }
+
     /// Returns whether this VM may serve, as it changes.
     #[must_use]
     pub fn ready(&self) -> watch::Receiver<bool> {
--- a/crates/cumindoor/src/serve/cluster/published.rs
+++ b/crates/cumindoor/src/serve/cluster/published.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use coord::claim::VmList;
 use coord::hash::hash64;
 use coord::member::View;
 use coord::name::{Upstream, VmName};
@@ -110,6 +111,7 @@
     pub(super) view: watch::Sender<Arc<View>>,
     pub(super) documents: watch::Sender<Documents>,
     pub(super) listed: watch::Sender<Arc<Listed>>,
+    pub(super) vm_list: watch::Sender<Option<VmList>>,
     pub(super) ready: watch::Sender<bool>,
     origin: Instant,
     /// Microseconds after `origin` at which the membership state last ran.
@@ -123,6 +125,7 @@
             view: watch::Sender::default(),
             documents: watch::Sender::default(),
             listed: watch::Sender::default(),
+            vm_list: watch::Sender::default(),
             ready: watch::Sender::new(false),
             origin: Instant::now(),
             last: AtomicU64::new(0),
--- a/crates/cumindoor/src/serve/cluster/task.rs
+++ b/crates/cumindoor/src/serve/cluster/task.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coord::claim::VmList;
 use coord::config::{self, Answer, Config};
 use coord::member::{self, Members};
 use coord::name::VmName;
@@ -271,7 +272,9 @@
         let mut list = false;
         for (name, revision) in changed {
             let text = self.config.store().get(&name).map(|(_, text)| text);
-            if listing::apply(&mut self.listed, &name, text.as_deref()) {
+            if let Some(vms) = listing::vm_list(&name, revision, text.as_deref()) {
+                self.publish_vms(vms);
+            } else if listing::apply(&mut self.listed, &name, text.as_deref()) {
                 self.revision = self.revision.max(revision);
                 list = true;
             } else {
@@ -285,6 +288,18 @@
         }
     }
 
+    fn publish_vms(&self, vms: VmList) {
+        self.shared.published.vm_list.send_if_modified(|held| {
+            let newer = held
+                .as_ref()
+                .is_none_or(|held| held.revision < vms.revision);
+            if newer {
+                *held = Some(vms);
+            }
+            newer
+        });
+    }
+
     fn publish_list(&mut self, outbox: &mut Outbox) {
         if self.listed.vms.is_empty() {
             return;
--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -22,7 +22,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-pub use pool::{BodyError, Connected, OutBody, Pool, SendError, full_body};
+pub use pool::{BodyError, Connected, Connection, OutBody, Pool, SendError, full_body};
 pub use stream::{Piece, TokenStream};
 pub use wire::{CacheChange, CacheKind, DecodeCall, Load, PrefillCall, Prefilled};
 
@@ -54,6 +54,9 @@
     /// Nothing was sent.
     #[display("not sent: {_0}")]
     Unsent(String),
+    /// The connection was refused: nothing listens at the address.
+    #[display("not sent: {_0}")]
+    Refused(String),
     /// The engine was full and did no work.
     #[display("engine full")]
     Full,
@@ -75,7 +78,7 @@
         match self {
             Self::Full => Failure::Full,
             Self::Evicted => Failure::Evicted,
-            Self::Unsent(_) | Self::Lost(_) => Failure::Lost,
+            Self::Unsent(_) | Self::Refused(_) | Self::Lost(_) => Failure::Lost,
             Self::Stalled => Failure::Stalled,
         }
     }
@@ -83,7 +86,7 @@
     /// Returns true if the engine certainly did no work.
     #[must_use]
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::Unsent(_) | Self::Full)
+        matches!(self, Self::Unsent(_) | Self::Refused(_) | Self::Full)
     }
 }
 
@@ -91,6 +94,7 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::Unsent(text) => Self::Unsent(text),
+            SendError::Refused(text) => Self::Refused(text),
             SendError::Sent(text) => Self::Lost(text),
         }
     }
@@ -127,21 +131,26 @@
 
     /// Computes the KV cache of a prompt.
     ///
-    /// `limit` is the longest that the engine may take although it lists the request.
+    /// Without an open connection, one from the pool is used. `limit` is the longest that the
+    /// engine may take although it lists the request.
     ///
     /// # Errors
     ///
     /// Returns [`CallError`] when the engine is full, lost or makes no progress.
     pub async fn prefill(
         &self,
-        addr: SocketAddr,
+        to: (SocketAddr, Option<Connection>),
         call: &PrefillCall,
         trace: Option<&str>,
         limit: Duration,
     ) -> Result<Prefilled, CallError> {
+        let (addr, connection) = to;
         let request = wire::post("/v1/prefill", call, trace);
         let exchange = async {
-            let connected = self.pool.send(addr, request).await?;
+            let connected = match connection {
+                Some(connection) => connection.send(request).await?,
+                None => self.pool.send(addr, request).await?,
+            };
             read_json(connected).await
         };
         self.watch(addr, &call.id, limit, exchange).await?
--- a/crates/cumindoor/src/serve/engine/cancel.rs
+++ b/crates/cumindoor/src/serve/engine/cancel.rs
@@ -13,7 +13,7 @@
 use futures::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
-use super::EngineClient;
+use super::{CallError, EngineClient};
 use crate::serve::spec::jittered;
 
 /// First pause between two tries.
@@ -108,7 +108,11 @@
     async fn work(&self, client: &EngineClient, key: Key, since: Instant) {
         let (addr, id) = &key;
         let mut pause = FIRST_PAUSE;
-        while client.cancel(*addr, id).await.is_err() {
+        while let Err(error) = client.cancel(*addr, id).await {
+            // Nothing listens there: the engine has ended, and its memory with it.
+            if matches!(error, CallError::Refused(_)) {
+                break;
+            }
             if since.elapsed() >= client.times().cancel_total {
                 log::warn!(engine = addr.to_string().as_str(), id = id.as_str(); "cancel was never acknowledged");
                 break;
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to upstreams, kept for reuse.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -43,6 +44,9 @@
     /// No byte of it was sent.
     #[display("not sent: {_0}")]
     Unsent(String),
+    /// The connection was refused: nothing listens at the address.
+    #[display("not sent: {_0}")]
+    Refused(String),
     /// It may have been received.
     #[display("sent, but not answered: {_0}")]
     Sent(String),
@@ -169,8 +173,13 @@
         let connecting = timeout(self.connect, TcpStream::connect(addr)).await;
         let connected =
             connecting.map_err(|_| SendError::Unsent(format!("connect to {addr} timed out")))?;
-        let stream =
-            connected.map_err(|error| SendError::Unsent(format!("connect to {addr}: {error}")))?;
+        let stream = connected.map_err(|error| {
+            let text = format!("connect to {addr}: {error}");
+            match error.kind() {
+                ErrorKind::ConnectionRefused => SendError::Refused(text),
+                _ => SendError::Unsent(text),
+            }
+        })?;
         let unsent = |error: &dyn std::fmt::Display| SendError::Unsent(error.to_string());
         stream.set_nodelay(true).map_err(|error| unsent(&error))?;
         let handshake = http1::Builder::new()
--- a/crates/cumindoor/src/serve/node.rs
+++ b/crates/cumindoor/src/serve/node.rs
@@ -19,7 +19,7 @@
 use super::cell::shared::{CellPart, SharedCells};
 use super::engine::poll;
 use super::peer::{Listener, ListenerOptions, Peers, PeersOptions, Router, Running};
-use super::route::Context;
+use super::route::{Claims, Context};
 use super::supervisor::Spec;
 use super::telemetry::Telemetry;
 use super::view::View;
@@ -53,6 +53,8 @@
     pub peers: Peers,
     /// Parts on the peer port besides those of the node itself.
     pub router: Router,
+    /// Claims on idempotency keys; without them, the VM's own memory decides.
+    pub claims: Option<Arc<dyn Claims>>,
     /// Tasks under the node's supervisor besides those of the node itself.
     pub tasks: Vec<Spec>,
     /// Counters and timers.
@@ -78,6 +80,7 @@
             listener,
             peers,
             router: Router::new(),
+            claims: None,
             tasks: Vec::new(),
             telemetry: Telemetry::in_memory(),
         })
@@ -104,13 +107,16 @@
         let vm = options.serve.vm.clone();
         let (cells, orphans) = SharedCells::new(vm, clock, options.peers);
         let telemetry = options.telemetry;
-        let context = Context::new(
+        let mut context = Context::new(
             options.serve,
             table.clone(),
             cells.clone(),
             clock,
             telemetry,
         );
+        if let Some(claims) = options.claims {
+            context.claims = claims;
+        }
         let context = Arc::new(context);
         let force = Arc::new(Force::new(table.clone(), Arc::clone(&cells)));
 
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -21,7 +21,7 @@
 
 use crate::serve::engine::{Connected, OutBody, SendError, full_body};
 use crate::serve::refusal::Refusal;
-use crate::serve::route::{Context, OpenGuard, claims};
+use crate::serve::route::{Claim, Context, OpenGuard, claims};
 use crate::serve::spec::{ServiceSpec, UpstreamSpec};
 use crate::serve::telemetry;
 use bodies::Fault;
@@ -71,9 +71,8 @@
             break;
         };
         tried.push(upstream.name.clone());
-        // From here on the caller may go away while bytes are on their way.
-        claim.set_dispatched(true);
-        match attempt(context, &upstream, &parts, payload, until).await {
+        let sent = attempt(context, &upstream, &parts, payload, &mut claim, until).await;
+        match sent {
             Ok(connected) => {
                 let load = context.balance.enter(&upstream.name);
                 return Ok(bodies::answer(connected, until, (guard, load, span)));
@@ -81,7 +80,9 @@
             Err(failed) => {
                 context.telemetry.count("plain.failed");
                 claim.set_dispatched(failed.sent);
-                context.balance.failed(&upstream.name);
+                if failed.at_upstream {
+                    context.balance.failed(&upstream.name);
+                }
                 let repeat = !once || !failed.sent;
                 last = Some(failed.refusal);
                 match failed.payload {
@@ -91,7 +92,7 @@
             }
         }
     }
-    Err(last.unwrap_or_else(no_upstream))
+    Err(claim.proven(last.unwrap_or_else(no_upstream)).await)
 }
 
 fn hop(headers: &HeaderMap) -> (Span, String) {
@@ -105,7 +106,7 @@
 }
 
 /// Returns the path below the service's name.
-fn inner_uri(uri: &Uri) -> Result<Uri, Refusal> {
+pub(super) fn inner_uri(uri: &Uri) -> Result<Uri, Refusal> {
     let whole = uri.path_and_query().map_or("/", |p| p.as_str());
     let below = whole.trim_start_matches('/');
     let start = below.find(['/', '?']).unwrap_or(below.len());
@@ -145,6 +146,8 @@
     refusal: Refusal,
     /// The body, if the call can be sent again.
     payload: Option<Payload>,
+    /// True if the upstream has failed, false if the call must not be sent to any.
+    at_upstream: bool,
 }
 
 async fn attempt(
@@ -152,6 +155,7 @@
     upstream: &UpstreamSpec,
     parts: &Parts,
     payload: Payload,
+    claim: &mut Claim,
     until: Instant,
 ) -> Result<Connected, Failed> {
     let pool = context.engines.pool();
@@ -166,11 +170,21 @@
         Payload::Streamed(body, fault) => (body, Some(fault), None),
     };
     let request = Request::from_parts(parts.clone(), body);
+    if let Err(refusal) = claim.secure().await {
+        return Err(Failed {
+            sent: false,
+            refusal,
+            payload: None,
+            at_upstream: false,
+        });
+    }
+    // From here on the caller may go away while bytes are on their way.
+    claim.set_dispatched(true);
     let until = until.min(Instant::now() + context.options.times.plain);
     let answered = timeout_at(until, connection.send(request)).await;
     let error = match answered {
         Ok(Ok(connected)) => return Ok(connected),
-        Ok(Err(SendError::Unsent(text))) => {
+        Ok(Err(SendError::Unsent(text) | SendError::Refused(text))) => {
             return Err(unsent(text, kept.map(Payload::Kept)));
         }
         Ok(Err(SendError::Sent(text))) => text,
@@ -183,6 +197,7 @@
         sent: true,
         refusal,
         payload: kept.map(Payload::Kept),
+        at_upstream: true,
     })
 }
 
@@ -192,5 +207,6 @@
         sent: false,
         refusal: Refusal::not_run(status, "no-upstream", text),
         payload,
+        at_upstream: true,
     }
 }
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -23,7 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Sleep, sleep};
 
-pub use claims::{Claim, ClaimKey, Claims, LocalClaims};
+pub use claims::{Claim, ClaimKey, Claims, Decision, Grant, LocalClaims};
 pub use context::{Context, Live, Open, OpenGuard};
 pub use job::Ask;
 
@@ -205,6 +205,7 @@
                 Event::Finish(usage)
             }
             End::Refused(refusal) => {
+                let refusal = self.claim.proven(refusal).await;
                 self.count_end(&format!("request.refused.{}", refusal.reason));
                 Event::Fail(refusal)
             }
--- a/crates/cumindoor/src/serve/route/claims.rs
+++ b/crates/cumindoor/src/serve/route/claims.rs
@@ -1,24 +1,24 @@
 //! Claims on idempotency keys: whoever holds the claim may run the once-only request.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+mod local;
 
+use std::sync::Arc;
+
+use coord::claim::Holder;
 use coord::name::{Organisation, Service};
-use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 
 use super::Context;
-use crate::serve::refusal::Refusal;
+use crate::serve::refusal::{Kind, Refusal};
 use crate::serve::spec::ServiceSpec;
 
+pub use local::LocalClaims;
+
 /// The header with the key.
 const KEY: &str = "idempotency-key";
 /// Bytes of a key at most; a UUID has 36.
 const KEY_BYTES: usize = 255;
-/// How long a key is remembered after its claim.
-const RETENTION: Duration = Duration::from_hours(1);
 
 /// What a claim is made on.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,130 +31,218 @@
     pub key: String,
 }
 
-/// Grants each key once.
+impl ClaimKey {
+    /// Returns the key as claims between VMs name it.
+    ///
+    /// The same text sent by another organisation or to another service is another key.
+    #[must_use]
+    pub fn hashed(&self) -> coord::claim::Key {
+        // Neither name can contain the separator.
+        let scope = format!("{}\0{}", self.organisation, self.service);
+        coord::claim::Key::new(&Organisation::from(scope), &self.key)
+    }
+}
+
+/// How a claim was decided.
+pub enum Decision {
+    /// This attempt may be dispatched.
+    Run(Box<dyn Grant>),
+    /// Another attempt has the key.
+    Held(Holder),
+}
+
+/// Decides which attempt may run each key.
 pub trait Claims: Send + Sync {
-    /// Claims a key for one attempt.
+    /// Claims a key for a new attempt, in place of an earlier one that was not dispatched.
     ///
-    /// The refusal is `not-run` if the claim could not be decided, and `unknown` if another
-    /// attempt holds it.
-    fn claim(&self, key: ClaimKey) -> BoxFuture<'_, Result<Claim, Refusal>>;
+    /// The refusal is `not-run` only if it is proven that no attempt with this key ran.
+    fn claim(
+        &self,
+        key: &ClaimKey,
+        earlier: Option<Box<dyn Grant>>,
+    ) -> BoxFuture<'_, Result<Decision, Refusal>>;
 }
 
-type Release = Box<dyn FnOnce() + Send>;
+/// The right of one attempt to run a request.
+pub trait Grant: Send + Sync {
+    /// Returns true if a dispatch now would be allowed, with some time left.
+    fn is_fresh(&self) -> bool;
 
-/// The right to run a request; dropping it before the dispatch gives the key back.
+    /// Checks, directly before the first byte goes to an upstream, that the right still holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the caller's answer if the attempt must not be dispatched.
+    fn dispatch(&mut self) -> Result<(), Refusal>;
+
+    /// Ends the attempt. `ran` tells whether an upstream may have done any of the work; if not,
+    /// the key is free again.
+    fn end(self: Box<Self>, ran: bool);
+
+    /// Returns this attempt's number.
+    fn holder(&self) -> Holder;
+}
+
+/// The claim of one request; without a key it allows everything.
+///
+/// Dropping it gives the key back unless an upstream may have done the work.
 #[derive(Default)]
 pub struct Claim {
-    release: Option<Release>,
+    source: Option<(Arc<dyn Claims>, ClaimKey)>,
+    grant: Option<Box<dyn Grant>>,
+    /// True once the check directly before the first byte has passed.
+    passed: bool,
+    /// True while an upstream may have done the work.
     dispatched: bool,
 }
 
 impl Claim {
-    /// Returns a claim that calls `release` if the request was not dispatched.
+    /// Returns the claim for a granted key.
     #[must_use]
-    pub fn new(release: impl FnOnce() + Send + 'static) -> Self {
+    pub fn new(claims: Arc<dyn Claims>, key: ClaimKey, grant: Box<dyn Grant>) -> Self {
         Self {
-            release: Some(Box::new(release)),
+            source: Some((claims, key)),
+            grant: Some(grant),
+            passed: false,
             dispatched: false,
         }
     }
 
+    /// Returns true if the request is to be checked before its dispatch.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.source.is_some() && !self.passed
+    }
+
+    /// Makes the check directly before the first byte goes to an upstream.
+    ///
+    /// A claim that is too old is made again first. The check itself is the last step, so the
+    /// caller must send without waiting for anything else.
+    ///
+    /// # Errors
+    ///
+    /// Returns the caller's answer if the request must not be sent.
+    pub async fn secure(&mut self) -> Result<(), Refusal> {
+        if !self.is_open() {
+            return Ok(());
+        }
+        self.renew().await?;
+        if let Some(grant) = &mut self.grant {
+            grant.dispatch()?;
+        }
+        self.passed = true;
+        Ok(())
+    }
+
+    async fn renew(&mut self) -> Result<(), Refusal> {
+        let Some((claims, key)) = &self.source else {
+            return Ok(());
+        };
+        if self.grant.as_ref().is_some_and(|grant| grant.is_fresh()) {
+            return Ok(());
+        }
+        let earlier = self.grant.take();
+        match claims.claim(key, earlier).await? {
+            Decision::Run(grant) => self.grant = Some(grant),
+            Decision::Held(_) => return Err(duplicate()),
+        }
+        Ok(())
+    }
+
     /// Notes whether an upstream may have done the work.
     pub fn set_dispatched(&mut self, dispatched: bool) {
         self.dispatched = dispatched;
     }
+
+    /// Returns `refusal` as it may be given: one that says `not-run` needs a proof that no other
+    /// attempt with the key ran, and the proof of an old claim has lapsed.
+    pub async fn proven(&mut self, refusal: Refusal) -> Refusal {
+        if refusal.kind == Kind::Unknown || !self.is_open() {
+            return refusal;
+        }
+        match self.renew().await {
+            Ok(()) => refusal,
+            Err(undecided) if undecided.kind == Kind::NotRun => refusal,
+            Err(undecided) => undecided,
+        }
+    }
 }
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        if let Some(release) = self.release.take().filter(|_| !self.dispatched) {
-            release();
+        if let Some(grant) = self.grant.take() {
+            grant.end(self.dispatched);
         }
     }
 }
 
+/// Returns the answer to a request whose key another attempt has.
+fn duplicate() -> Refusal {
+    let message = "another request with this Idempotency-Key runs or has run";
+    let mut refusal = Refusal::unknown("duplicate", message);
+    refusal.status = StatusCode::CONFLICT;
+    refusal
+}
+
 /// Claims a request's key if it must run at most once and has one.
 ///
 /// # Errors
 ///
-/// Returns the refusal of a duplicate, of a malformed key, or of an undecided claim.
+/// Returns the refusal of a duplicate, of a missing or malformed key, or of an undecided claim.
 pub(in crate::serve) async fn claim(
     context: &Context,
     spec: &ServiceSpec,
     once: bool,
     headers: &HeaderMap,
 ) -> Result<Claim, Refusal> {
-    let Some(value) = headers.get(KEY).filter(|_| once) else {
+    if !once {
         return Ok(Claim::default());
-    };
-    let key = value.to_str().ok().filter(|key| key.len() <= KEY_BYTES);
-    let key = key.ok_or_else(|| {
-        let message = format!("Idempotency-Key must be text of at most {KEY_BYTES} bytes");
-        Refusal::not_run(StatusCode::BAD_REQUEST, "malformed", message)
-    })?;
-    let key = ClaimKey {
-        organisation: spec.organisation.clone(),
-        service: spec.name.clone(),
-        key: key.to_owned(),
-    };
-    context.claims.claim(key).await
-}
-
-#[derive(Debug, Default)]
-struct Granted {
-    by_key: BTreeMap<ClaimKey, Instant>,
-    /// The keys in the order of their claims.
-    order: VecDeque<(Instant, ClaimKey)>,
-}
-
-/// Claims of a VM that is alone; a restart forgets them.
-#[derive(Clone, Debug, Default)]
-pub struct LocalClaims {
-    granted: Arc<Mutex<Granted>>,
-}
-
-impl LocalClaims {
-    fn lock(&self) -> MutexGuard<'_, Granted> {
-        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn grant(&self, key: ClaimKey) -> Result<Claim, Refusal> {
-        let now = Instant::now();
-        let mut granted = self.lock();
-        granted.expire(now);
-        if granted.by_key.contains_key(&key) {
-            let message = "another request with this Idempotency-Key runs or has run";
-            let mut refusal = Refusal::unknown("duplicate", message);
-            refusal.status = StatusCode::CONFLICT;
-            return Err(refusal);
-        }
-        granted.by_key.insert(key.clone(), now);
-        granted.order.push_back((now, key.clone()));
-        drop(granted);
-        let claims = self.clone();
-        Ok(Claim::new(move || claims.release(&key)))
+    let Some(key) = key(spec, headers)? else {
+        return without_key(spec);
+    };
+    match context.claims.claim(&key, None).await? {
+        Decision::Run(grant) => Ok(Claim::new(Arc::clone(&context.claims), key, grant)),
+        Decision::Held(_) => Err(duplicate()),
     }
+}
 
-    fn release(&self, key: &ClaimKey) {
-        self.lock().by_key.remove(key);
+/// Returns `refusal`, made before the claim, as it may be given to a request that must run at
+/// most once: see [`Claim::proven`].
+pub(in crate::serve) async fn proven(
+    context: &Context,
+    spec: &ServiceSpec,
+    once: bool,
+    headers: &HeaderMap,
+    refusal: Refusal,
+) -> Refusal {
+    match claim(context, spec, once, headers).await {
+        Err(undecided) if undecided.kind == Kind::Unknown => undecided,
+        _ => refusal,
     }
 }
 
-impl Granted {
-    fn expire(&mut self, now: Instant) {
-        let old = |at: &Instant| now.duration_since(*at) >= RETENTION;
-        while let Some((at, key)) = self.order.pop_front_if(|(at, _)| old(at)) {
-            // The key may have been released and claimed again since.
-            if self.by_key.get(&key) == Some(&at) {
-                self.by_key.remove(&key);
-            }
-        }
+fn without_key(spec: &ServiceSpec) -> Result<Claim, Refusal> {
+    if !spec.require_key {
+        return Ok(Claim::default());
     }
+    let message = "this request must run at most once, which needs an Idempotency-Key";
+    let status = StatusCode::BAD_REQUEST;
+    Err(Refusal::not_run(status, "key-required", message))
 }
 
-impl Claims for LocalClaims {
-    fn claim(&self, key: ClaimKey) -> BoxFuture<'_, Result<Claim, Refusal>> {
-        let granted = self.grant(key);
-        async move { granted }.boxed()
-    }
+fn key(spec: &ServiceSpec, headers: &HeaderMap) -> Result<Option<ClaimKey>, Refusal> {
+    let Some(value) = headers.get(KEY) else {
+        return Ok(None);
+    };
+    let usable = |key: &&str| !key.is_empty() && key.len() <= KEY_BYTES;
+    let key = value.to_str().ok().filter(usable).ok_or_else(|| {
+        let message = format!("Idempotency-Key must be text of 1 to {KEY_BYTES} bytes");
+        Refusal::not_run(StatusCode::BAD_REQUEST, "malformed", message)
+    })?;
+    Ok(Some(ClaimKey {
+        organisation: spec.organisation.clone(),
+        service: spec.name.clone(),
+        key: key.to_owned(),
+    }))
 }
--- /dev/null
+++ b/crates/cumindoor/src/serve/route/claims/local.rs
@@ -0,0 +1,123 @@
+//! Claims of a VM that is alone.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use coord::claim::{AttemptId, Holder};
+use coord::name::VmName;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use super::{ClaimKey, Claims, Decision, Grant};
+use crate::serve::refusal::Refusal;
+
+#[derive(Debug, Default)]
+struct Granted {
+    by_key: BTreeMap<ClaimKey, AttemptId>,
+    /// The keys in the order of their claims.
+    order: VecDeque<(Instant, ClaimKey, AttemptId)>,
+}
+
+/// Claims of a VM that is alone; a restart forgets them.
+#[derive(Clone, Debug)]
+pub struct LocalClaims {
+    own: VmName,
+    retention: Duration,
+    granted: Arc<Mutex<Granted>>,
+}
+
+impl LocalClaims {
+    /// Returns claims that keep each key for `retention`.
+    #[must_use]
+    pub fn new(own: VmName, retention: Duration) -> Self {
+        Self {
+            own,
+            retention,
+            granted: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Granted> {
+        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn holder(&self, attempt: AttemptId) -> Holder {
+        let vm = self.own.clone();
+        Holder { vm, attempt }
+    }
+
+    fn grant(&self, key: &ClaimKey) -> Decision {
+        let now = Instant::now();
+        let mut granted = self.lock();
+        granted.expire(now, self.retention);
+        if let Some(attempt) = granted.by_key.get(key) {
+            return Decision::Held(self.holder(*attempt));
+        }
+        let attempt = AttemptId(uuid::Uuid::new_v4().as_u64_pair().0);
+        granted.by_key.insert(key.clone(), attempt);
+        granted.order.push_back((now, key.clone(), attempt));
+        drop(granted);
+        Decision::Run(Box::new(LocalGrant {
+            claims: self.clone(),
+            key: key.clone(),
+            attempt,
+        }))
+    }
+}
+
+impl Granted {
+    fn expire(&mut self, now: Instant, retention: Duration) {
+        let old = |at: &Instant| now.duration_since(*at) >= retention;
+        while let Some((_, key, attempt)) = self.order.pop_front_if(|(at, ..)| old(at)) {
+            self.remove(&key, attempt);
+        }
+    }
+
+    /// Frees a key unless it was released and claimed again since.
+    fn remove(&mut self, key: &ClaimKey, attempt: AttemptId) {
+        if self.by_key.get(key) == Some(&attempt) {
+            self.by_key.remove(key);
+        }
+    }
+}
+
+impl Claims for LocalClaims {
+    fn claim(
+        &self,
+        key: &ClaimKey,
+        earlier: Option<Box<dyn Grant>>,
+    ) -> BoxFuture<'_, Result<Decision, Refusal>> {
+        if let Some(earlier) = earlier {
+            earlier.end(false);
+        }
+        let decision = self.grant(key);
+        async move { Ok(decision) }.boxed()
+    }
+}
+
+struct LocalGrant {
+    claims: LocalClaims,
+    key: ClaimKey,
+    attempt: AttemptId,
+}
+
+impl Grant for LocalGrant {
+    fn is_fresh(&self) -> bool {
+        true
+    }
+
+    fn dispatch(&mut self) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    fn end(self: Box<Self>, ran: bool) {
+        if !ran {
+            self.claims.lock().remove(&self.key, self.attempt);
+        }
+    }
+
+    fn holder(&self) -> Holder {
+        self.claims.holder(self.attempt)
+    }
+}
--- a/crates/cumindoor/src/serve/route/context.rs
+++ b/crates/cumindoor/src/serve/route/context.rs
@@ -54,6 +54,7 @@
         telemetry: Telemetry,
     ) -> Self {
         let engines = EngineClient::new(options.times.clone());
+        let claims = LocalClaims::new(options.vm.clone(), options.once_retention);
         Self {
             options,
             table,
@@ -65,7 +66,7 @@
             open: Open::default(),
             balance: Balance::default(),
             live: Live::default(),
-            claims: Arc::new(LocalClaims::default()),
+            claims: Arc::new(claims),
             telemetry,
         }
     }
--- a/crates/cumindoor/src/serve/route/prefill.rs
+++ b/crates/cumindoor/src/serve/route/prefill.rs
@@ -1,5 +1,6 @@
 //! The prefill step of a request.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use coord::name::Upstream;
@@ -7,7 +8,7 @@
 
 use super::{End, Ready, Run, Stop, job};
 use crate::serve::cell::Progress;
-use crate::serve::engine::{CallError, PrefillCall};
+use crate::serve::engine::{CallError, Connection, PrefillCall};
 use crate::serve::telemetry;
 
 /// Time that a prefill may take beyond its expected duration.
@@ -23,6 +24,14 @@
         };
         // A result of an earlier attempt is not used any more.
         self.drop_ready();
+        let connection = match self.secure(address).await? {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.count_failure("prefill", error.failure());
+                self.ticket.report(Progress::PrefillFailed(error.failure()));
+                return Ok(());
+            }
+        };
         let call = self.prefill_call();
         let limit = self.prefill_limit(&call.prompt);
         let id = call.id.clone();
@@ -34,7 +43,8 @@
         let engines = self.context.engines.clone();
         let (span, trace) = telemetry::hop("prefill", self.ask.trace.as_deref());
         let began = Instant::now();
-        let exchange = engines.prefill(address, &call, Some(&trace), limit);
+        let to = (address, connection);
+        let exchange = engines.prefill(to, &call, Some(&trace), limit);
         let answered = self.watch(exchange).await;
         drop(span);
 
@@ -69,6 +79,26 @@
         }
     }
 
+    /// Opens the connection of a once-only request and makes its check before the first byte.
+    ///
+    /// The connection comes first, because its opening may take longer than a claim holds.
+    async fn secure(
+        &mut self,
+        address: SocketAddr,
+    ) -> Result<Result<Option<Connection>, CallError>, Stop> {
+        if !self.claim.is_open() {
+            return Ok(Ok(None));
+        }
+        let pool = self.context.engines.pool().clone();
+        let connection = match self.watch(pool.connect(address)).await? {
+            Ok(connection) => connection,
+            Err(error) => return Ok(Err(error.into())),
+        };
+        let secured = self.claim.secure().await;
+        secured.map_err(|refusal| Stop::End(End::Refused(refusal)))?;
+        Ok(Ok(Some(connection)))
+    }
+
     fn prefill_call(&self) -> PrefillCall {
         let mut prompt = self.ask.prompt.clone();
         prompt.push_str(&self.delivered);
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -43,6 +43,8 @@
     pub once: bool,
     /// Paths below the service's own whose calls must run at most once.
     pub once_paths: Vec<PathPrefix>,
+    /// True if a once-only call without an idempotency key is refused.
+    pub require_key: bool,
     /// Requests that the organisation may have open on this VM at once.
     pub open_limit: usize,
 }
@@ -287,6 +289,8 @@
     pub listen: SocketAddr,
     /// How long running requests may take after a stop was ordered.
     pub stop_limit: Duration,
+    /// How long the key of a once-only request is kept; the same on all VMs.
+    pub once_retention: Duration,
     /// Tokens in one block of the engines' prefix cache.
     pub block_tokens: u32,
     /// Prompt tokens that a prefill engine computes in one second.
@@ -305,6 +309,7 @@
             vm,
             listen,
             stop_limit: Duration::from_mins(2),
+            once_retention: Duration::from_hours(1),
             block_tokens: 1_000,
             prefill_rate: 10_000,
             limits: Limits::default(),
--- a/crates/cumindoor/src/settings/options.rs
+++ b/crates/cumindoor/src/settings/options.rs
@@ -11,6 +11,7 @@
         let options = ServeOptions::new(self.vm.name.clone(), self.callers.address.0);
         ServeOptions {
             stop_limit: self.vm.stop_limit.0,
+            once_retention: self.vm.once_retention.0,
             limits: self.limits(),
             times: self.hop_times(),
             ..options
--- a/crates/cumindoor/tests/common/mod.rs
+++ b/crates/cumindoor/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod nodes;
+pub mod once;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -57,6 +58,7 @@
         request_limit: PATIENCE,
         once: false,
         once_paths: Vec::new(),
+        require_key: true,
         open_limit: 10_000,
     }
 }
--- /dev/null
+++ b/crates/cumindoor/tests/common/once.rs
@@ -0,0 +1,219 @@
+//! Several routers with claims in one test process, in front of plain services and engines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::claim::{ClaimOptions, VmList};
+use coord::name::{DataCentre, Incarnation, VmName};
+use coord::sched::Role;
+use cumindoor::serve::claim::FleetClaims;
+use cumindoor::serve::node::Text;
+use cumindoor::serve::peer::Peers;
+use cumindoor::serve::view::{Member, View};
+use cumindoor::serve::{Feed, Node, NodeOptions, ServeOptions, UpstreamSpec};
+use serde_json::Value;
+use standin::{Engine, Plain, PlainOptions};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::{Answer, chat_body, patiently, post, until, upstream};
+
+/// A document with the once-only service `desk` on plain upstreams and the once-only model
+/// service `buy`; `more` is added to both.
+pub fn document(more: &str) -> String {
+    format!(
+        "[organisation]\nname = celeste\n\n\
+         [service desk]\nkind = plain\nupstreams = desk\nonce = yes\n{more}\n\
+         [service buy]\nkind = model\nupstreams = chat\nmodel = chat-v1\nttft-target = 1 min\n\
+         itl-target = 1 s\ndeadline = 1 min\nonce = yes\n{more}\n\
+         [upstreams chat]\nslots = 1\nprefill-ttl = 10 s\n"
+    )
+}
+
+/// A router that can be ended at once.
+pub struct Vm {
+    pub node: Arc<Node>,
+    pub claims: FleetClaims,
+    peers: Peers,
+    view: watch::Sender<Arc<View>>,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Routers with claims and the upstreams behind them.
+pub struct Once {
+    pub vms: BTreeMap<String, Vm>,
+    pub desk: Plain,
+    pub prefill: Arc<Engine>,
+    pub decode: Arc<Engine>,
+    pub lists: watch::Sender<Option<VmList>>,
+    documents: watch::Sender<Arc<BTreeMap<String, Text>>>,
+    upstreams: watch::Sender<Arc<Vec<UpstreamSpec>>>,
+}
+
+/// Longer than any test and the retention time: the VMs grant from the start.
+const UP: Duration = Duration::from_hours(3);
+
+impl Once {
+    pub async fn start(vms: usize) -> Self {
+        Self::with(vms, &document("")).await
+    }
+
+    pub async fn with(vms: usize, document: &str) -> Self {
+        let desk = Plain::spawn(PlainOptions::default()).await.unwrap();
+        let prefill = super::nodes::engine(standin::Role::Prefill, 20).await;
+        let decode = super::nodes::engine(standin::Role::Decode, 20).await;
+        let listed = vec![
+            upstream("desk-0", "desk", None, desk.addr()),
+            upstream("prefill-0", "chat", Some(Role::Prefill), prefill.addr()),
+            upstream("decode-0", "chat", Some(Role::Decode), decode.addr()),
+        ];
+        let names: Vec<String> = (1..=vms).map(|number| format!("vm-{number}")).collect();
+        let list = VmList::new(1, names.iter().map(|name| VmName::from(name.as_str())));
+        let text = Text {
+            revision: 1,
+            text: document.into(),
+        };
+        let documents = BTreeMap::from([("celeste".to_owned(), text)]);
+        let mut once = Self {
+            vms: BTreeMap::new(),
+            desk,
+            prefill,
+            decode,
+            lists: watch::Sender::new(Some(list)),
+            documents: watch::Sender::new(Arc::new(documents)),
+            upstreams: watch::Sender::new(Arc::new(listed)),
+        };
+        for name in &names {
+            once.boot(name, UP).await;
+        }
+        once.connect(|_, _| true).await;
+        let served = |vm: &Vm| !vm.node.in_force().is_empty();
+        until("the document is in force", || once.vms.values().all(served)).await;
+        let ready = |vm: &Vm| vm.claims.ready();
+        until("all VMs grant", || once.vms.values().all(ready)).await;
+        once
+    }
+
+    /// Starts a router, in place of one of the same name, that has been up for `up`.
+    pub async fn boot(&mut self, name: &str, up: Duration) {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let view = watch::Sender::new(Arc::new(View::default()));
+        let feed = Feed {
+            view: view.subscribe(),
+            documents: self.documents.subscribe(),
+            upstreams: self.upstreams.subscribe(),
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let own = VmName::from(name);
+        let lists = self.lists.subscribe();
+        let starting = runtime.spawn(async move {
+            let serve = ServeOptions::new(own.clone(), any);
+            let mut options = NodeOptions::bind(serve, DataCentre::from("suape"), any).await?;
+            let (settings, peers) = (ClaimOptions::default(), options.peers.clone());
+            let claims = match up {
+                Duration::ZERO => FleetClaims::new(own, settings, peers.clone(), lists),
+                up => FleetClaims::up_for(up, own, settings, peers.clone(), lists),
+            };
+            options.router = claims.register(options.router);
+            options.tasks.push(claims.task());
+            options.claims = Some(Arc::new(claims.clone()));
+            Ok::<_, eyre::Report>((Node::start(options, feed).await?, claims, peers))
+        });
+        let (node, claims, peers) = starting.await.unwrap().unwrap();
+        let vm = Vm {
+            node: Arc::new(node),
+            claims,
+            peers,
+            view,
+            runtime: Some(runtime),
+        };
+        self.vms.insert(name.to_owned(), vm);
+    }
+
+    /// Ends a router at once.
+    pub fn crash(&mut self, name: &str) {
+        self.vms.remove(name);
+    }
+
+    /// Lets each router reach those that `reaches` says, and waits until that is in force.
+    pub async fn connect(&self, reaches: impl Fn(&str, &str) -> bool) {
+        for (from, vm) in &self.vms {
+            let known = self
+                .vms
+                .iter()
+                .filter(|(to, _)| from == *to || reaches(from, to));
+            let member = |vm: &Vm| Member {
+                data_centre: DataCentre::from("suape"),
+                incarnation: Incarnation(1),
+                address: vm.node.peer_addr(),
+                leaving: false,
+            };
+            let vms = known.map(|(name, vm)| (VmName::from(name.as_str()), member(vm)));
+            let view = View {
+                trusted: true,
+                vms: vms.collect(),
+            };
+            let listed = |to: &String| view.vms.contains_key(&VmName::from(to.as_str()));
+            let expected: Vec<bool> = self.vms.keys().map(listed).collect();
+            vm.view.send_replace(Arc::new(view));
+            let found = |to: &String| vm.peers.address(&VmName::from(to.as_str())).is_some();
+            let in_force = || self.vms.keys().map(found).eq(expected.iter().copied());
+            until("the addresses are in force", in_force).await;
+        }
+    }
+
+    /// Sends a call to the plain service.
+    pub async fn call(&self, vm: &str, key: &str) -> Answer {
+        let body = r#"{"item":"saffron"}"#.to_owned();
+        let headers = [("idempotency-key", key)];
+        post(self.vms[vm].node.addr(), "/desk/orders", &headers, body).await
+    }
+
+    /// Sends a call until its claim is decided, as callers are told to: a claim round of one
+    /// second may be too short on a busy machine.
+    pub async fn decided(&self, vm: &str, key: &str) -> (u16, String) {
+        let deciding = async {
+            loop {
+                let answer = self.call(vm, key).await;
+                let status = answer.status.as_u16();
+                let text = answer.text().await;
+                if status != 503 || !text.contains("claim-undecided") {
+                    return (status, text);
+                }
+            }
+        };
+        patiently("the claim is decided", deciding).await
+    }
+
+    /// Starts a streamed request to the model service.
+    pub fn buy(&self, vm: &str, key: &str, text: &str) -> JoinHandle<Answer> {
+        let addr = self.vms[vm].node.addr();
+        let body = chat_body(text, 5, true).replace("\"chat\"", "\"buy\"");
+        let key = key.to_owned();
+        tokio::spawn(async move {
+            let headers = [("idempotency-key", key.as_str())];
+            post(addr, "/v1/chat/completions", &headers, body).await
+        })
+    }
+}
+
+/// Returns the refusal in the body of an answer.
+pub fn error(text: &str) -> Value {
+    let value: Value = serde_json::from_str(text).unwrap();
+    value["error"].clone()
+}
--- a/crates/cumindoor/tests/findings.rs
+++ b/crates/cumindoor/tests/findings.rs
@@ -118,7 +118,7 @@
 #[case::no_service("services = desk", "services =", &["f.ini:16: services is empty; expected at least one service"])]
 #[case::itself("[caller norte]", "[caller celeste]", &["f.ini:15: `celeste` owns the document and may call all its services"])]
 #[case::kind("kind = plain", "kind = simple", &["f.ini:11: [service top-up] has no `model`; expected a name of up to 256 printable ASCII characters without spaces and commas", "f.ini:12: kind = `simple`: expected `model` or `plain`"])]
-#[case::other_kind("kind = plain", "kind = plain\nttft-target = 1 s", &["f.ini:13: `ttft-target` is not a key of [service top-up]; expected one of kind, upstreams, deadline, once, once-paths, open-limit, request-rate"])]
+#[case::other_kind("kind = plain", "kind = plain\nttft-target = 1 s", &["f.ini:13: `ttft-target` is not a key of [service top-up]; expected one of kind, upstreams, deadline, once, once-paths, require-key, open-limit, request-rate"])]
 #[case::once_paths("kind = plain", "kind = plain\nonce = yes\nonce-paths = /a", &["f.ini:14: once-paths has no effect with `once = yes`; expected one of them"])]
 #[case::path("kind = plain", "kind = plain\nonce-paths = a", &["f.ini:13: once-paths = `a`: `a`: expected a path that starts with `/`, of up to 256 printable ASCII characters without `?` and `#`"])]
 #[case::target("model = m", "model = m\nttft-target = 3 min", &["f.ini:8: ttft-target = 3 min is above deadline = 2 min"])]
--- a/crates/cumindoor/tests/serve_faults.rs
+++ b/crates/cumindoor/tests/serve_faults.rs
@@ -206,6 +206,7 @@
 async fn a_once_only_stream_is_not_resumed() {
     let mut plan = quick();
     plan.services[0].once = true;
+    plan.services[0].require_key = false;
     let fleet = plan.start().await;
     let (reading, busy) = fleet.held_chat("Once", 60).await;
     busy.fault(|fault| fault.cut_after = Some(10));
