--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,11 +5,14 @@
 
 pub mod claim;
 pub mod config;
+pub mod fence;
 pub mod hash;
 pub mod lease;
+pub mod limit;
 pub mod member;
 pub mod name;
 pub mod owner;
+pub mod poison;
 pub mod retry;
 pub mod sched;
 pub mod time;
--- a/crates/coord/tests/member.rs
+++ b/crates/coord/tests/member.rs
@@ -199,3 +199,127 @@
 
     assert_eq!(standing(&a, 2), Some(Standing::Live));
 }
+
+/// Guards against a member that is never learnt because all gossip about it was lost.
+#[test]
+fn a_comparison_repairs_what_gossip_missed() {
+    let mut a = members(1);
+    let mut b = members(2);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+    b.list(NOW, 1, &[listed(1), listed(2)]);
+    a.receive(NOW, news(9, Vec::new()));
+    let mut now = NOW;
+
+    // Two periods of comparison; vm-9 answers probes, and all gossip is lost.
+    for _ in 0..100 {
+        now = now + Duration::from_millis(50);
+        let mut waiting: Vec<_> = a.tick(now).into_iter().chain(b.tick(now)).collect();
+        while let Some(action) = waiting.pop() {
+            let Action::Send { to, packet, .. } = action else {
+                continue;
+            };
+            let packet = Packet {
+                updates: Vec::new(),
+                ..packet
+            };
+            waiting.extend(match (to.as_str(), packet.body.clone()) {
+                ("vm-1", _) => a.receive(now, packet),
+                ("vm-2", _) => b.receive(now, packet),
+                (_, Body::Ping { seq }) => a.receive(
+                    now,
+                    Packet {
+                        body: Body::Ack { seq },
+                        ..news(9, Vec::new())
+                    },
+                ),
+                _ => Vec::new(),
+            });
+        }
+    }
+
+    assert_eq!(standing(&b, 9), Some(Standing::Live));
+}
+
+/// Guards against live members that lose their ownership when a partition heals, because the
+/// other half took them for dead.
+#[test]
+fn a_comparison_does_not_kill_a_live_member() {
+    let mut a = members(1);
+    a.receive(NOW, news(2, Vec::new()));
+    let entries = vec![update(2, incarnation(5), Health::Dead)];
+    let body = Body::State {
+        buckets: Vec::new(),
+        entries,
+    };
+
+    a.receive(
+        NOW,
+        Packet {
+            body,
+            ..news(3, Vec::new())
+        },
+    );
+
+    assert_eq!(standing(&a, 2), Some(Standing::Suspect));
+}
+
+/// Guards against members that are declared dead because this VM's own timer ran late, while
+/// their refutation waits behind it.
+#[test]
+fn a_late_call_extends_the_time_to_refute() {
+    let mut a = members(1);
+    a.receive(NOW, news(2, Vec::new()));
+    a.receive(
+        NOW,
+        news(3, vec![update(2, incarnation(5), Health::Suspect)]),
+    );
+
+    a.tick(NOW + Duration::from_millis(60));
+    a.tick(NOW + Duration::from_millis(650));
+    let late = standing(&a, 2);
+    let refutation = news(2, Vec::new());
+    let raised = Incarnation(refutation.from.incarnation.0 + 1);
+    let from = Update {
+        incarnation: raised,
+        ..refutation.from
+    };
+    a.receive(
+        NOW + Duration::from_millis(650),
+        Packet {
+            from,
+            ..news(2, Vec::new())
+        },
+    );
+
+    assert_eq!(late, Some(Standing::Suspect));
+    assert_eq!(standing(&a, 2), Some(Standing::Live));
+}
+
+/// Guards against a VM that was taken for dead during a partition and never hears of it, so that it
+/// cannot refute it.
+#[test]
+fn a_dead_member_is_told_whenever_it_is_tried_again() {
+    let mut a = members(1);
+    a.list(NOW, 1, &[listed(1), listed(2)]);
+    a.receive(NOW, news(2, Vec::new()));
+    let mut now = NOW;
+    let mut tried = 0;
+
+    for step in 0..200 {
+        now = now + Duration::from_millis(50);
+        // After 5 s, the member is dead and the news of it is spread.
+        for packet in packets(&a.tick(now)).filter(|_| step > 100) {
+            let told = packet
+                .updates
+                .iter()
+                .any(|update| update.health == Health::Dead);
+            assert!(told, "{packet:?}");
+            tried += 1;
+        }
+    }
+
+    assert!(
+        standing(&a, 2).is_none() && tried >= 3,
+        "tried {tried} times"
+    );
+}
--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod check;
+mod serve;
 mod standin;
 
 use std::future::Future;
@@ -31,6 +32,12 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Serve callers and work with the other VMs until SIGTERM
+    ///
+    /// The addresses that are listened on are printed, one on each line. On SIGTERM the process
+    /// finishes the requests in progress, within `stop-limit`, and ends; a second SIGTERM has no
+    /// effect.
+    Serve(serve::ServeArgs),
     /// Check settings and documents and list everything that is wrong
     ///
     /// Each finding is printed as `file:line: what is wrong and what is expected`. Files of both
@@ -109,6 +116,7 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let result = match Cli::parse().command {
+        Command::Serve(args) => serve::run(&args),
         Command::Check(args) => return check::run(&args.files, args.print),
         Command::Demo(args) => block_on(demo::run(args.keep)),
         Command::Status(args) => block_on(show_status(args)),
--- a/crates/cumindoor/src/serve/cell/shared.rs
+++ b/crates/cumindoor/src/serve/cell/shared.rs
@@ -12,6 +12,7 @@
 mod place;
 mod post;
 mod status;
+mod strays;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -210,7 +211,6 @@
 ) -> eyre::Result<()> {
     loop {
         let current = Arc::clone(&view.borrow_and_update());
-        cells.peers.set_directory(current.directory());
         cells.with(|core, now| core.set_view(now, current));
         if view.changed().await.is_err() {
             std::future::pending::<()>().await;
@@ -254,3 +254,6 @@
     let answer = cells.peers.call::<CellPart>(&vm, &batch, BATCH_LIMIT).await;
     cells.with(|core, now| core.answered(now, &vm, sent, answer.as_ref().ok()));
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cumindoor/src/serve/cell/shared/core.rs
+++ b/crates/cumindoor/src/serve/cell/shared/core.rs
@@ -81,7 +81,7 @@
 
     pub(super) fn report(&mut self, now: Time, id: JobId, attempt: Attempt, progress: Progress) {
         let mut out = Out::new();
-        self.entry.report(id, attempt, progress, &mut out);
+        self.entry.report(now, (id, attempt), progress, &mut out);
         self.route(now, out);
     }
 
@@ -127,6 +127,7 @@
             self.owner.drop_vm(now, vm, &mut out);
         }
         let vms = &self.view.vms;
+        self.owner.set_live(vms.keys());
         self.leaving.retain(|vm, incarnation| {
             let current = vms.get(vm);
             current.is_some_and(|c| c.leaving || Some(c.incarnation) == *incarnation)
@@ -174,7 +175,7 @@
         let mut out = Out::new();
         let token = self.owner.hear(now, &self.own, self.posts.boot, &mut out);
         let own = self.own.clone();
-        self.entry.heard(now, &own, token, &mut out);
+        self.entry.heard(now, &own, (token, false), &mut out);
         self.route(now, out);
     }
 
@@ -239,10 +240,11 @@
         receipt: Option<&Receipt>,
     ) {
         let accepted = receipt.filter(|receipt| receipt.accepted);
-        self.posts.sent(now, vm, batch, accepted.is_some());
+        let again = self.posts.sent(now, vm, batch, accepted.is_some());
         if let Some(receipt) = accepted {
             let mut out = Out::new();
-            self.entry.heard(now, vm, receipt.token, &mut out);
+            let heard = (receipt.token, again);
+            self.entry.heard(now, vm, heard, &mut out);
             self.route(now, out);
         }
     }
@@ -271,9 +273,14 @@
         std::mem::take(&mut self.taken_over)
     }
 
+    /// Returns true if no other VM's request is registered here and those that stay have all
+    /// messages. A VM that stops as well may have ended already.
     pub(super) fn is_drained(&self) -> bool {
-        !self.owner.serves_others(&self.own)
-            && self.posts.is_empty(|vm| self.view.vms.contains_key(vm))
+        let stays = |vm: &VmName| {
+            let member = self.view.vms.get(vm);
+            member.is_some_and(|m| !m.leaving) && !self.leaving.contains_key(vm)
+        };
+        !self.owner.serves_others(&self.own) && self.posts.is_empty(stays)
     }
 
     /// Replaces the state after a panic; the requests see their channels close.
--- a/crates/cumindoor/src/serve/cell/shared/host.rs
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -5,12 +5,13 @@
 
 use coord::name::{Upstream, VmName};
 use coord::sched::{
-    Action, Attempt, Engine, Job, JobId, SchedOptions, SchedStatus, Scheduler, Stage,
+    Action, Attempt, Engine, EngineReport, Job, JobId, SchedOptions, SchedStatus, Scheduler, Stage,
 };
 use coord::time::Time;
 
 use super::LEASE_TTL;
 use super::entry::Out;
+use super::strays::Strays;
 use super::wire::{Message, Order, WireProgress};
 use crate::serve::cell::local::order;
 use crate::serve::cell::{Input, Orphan};
@@ -34,8 +35,10 @@
     jobs: BTreeMap<JobId, Registered>,
     /// Requests that wait for the first load reports.
     early: BTreeMap<JobId, Job>,
-    reported: BTreeSet<Upstream>,
+    /// The last load report of each engine.
+    reported: BTreeMap<Upstream, EngineReport>,
     early_until: Option<Time>,
+    strays: Strays,
 }
 
 impl Host {
@@ -48,8 +51,9 @@
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             early: BTreeMap::new(),
-            reported: BTreeSet::new(),
+            reported: BTreeMap::new(),
             early_until: Some(now + REPORT_WAIT),
+            strays: Strays::new(now),
         }
     }
 
@@ -115,8 +119,12 @@
 
     /// Forgets a request that its entry VM looks after.
     pub(super) fn release(&mut self, now: Time, id: JobId) -> Vec<Action> {
-        self.jobs.remove(&id);
-        self.early.remove(&id);
+        let known = self.jobs.remove(&id).is_some();
+        let early = self.early.remove(&id).is_some();
+        if !known || early {
+            // The scheduler would ignore a later submission of a job that it does not know.
+            return Vec::new();
+        }
         let mut actions = self.scheduler.cancel(now, id);
         // The request cancels its own calls.
         actions
@@ -166,7 +174,7 @@
             return Vec::new();
         };
         let mut names = self.engines.keys();
-        let complete = names.all(|name| self.reported.contains(name));
+        let complete = names.all(|name| self.reported.contains_key(name));
         if now < until && !complete {
             return Vec::new();
         }
@@ -178,14 +186,28 @@
             .collect()
     }
 
-    pub(super) fn input(&mut self, now: Time, input: &Input) -> Vec<Action> {
+    /// Takes a report; `live` has the tags of all VMs of the view.
+    pub(super) fn input(
+        &mut self,
+        now: Time,
+        input: &Input,
+        live: &BTreeSet<u32>,
+        orphans: &mut Vec<Orphan>,
+    ) -> Vec<Action> {
         match input {
             Input::Load(name, report) => {
                 if !self.engines.contains_key(name) {
                     return Vec::new();
                 }
+                let held = report.held.iter().copied();
+                let unknown = held.filter(|id| !self.jobs.contains_key(id));
+                let lost = self.strays.check(now, name, unknown, live);
+                orphans.extend(lost.into_iter().map(|id| Orphan {
+                    id,
+                    upstream: name.clone(),
+                }));
                 let mut actions = self.scheduler.load_report(now, name, report);
-                self.reported.insert(name.clone());
+                self.reported.insert(name.clone(), report.clone());
                 actions.extend(self.start_early(now));
                 actions
             }
@@ -197,11 +219,11 @@
     pub(super) fn vm_down(&mut self, now: Time, vm: &VmName) -> Vec<Action> {
         self.early.retain(|_, job| job.vm != *vm);
         self.jobs.retain(|_, known| known.vm != *vm);
-        self.scheduler.vm_down(now, vm)
-    }
-
-    pub(super) fn vm_up(&mut self, vm: &VmName) {
+        self.strays.vm_down(now, vm);
+        let actions = self.scheduler.vm_down(now, vm);
+        // The VM may be alive on the other side of a partition: only `strays` looks for its work.
         self.scheduler.vm_up(vm);
+        actions
     }
 
     pub(super) fn set_engines(&mut self, now: Time, engines: &[(Engine, bool)]) -> Vec<Action> {
@@ -222,10 +244,15 @@
                 continue;
             }
             actions.extend(self.scheduler.engine_up(now, pair.0.clone()));
+            if let Some(report) = self.reported.get(name) {
+                // After a take-over, a changed engine would stay closed until its next report.
+                actions.extend(self.scheduler.load_report(now, name, report));
+            }
             if pair.1 {
                 actions.extend(self.scheduler.engine_leaving(now, name));
             }
         }
+        self.reported.retain(|name, _| wanted.contains_key(name));
         self.engines = wanted;
         actions
     }
--- a/crates/cumindoor/src/serve/cluster/published.rs
+++ b/crates/cumindoor/src/serve/cluster/published.rs
@@ -96,6 +96,9 @@
     (hash64(name.as_bytes()) % BUCKETS as u64) as usize
 }
 
+/// The malformed documents: the findings of each, with their places.
+pub type Findings = BTreeMap<Arc<str>, Vec<String>>;
+
 /// The platform's list as this VM knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listed {
@@ -113,6 +116,7 @@
     pub(super) listed: watch::Sender<Arc<Listed>>,
     pub(super) vm_list: watch::Sender<Option<VmList>>,
     pub(super) ready: watch::Sender<bool>,
+    pub(super) findings: watch::Sender<Arc<Findings>>,
     origin: Instant,
     /// Microseconds after `origin` at which the membership state last ran.
     last: AtomicU64,
@@ -127,6 +131,7 @@
             listed: watch::Sender::default(),
             vm_list: watch::Sender::default(),
             ready: watch::Sender::new(false),
+            findings: watch::Sender::default(),
             origin: Instant::now(),
             last: AtomicU64::new(0),
             trusted: AtomicBool::new(false),
@@ -148,3 +153,6 @@
         u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cumindoor/src/serve/node.rs
+++ b/crates/cumindoor/src/serve/node.rs
@@ -1,6 +1,7 @@
 //! One router process among others: callers' and peers' listeners, cells, documents in force.
 
 mod force;
+mod join;
 mod status;
 
 use std::collections::BTreeMap;
@@ -17,10 +18,11 @@
 
 use super::cell::Clock;
 use super::cell::shared::{CellPart, SharedCells};
+use super::cluster::Cluster;
 use super::engine::poll;
 use super::peer::{Listener, ListenerOptions, Peers, PeersOptions, Router, Running};
 use super::route::{Claims, Context};
-use super::supervisor::Spec;
+use super::supervisor::{Spec, Supervisor};
 use super::telemetry::Telemetry;
 use super::view::View;
 use super::{ServeOptions, Server, Table, UpstreamSpec};
@@ -39,6 +41,8 @@
     pub documents: watch::Receiver<Arc<BTreeMap<String, Text>>>,
     /// The published upstreams; `slots` is filled in from the documents.
     pub upstreams: watch::Receiver<Arc<Vec<UpstreamSpec>>>,
+    /// True once callers may be served; never false after that.
+    pub ready: watch::Receiver<bool>,
 }
 
 /// What a node is started with.
@@ -49,7 +53,7 @@
     pub data_centre: DataCentre,
     /// The bound port for other VMs.
     pub listener: Listener,
-    /// Client of the other VMs; its directory is kept current by the node.
+    /// Client of the other VMs; whoever feeds the view keeps its directory current.
     pub peers: Peers,
     /// Parts on the peer port besides those of the node itself.
     pub router: Router,
@@ -93,10 +97,17 @@
     cells: Arc<SharedCells>,
     peer: Running,
     force: Arc<Force>,
+    membership: Option<Membership>,
+}
+
+/// The cluster task of a node and the supervisor that it runs under.
+struct Membership {
+    cluster: Cluster,
+    supervisor: Supervisor,
 }
 
 impl Node {
-    /// Starts a node that follows `feed`.
+    /// Starts a node that follows `feed`; callers are served once the feed is ready.
     ///
     /// # Errors
     ///
@@ -137,12 +148,14 @@
         };
         let router = options.router.with::<CellPart>(cells.clone());
         let peer = options.listener.spawn(router, Arc::new(page))?;
+        feed.ready.clone().wait_for(|ready| *ready).await?;
         let server = Server::bind(context, tasks).await?;
         Ok(Self {
             server,
             cells,
             peer,
             force,
+            membership: None,
         })
     }
 
@@ -180,6 +193,9 @@
     pub async fn stop(&self) -> bool {
         self.server.close();
         self.cells.leave();
+        if let Some(membership) = &self.membership {
+            membership.cluster.leave();
+        }
         let complete = self.server.finished().await;
         // Other VMs' waiting requests move as soon as they hear of the stop. A VM that does not
         // answer loses its lease in the meantime.
@@ -188,6 +204,9 @@
             log::warn!("other VMs have not taken all requests over");
         }
         self.server.supervisor().stop();
+        if let Some(membership) = &self.membership {
+            membership.supervisor.stop();
+        }
         self.peer.stop().await;
         complete
     }
--- a/crates/cumindoor/tests/common/once.rs
+++ b/crates/cumindoor/tests/common/once.rs
@@ -117,6 +117,7 @@
             view: view.subscribe(),
             documents: self.documents.subscribe(),
             upstreams: self.upstreams.subscribe(),
+            ready: watch::channel(true).1,
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let own = VmName::from(name);
--- a/crates/cumindoor/tests/nodes.rs
+++ b/crates/cumindoor/tests/nodes.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::nodes::{Nodes, document};
-use common::until;
+use common::{patiently, until};
+use cumindoor::serve::platform::Platform;
+use standin::PlatformOptions;
 
 /// Guards against a request that fails because its VM does not own the cell.
 #[tokio::test]
@@ -128,3 +132,192 @@
         assert_eq!(vm.node.in_force()["celeste"], 2);
     }
 }
+
+/// Guards against streams that are cut, and requests that are lost, when the owner of their cell
+/// stops as planned.
+#[tokio::test]
+async fn hands_the_cell_over_in_a_planned_stop() {
+    let mut nodes = Nodes::start(3, 1).await;
+    let owner = nodes.owner().await;
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    nodes.hold(true);
+    let chats = nodes.chats(&all, 2, 30);
+    until("streams hold all slots", || nodes.slots_used() == 2).await;
+    let registered = |nodes: &Nodes, to: &str| {
+        let at = |name: &String| nodes.status(name)["registered"][to].as_u64();
+        all.iter().filter_map(at).sum::<u64>()
+    };
+    until("requests wait", || registered(&nodes, &owner) == 6).await;
+
+    let stopping = nodes.stop(&owner);
+    let moved = || registered(&nodes, &owner) == 0;
+    until("the cell is handed over", moved).await;
+    nodes.hold(false);
+
+    for chat in chats {
+        chat.whole().await;
+    }
+    assert!(patiently("the stop", stopping).await.unwrap());
+    nodes.crash(&owner);
+    nodes.set_views(|_| true);
+    let rest: Vec<String> = nodes.vms.keys().cloned().collect();
+    for chat in nodes.chats(&rest, 2, 30) {
+        chat.whole().await;
+    }
+    nodes.nothing_held().await;
+}
+
+/// Guards against a planned stop that waits for a VM that is stopping as well.
+#[tokio::test]
+async fn stops_all_vms_at_once() {
+    let nodes = Nodes::start(3, 1).await;
+    nodes.owner().await;
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    nodes.hold(true);
+    let chats = nodes.chats(&all, 2, 30);
+    until("streams hold all slots", || nodes.slots_used() == 2).await;
+    let open = |name: &String| nodes.vms[name].node.server().context().open.total() == 2;
+    until("all requests are open", || all.iter().all(open)).await;
+
+    let stopping: Vec<_> = all.iter().map(|name| nodes.stop(name)).collect();
+    nodes.hold(false);
+
+    for chat in chats {
+        chat.whole().await;
+    }
+    for stop in stopping {
+        assert!(patiently("the stop", stop).await.unwrap());
+    }
+    nodes.nothing_held().await;
+}
+
+/// Guards against requests that are lost or answered twice while a partition makes each side
+/// schedule the same engines: the engines refuse what does not fit.
+#[tokio::test]
+async fn serves_on_both_sides_of_a_partition() {
+    // Each side learns from refusals only that the other one holds slots.
+    let nodes = Nodes::polling(2, 2, Duration::from_mins(10)).await;
+    nodes.owner().await;
+    nodes.set_view("vm-1", &["vm-1"]);
+    nodes.set_view("vm-2", &["vm-2"]);
+    let owns = |name: &str| nodes.status(name)["owners"][0]["owner"] == name;
+    until("both own the cell", || owns("vm-1") && owns("vm-2")).await;
+    nodes.hold(true);
+    let mut chats = nodes.chats(&["vm-1".to_owned()], 12, 60);
+    until("one side holds all slots", || nodes.slots_used() == 4).await;
+    chats.extend(nodes.chats(&["vm-2".to_owned()], 12, 60));
+    let refused = || nodes.decodes.iter().map(|e| e.counts().full).sum::<u64>();
+    until("the other side is refused", || refused() > 0).await;
+    nodes.hold(false);
+
+    for chat in chats {
+        chat.whole().await;
+    }
+
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    let answered: u64 = nodes.decodes.iter().map(|e| e.counts().decodes_done).sum();
+    assert_eq!(answered, 24);
+    nodes.set_views(|_| true);
+    nodes.owner().await;
+    for chat in nodes.chats(&all, 4, 20) {
+        chat.whole().await;
+    }
+    nodes.nothing_held().await;
+}
+
+/// Guards against a VM that goes on scheduling although it was paused and others have its cells.
+#[tokio::test]
+async fn a_paused_owner_gives_its_cells_up() {
+    let nodes = Nodes::start(3, 20).await;
+    let owner = nodes.owner().await;
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    nodes.hold(true);
+    let chats = nodes.chats(&all, 2, 30);
+    nodes.streaming(6).await;
+
+    nodes.distrust(&owner);
+    let dropped = || nodes.status(&owner)["scheduled"] == serde_json::json!([]);
+    until("the schedulers are dropped", dropped).await;
+    let rest = nodes.others(&owner);
+    let rest: Vec<&str> = rest.iter().map(String::as_str).collect();
+    for name in &rest {
+        nodes.set_view(name, &rest);
+    }
+    let late = nodes.chats(&[rest[0].to_owned()], 2, 30);
+    nodes.hold(false);
+
+    for chat in chats.into_iter().chain(late) {
+        chat.whole().await;
+    }
+    let tokens: u64 = nodes.decodes.iter().map(|e| e.counts().output_tokens).sum();
+    assert_eq!(tokens, 8 * 30, "no stream was started again");
+    nodes.nothing_held().await;
+}
+
+/// Guards against slots that stay taken when an entry VM and the owner die together, so that no
+/// VM that is left has ever heard of the work.
+#[tokio::test]
+async fn frees_slots_when_entry_vm_and_owner_die_together() {
+    let mut nodes = Nodes::start(3, 20).await;
+    let owner = nodes.owner().await;
+    let entry = nodes.others(&owner).remove(0);
+    nodes.hold(true);
+    let chats = nodes.chats(&[entry.clone(), owner.clone()], 3, 30);
+    nodes.streaming(6).await;
+
+    nodes.crash(&owner);
+    nodes.crash(&entry);
+    nodes.set_views(|_| true);
+
+    nodes.nothing_held().await;
+    drop(chats);
+}
+
+/// Guards against streams that fail when a partition cuts their VM off from the owner: the owner
+/// cannot tell it from a dead VM, and the side that is left goes on with its streams.
+#[tokio::test]
+async fn streams_survive_the_start_of_a_partition() {
+    let nodes = Nodes::start(2, 20).await;
+    nodes.owner().await;
+    let all: Vec<String> = nodes.vms.keys().cloned().collect();
+    nodes.hold(true);
+    let chats = nodes.chats(&all, 4, 60);
+    nodes.streaming(8).await;
+
+    nodes.set_view("vm-1", &["vm-1"]);
+    nodes.set_view("vm-2", &["vm-2"]);
+    let owns = |name: &str| nodes.status(name)["owners"][0]["owner"] == name;
+    until("both own the cell", || owns("vm-1") && owns("vm-2")).await;
+    let cancels = || {
+        nodes
+            .decodes
+            .iter()
+            .map(|e| e.counts().cancels)
+            .sum::<u64>()
+    };
+    until("streams of the other side are cancelled", || cancels() > 0).await;
+    nodes.hold(false);
+
+    for chat in chats {
+        chat.whole().await;
+    }
+    nodes.nothing_held().await;
+}
+
+/// Guards against a VM that learns nothing while one replica of the platform is down.
+#[tokio::test]
+async fn asks_the_next_platform_address_after_a_failure() {
+    let down = standin::Platform::spawn(PlatformOptions::default()).await;
+    let down = down.unwrap();
+    let up = standin::Platform::spawn(PlatformOptions::default()).await;
+    let up = up.unwrap();
+    up.put_document("celeste", &document(3)).unwrap();
+    down.go_down().await;
+    let client = Platform::any_of(vec![down.addr(), up.addr()]);
+
+    let first = client.documents(0, Duration::ZERO).await;
+    let second = client.documents(0, Duration::ZERO).await;
+
+    assert!(first.is_err());
+    assert_eq!(second.unwrap().documents.len(), 1);
+}
