--- a/crates/cumindoor/src/serve/caller/handler.rs
+++ b/crates/cumindoor/src/serve/caller/handler.rs
@@ -11,9 +11,10 @@
 use super::answer::{self, Answer};
 use super::parse::{self, Form};
 use super::{Shared, body};
+use crate::serve::claim::Piece;
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
-use crate::serve::route::{self, Ask, claims};
+use crate::serve::route::{self, Ask, Entry, Event, claims};
 use crate::serve::spec::{ServiceKind, ServiceSpec};
 
 /// The header that names the organisation.
@@ -53,14 +54,34 @@
         .service(&organisation, &Service::from(parsed.model.as_str()))
         .filter(|spec| spec.kind == ServiceKind::Model)
         .ok_or_else(|| no_service(&organisation, &parsed.model))?;
-    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
-    let claim = claims::claim(context, &spec, spec.once, &parts.headers).await?;
+    let max_tokens = parsed.output_limit(&spec)?;
+    let Some(guard) = context.open.enter(&spec) else {
+        let refusal = open_limit(&spec);
+        return Err(claims::proven(context, &spec, spec.once, &parts.headers, refusal).await);
+    };
+    let tag = parsed.tag();
     let ask = Ask {
         prompt: std::mem::take(&mut parsed.prompt),
-        max_tokens: parsed.max_tokens,
+        max_tokens,
         trace,
     };
-    let events = route::start(context, spec, ask, (guard, claim));
+    let (answers, once) = (&context.answers, spec.once);
+    let events = match route::enter(context, &spec, once, &parts.headers, tag).await? {
+        Entry::Attached(pieces) => answers.map(pieces, move |piece| {
+            let _open = &guard;
+            Event::from(piece)
+        }),
+        Entry::Run(claim, recorder) => {
+            let events = route::start(context, spec, ask, (guard, claim));
+            match recorder {
+                None => events,
+                Some(recorder) => {
+                    let pieces = recorder.record(answers.map(events, Piece::from), false);
+                    answers.map(pieces, Event::from)
+                }
+            }
+        }
+    };
     Ok(answer::respond(&parsed, events).await)
 }
 
@@ -93,7 +114,11 @@
         .service(&organisation, &Service::from(name.as_str()))
         .filter(|spec| spec.kind == ServiceKind::Plain)
         .ok_or_else(|| no_service(&organisation, &name))?;
-    let guard = context.open.enter(&spec).ok_or_else(|| open_limit(&spec))?;
+    let Some(guard) = context.open.enter(&spec) else {
+        let once = spec.is_once(plain::inner_uri(request.uri())?.path());
+        let refusal = open_limit(&spec);
+        return Err(claims::proven(context, &spec, once, request.headers(), refusal).await);
+    };
     plain::call(context, &spec, request, guard).await
 }
 
--- a/crates/cumindoor/src/serve/node/join.rs
+++ b/crates/cumindoor/src/serve/node/join.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coord::claim::ClaimOptions;
 use coord::config::{self, Validator};
 use coord::member::{self, Standing};
 use coord::sched::Role;
@@ -13,6 +14,7 @@
 use super::{Feed, Membership, Node, NodeOptions, Text};
 use crate::document::Document;
 use crate::serve::UpstreamSpec;
+use crate::serve::claim::FleetClaims;
 use crate::serve::cluster::{Cluster, ClusterOptions, Documents, Listed};
 use crate::serve::platform::{ListedUpstream, Platform, Presence, UpstreamRole};
 use crate::serve::supervisor::{Restarts, Spec, Strategy, Supervisor};
@@ -44,6 +46,20 @@
     }
 }
 
+impl NodeOptions {
+    fn wire_claims(&mut self, settings: &Settings, cluster: &Cluster) {
+        let times = ClaimOptions {
+            retention: settings.vm.once_retention.0,
+            ..ClaimOptions::default()
+        };
+        let (vm, peers) = (settings.vm.name.clone(), self.peers.clone());
+        let claims = FleetClaims::new(vm, times, peers, cluster.vm_list());
+        self.router = claims.register(std::mem::take(&mut self.router));
+        self.tasks.push(claims.task());
+        self.claims = Some(Arc::new(claims));
+    }
+}
+
 impl Node {
     /// Starts the node that the settings describe, as a member of its fleet.
     ///
@@ -75,6 +91,7 @@
         let peers = options.peers.clone();
         let cluster = Cluster::new(cluster_options, peers, platform);
         options.router = cluster.register(options.router);
+        options.wire_claims(settings, &cluster);
         let (feed, follow) = feed(&cluster);
         let running = cluster.clone();
         let member = Spec::task("cluster", move || {
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -3,6 +3,7 @@
 //! A call is sent to another upstream only if nothing of it was sent to the first one, or if
 //! its service allows repeats and its body was kept.
 
+mod answers;
 mod balance;
 mod bodies;
 mod headers;
@@ -10,18 +11,21 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use coord::hash::hash64;
 use coord::name::Upstream;
 use fastrace::Span;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 pub use balance::Balance;
 
 use crate::serve::engine::{Connected, OutBody, SendError, full_body};
 use crate::serve::refusal::Refusal;
-use crate::serve::route::{Context, OpenGuard, claims};
+use crate::serve::route::{self, Claim, Context, Entry, OpenGuard};
 use crate::serve::spec::{ServiceSpec, UpstreamSpec};
 use crate::serve::telemetry;
 use bodies::Fault;
@@ -31,6 +35,9 @@
 /// Upstreams that one call is sent to at most.
 const TRIES: usize = 3;
 
+/// Pieces of an answer on their way to where it is kept.
+const PIECES: usize = 16;
+
 /// The header with the trace context.
 const TRACE: &str = "traceparent";
 
@@ -52,17 +59,58 @@
     request: Request<Incoming>,
     guard: OpenGuard,
 ) -> Result<Response<OutBody>, Refusal> {
-    let until = Instant::now() + spec.request_limit;
     let (mut parts, body) = request.into_parts();
     parts.uri = inner_uri(&parts.uri)?;
+    let once = spec.is_once(parts.uri.path());
+    let tag = hash64(format!("{} {}", parts.method, parts.uri).as_bytes());
+    match route::enter(context, spec, once, &parts.headers, tag).await? {
+        Entry::Attached(pieces) => answers::respond(pieces, guard).await,
+        Entry::Run(claim, None) => {
+            let call = forward(context, spec, (parts, body), claim).await?;
+            Ok(call.map(|body| hold(body, guard)))
+        }
+        Entry::Run(claim, Some(recorder)) => {
+            let (sender, pieces) = mpsc::channel(PIECES);
+            let (context, spec) = (Arc::clone(context), Arc::clone(spec));
+            let runs = context.runs.clone();
+            runs.spawn(async move {
+                let call = forward(&context, &spec, (parts, body), claim);
+                answers::produce(call, sender).await;
+            });
+            // What a once-only call has done cannot be undone, so its answer is read although its
+            // caller is gone: the caller may ask for it again.
+            answers::respond(recorder.record(pieces, once), guard).await
+        }
+    }
+}
+
+/// Keeps `guard` as long as a body.
+fn hold(body: OutBody, guard: OpenGuard) -> OutBody {
+    let keep = move |frame| {
+        let _open = &guard;
+        frame
+    };
+    body.map_frame(keep).boxed_unsync()
+}
+
+async fn forward(
+    context: &Arc<Context>,
+    spec: &Arc<ServiceSpec>,
+    request: (Parts, Incoming),
+    mut claim: Claim,
+) -> Result<Response<OutBody>, Refusal> {
+    let until = Instant::now() + spec.request_limit;
+    let (mut parts, body) = request;
     headers::strip(&mut parts.headers);
     let (span, trace) = hop(&parts.headers);
     if let Ok(trace) = trace.parse() {
         parts.headers.insert(TRACE, trace);
     }
     let once = spec.is_once(parts.uri.path());
-    let mut payload = payload(context, once, body).await?;
-    let mut claim = claims::claim(context, spec, once, &parts.headers).await?;
+    let mut payload = match payload(context, once, body).await {
+        Ok(payload) => payload,
+        Err(refusal) => return Err(claim.proven(refusal).await),
+    };
     let mut tried: Vec<Upstream> = Vec::new();
     let mut last = None;
     while tried.len() < TRIES {
@@ -71,17 +119,18 @@
             break;
         };
         tried.push(upstream.name.clone());
-        // From here on the caller may go away while bytes are on their way.
-        claim.set_dispatched(true);
-        match attempt(context, &upstream, &parts, payload, until).await {
+        let sent = attempt(context, &upstream, &parts, payload, &mut claim, until).await;
+        match sent {
             Ok(connected) => {
                 let load = context.balance.enter(&upstream.name);
-                return Ok(bodies::answer(connected, until, (guard, load, span)));
+                return Ok(bodies::answer(connected, until, (load, span)));
             }
             Err(failed) => {
                 context.telemetry.count("plain.failed");
                 claim.set_dispatched(failed.sent);
-                context.balance.failed(&upstream.name);
+                if failed.at_upstream {
+                    context.balance.failed(&upstream.name);
+                }
                 let repeat = !once || !failed.sent;
                 last = Some(failed.refusal);
                 match failed.payload {
@@ -91,7 +140,7 @@
             }
         }
     }
-    Err(last.unwrap_or_else(no_upstream))
+    Err(claim.proven(last.unwrap_or_else(no_upstream)).await)
 }
 
 fn hop(headers: &HeaderMap) -> (Span, String) {
@@ -105,7 +154,7 @@
 }
 
 /// Returns the path below the service's name.
-fn inner_uri(uri: &Uri) -> Result<Uri, Refusal> {
+pub(super) fn inner_uri(uri: &Uri) -> Result<Uri, Refusal> {
     let whole = uri.path_and_query().map_or("/", |p| p.as_str());
     let below = whole.trim_start_matches('/');
     let start = below.find(['/', '?']).unwrap_or(below.len());
@@ -145,6 +194,8 @@
     refusal: Refusal,
     /// The body, if the call can be sent again.
     payload: Option<Payload>,
+    /// True if the upstream has failed, false if the call must not be sent to any.
+    at_upstream: bool,
 }
 
 async fn attempt(
@@ -152,6 +203,7 @@
     upstream: &UpstreamSpec,
     parts: &Parts,
     payload: Payload,
+    claim: &mut Claim,
     until: Instant,
 ) -> Result<Connected, Failed> {
     let pool = context.engines.pool();
@@ -166,11 +218,21 @@
         Payload::Streamed(body, fault) => (body, Some(fault), None),
     };
     let request = Request::from_parts(parts.clone(), body);
+    if let Err(refusal) = claim.secure().await {
+        return Err(Failed {
+            sent: false,
+            refusal,
+            payload: None,
+            at_upstream: false,
+        });
+    }
+    // From here on the caller may go away while bytes are on their way.
+    claim.set_dispatched(true);
     let until = until.min(Instant::now() + context.options.times.plain);
     let answered = timeout_at(until, connection.send(request)).await;
     let error = match answered {
         Ok(Ok(connected)) => return Ok(connected),
-        Ok(Err(SendError::Unsent(text))) => {
+        Ok(Err(SendError::Unsent(text) | SendError::Refused(text))) => {
             return Err(unsent(text, kept.map(Payload::Kept)));
         }
         Ok(Err(SendError::Sent(text))) => text,
@@ -183,6 +245,7 @@
         sent: true,
         refusal,
         payload: kept.map(Payload::Kept),
+        at_upstream: true,
     })
 }
 
@@ -192,5 +255,6 @@
         sent: false,
         refusal: Refusal::not_run(status, "no-upstream", text),
         payload,
+        at_upstream: true,
     }
 }
--- a/crates/cumindoor/src/serve/route.rs
+++ b/crates/cumindoor/src/serve/route.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod context;
 mod decode;
+mod enter;
 mod job;
 mod prefill;
 
@@ -23,9 +24,11 @@
 use tokio::sync::mpsc;
 use tokio::time::{Sleep, sleep};
 
-pub use claims::{Claim, ClaimKey, Claims, LocalClaims};
+pub use claims::{Claim, ClaimKey, Claims, Decision, Grant, LocalClaims};
 pub use context::{Context, Live, Open, OpenGuard};
+pub(super) use enter::{Entry, enter};
 pub use job::Ask;
+pub(super) use job::estimate_tokens;
 
 use crate::serve::cell::{Cell, Order, Progress};
 use crate::serve::engine::cancel::Asked;
@@ -207,6 +210,7 @@
                 Event::Finish(usage)
             }
             End::Refused(refusal) => {
+                let refusal = self.claim.proven(refusal).await;
                 self.count_end(&format!("request.refused.{}", refusal.reason));
                 Event::Fail(refusal)
             }
--- a/crates/cumindoor/src/serve/spec.rs
+++ b/crates/cumindoor/src/serve/spec.rs
@@ -43,6 +43,12 @@
     pub once: bool,
     /// Paths below the service's own whose calls must run at most once.
     pub once_paths: Vec<PathPrefix>,
+    /// Tokens of the longest prompt; unlimited for a plain service.
+    pub max_prompt: u32,
+    /// Tokens of the longest output; unlimited for a plain service.
+    pub max_output: u32,
+    /// True if a once-only call without an idempotency key is refused.
+    pub require_key: bool,
     /// Requests that the organisation may have open on this VM at once.
     pub open_limit: usize,
 }
@@ -316,6 +322,8 @@
     pub listen: SocketAddr,
     /// How long running requests may take after a stop was ordered.
     pub stop_limit: Duration,
+    /// How long the key of a once-only request is kept; the same on all VMs.
+    pub once_retention: Duration,
     /// Tokens in one block of the engines' prefix cache.
     pub block_tokens: u32,
     /// Prompt tokens that a prefill engine computes in one second.
@@ -334,6 +342,7 @@
             vm,
             listen,
             stop_limit: Duration::from_mins(2),
+            once_retention: Duration::from_hours(1),
             block_tokens: 1_000,
             prefill_rate: 10_000,
             limits: Limits::default(),
