--- a/crates/cumindoor/src/bench.rs
+++ b/crates/cumindoor/src/bench.rs
@@ -18,6 +18,7 @@
 mod expect;
 mod fake;
 mod flow;
+mod incidents;
 mod replay;
 mod report;
 mod router;
--- a/crates/cumindoor/src/bench/replay/tests.rs
+++ b/crates/cumindoor/src/bench/replay/tests.rs
@@ -44,3 +44,26 @@
             .contains("closed loop")
     );
 }
+
+/// Guards against overflows in the driver with values that the parser accepts.
+#[rstest::rstest]
+#[case::slow(&[("\"step_us\":4000", "\"step_us\":60000000"), ("\"step_factor\":1.", "\"step_factor\":99."),
+    ("\"output_tokens\":", "\"output_tokens\":100")])]
+#[case::long_prompts(&[("\"prompt_tokens\":", "\"prompt_tokens\":10"), ("\"prefill_factor\":1.", "\"prefill_factor\":99."),
+    ("\"prefill_rate\":20000", "\"prefill_rate\":1"), ("_rate\":8000000000", "_rate\":1000000"),
+    ("8000000000.0", "1000000.0")])]
+#[case::no_decode(&[("[\"Decode\",3]", "[\"Prefill\",3]")])]
+#[case::tiny_blocks(&[("\"block_tokens\":1000", "\"block_tokens\":1"), ("\"cache_blocks\":400", "\"cache_blocks\":0")])]
+fn extreme_values_do_not_panic(#[case] changes: &[(&str, &str)]) {
+    let case = cases("celeste/110/vm-dies").unwrap().swap_remove(0);
+    let mut text = recording(case, 3, Some(6)).unwrap();
+    for (old, new) in changes {
+        assert!(text.contains(old), "{old}");
+        text = text.replace(old, new);
+    }
+
+    let trace = trace::parse("t", &text).unwrap();
+    let row = figures(&trace, Policy::Cumindoor, 3);
+
+    assert!(row.answered + row.refused.values().sum::<u64>() + row.lost > 0);
+}
--- a/crates/cumindoor/src/bench/sim.rs
+++ b/crates/cumindoor/src/bench/sim.rs
@@ -11,9 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::arrivals::{Request, number};
-use super::case::{Case, Fault, Incident, IncidentKind, Load, SLOTS};
+use super::case::{Case, Fault, Load, SLOTS};
 use super::fake::Fake;
-use super::flow::OWNER;
 use super::router::{Input, Router};
 
 /// One-way latency between two data centres, and to a caller.
@@ -178,64 +177,6 @@
         }
     }
 
-    fn plan_incident(&mut self, incident: &Incident) {
-        use IncidentKind::{DataCentreDies, UpstreamDies, VmDies};
-        let (at, name) = (incident.at, incident.name.as_str());
-        if incident.kind == VmDies {
-            self.at(at, Event::OwnerDies);
-            self.at(at + OWNER_GAP, Event::NewOwner);
-            return;
-        }
-        for engine in 0..self.engines.len() {
-            let spec = &self.engines[engine].spec;
-            let (upstream, centre) = (spec.name.as_str(), spec.data_centre.as_str());
-            match incident.kind {
-                UpstreamDies if upstream == name => self.at(at, Event::Die(engine)),
-                DataCentreDies if centre == name => self.at(at, Event::Die(engine)),
-                IncidentKind::UpstreamReturns if upstream == name => {
-                    self.at(at, Event::Revive(engine));
-                }
-                IncidentKind::DataCentreReturns if centre == name => {
-                    self.at(at, Event::Revive(engine));
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Returns what dies and returns: as listed, or as the case's fault says.
-    pub fn incidents(&self) -> Vec<Incident> {
-        use IncidentKind::{
-            DataCentreDies, DataCentreReturns, UpstreamDies, UpstreamReturns, VmDies,
-        };
-        if let Some(listed) = &self.case.incidents {
-            return listed.clone();
-        }
-        let at = Time::from_millis(self.case.seconds * 1_000 / 3);
-        let incident = |at, kind, name: &str| Incident {
-            at,
-            kind,
-            name: name.into(),
-        };
-        let pair = |dies, returns, name: &str| {
-            let back = at + Duration::from_secs(20);
-            [incident(at, dies, name), incident(back, returns, name)]
-        };
-        let first = |role| self.engines.iter().find(|e| e.spec.role == role);
-        match self.case.fault {
-            Fault::UpstreamDies => [first(Role::Prefill), first(Role::Decode)]
-                .into_iter()
-                .flatten()
-                .flat_map(|e| pair(UpstreamDies, UpstreamReturns, e.spec.name.as_str()))
-                .collect(),
-            Fault::DataCentreDies => {
-                pair(DataCentreDies, DataCentreReturns, &self.case.centres[0]).into()
-            }
-            Fault::VmDies => vec![incident(at, VmDies, &format!("vm-{OWNER}"))],
-            _ => Vec::new(),
-        }
-    }
-
     pub(super) fn at(&mut self, time: Time, event: Event) {
         self.seq += 1;
         self.events.push(Reverse((time, self.seq)));
--- a/crates/cumindoor/src/bench/trace/tests.rs
+++ b/crates/cumindoor/src/bench/trace/tests.rs
@@ -1,6 +1,6 @@
 use proptest::prelude::*;
 
-use super::*;
+use super::parse;
 
 const EXAMPLE: &str = include_str!("../../../../../examples/traces/celeste.jsonl");
 
