--- a/crates/cumindoor/src/serve/node/force.rs
+++ b/crates/cumindoor/src/serve/node/force.rs
@@ -98,7 +98,7 @@
         let documents = state.good.values();
         let services = documents.flat_map(|(_, document)| document.service_specs());
         let (services, upstreams) = (services.collect(), state.with_slots());
-        self.table.replace_all(services, upstreams, state.groups());
+        self.table.replace_all(services, upstreams, state.specs());
     }
 }
 
@@ -137,8 +137,8 @@
             .collect()
     }
 
-    fn groups(&self) -> BTreeMap<Service, GroupSpec> {
-        let groups = self.good.values().flat_map(|(_, d)| &d.upstreams);
+    fn specs(&self) -> BTreeMap<Service, GroupSpec> {
+        let groups = self.groups().into_iter();
         let spec = |(group, keys): (&Service, &Upstreams)| {
             let spec = GroupSpec {
                 block_tokens: keys.block.0,
