--- a/crates/cumindoor/src/serve/telemetry.rs
+++ b/crates/cumindoor/src/serve/telemetry.rs
@@ -1,5 +1,6 @@
 //! Counters, timers, log lines and trace spans.
 
+mod lines;
 mod sink;
 mod trace;
 
@@ -106,7 +107,11 @@
     let stderr = logforth::append::Stderr::default().with_layout(layout);
     let diagnostic = logforth::diagnostic::FastraceDiagnostic::default();
     logforth::starter_log::builder()
-        .dispatch(|d| d.diagnostic(diagnostic).append(stderr))
+        .dispatch(|d| {
+            d.filter(lines::OwnLines)
+                .diagnostic(diagnostic)
+                .append(stderr)
+        })
         .try_apply()
         .map_err(|error| eyre::eyre!("cannot start logging: {error}"))?;
     log::set_max_level(level);
