--- a/crates/cumindoor/src/serve/cell/shared/host.rs
+++ b/crates/cumindoor/src/serve/cell/shared/host.rs
@@ -22,6 +22,9 @@
 /// does not answer must not delay the others for the whole lease.
 const REPORT_WAIT: Duration = Duration::from_secs(1);
 
+/// How much longer new requests wait if no engine is known yet.
+const LIST_WAIT: Duration = Duration::from_secs(2);
+
 /// A registered request.
 struct Registered {
     vm: VmName,
@@ -174,7 +177,11 @@
             return Vec::new();
         };
         let mut names = self.engines.keys();
-        let complete = names.all(|name| self.reported.contains_key(name));
+        let known = !self.engines.is_empty();
+        let complete = known && names.all(|name| self.reported.contains_key(name));
+        // A VM that has just started may get requests before the list of engines; the scheduler
+        // would refuse them for want of an upstream.
+        let until = if known { until } else { until + LIST_WAIT };
         if now < until && !complete {
             return Vec::new();
         }
--- a/crates/cumindoor/src/serve/cell/shared/tests.rs
+++ b/crates/cumindoor/src/serve/cell/shared/tests.rs
@@ -6,7 +6,8 @@
 
 use coord::name::{Incarnation, VmName};
 use coord::sched::{
-    Attempt, Class, Engine, EngineReport, Failure, Job, JobId, Prefilled, Role, SchedOptions,
+    Action, Attempt, Class, Engine, EngineReport, Failure, Job, JobId, Prefilled, Role,
+    SchedOptions,
 };
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use super::core::Core;
+use super::host::Host;
 use super::place::{CellKey, Cells};
 use super::wire::{Batch, Receipt};
 use crate::serve::cell::{Input, Order, Progress};
@@ -313,22 +315,7 @@
     fn submit(&mut self) {
         let vm = names()[self.rng.random_range(0..3)].clone();
         self.number += 1;
-        let job = Job {
-            id: JobId::new(&vm, u128::from(self.number)),
-            vm: vm.clone(),
-            organisation: "org".into(),
-            service: "chat".into(),
-            class: Class::Patient,
-            deadline: self.now + Duration::from_hours(1),
-            token_target: Duration::from_millis(26),
-            prompt_tokens: 1_000,
-            max_tokens: 100,
-            prefix: Vec::new(),
-            fingerprint: u128::from(self.number),
-            once: false,
-            offset: 0,
-            suspect: false,
-        };
+        let job = job(self.now, &vm, self.number);
         let id = job.id;
         let (sender, orders) = mpsc::unbounded_channel();
         let core = self.cores.get_mut(&vm).expect("a core");
@@ -403,6 +390,47 @@
     }
 }
 
+fn job(now: Time, vm: &VmName, number: u64) -> Job {
+    Job {
+        id: JobId::new(vm, u128::from(number)),
+        vm: vm.clone(),
+        organisation: "org".into(),
+        service: "chat".into(),
+        class: Class::Patient,
+        deadline: now + Duration::from_hours(1),
+        token_target: Duration::from_millis(26),
+        prompt_tokens: 1_000,
+        max_tokens: 100,
+        prefix: Vec::new(),
+        fingerprint: u128::from(number),
+        once: false,
+        offset: 0,
+        suspect: false,
+    }
+}
+
+/// Guards against an owner that has just started and refuses requests, because they arrive before
+/// the list of engines (seen once in `eight_processes_survive_signals`).
+#[test]
+fn a_new_owner_waits_for_its_engines() {
+    let [own, ..] = names();
+    let now = Time::from_millis(1);
+    let mut host = Host::new(now, SchedOptions::default(), 1);
+    let chat = Job {
+        class: Class::Interactive,
+        ..job(now, &own, 1)
+    };
+
+    let submitted = host.submit(now, chat, 1);
+    let waiting = host.tick(now + Duration::from_millis(1_500));
+    let _ = host.set_engines(now, &cells().into_values().next().expect("a cell"));
+    let started = host.tick(now + Duration::from_millis(3_500));
+
+    assert_eq!((submitted, waiting), (Vec::new(), Vec::new()));
+    let prefill = |action: &Action| matches!(action, Action::StartPrefill { .. });
+    assert!(started.iter().any(prefill), "{started:?}");
+}
+
 /// Guards against a VM that is cut off from the others and cancels their work on the engines.
 #[test]
 fn only_a_majority_cancels_the_work_of_lost_vms() {
