--- /dev/null
+++ b/crates/border/src/dialect.rs
@@ -0,0 +1,159 @@
+//! What requests and answers say in their headers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::Upstream;
+use hyper::{HeaderMap, Method, StatusCode};
+
+use crate::{Malformed, Stage};
+
+/// The prompt of a request to a model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Tokens of the output at most.
+    pub output: u32,
+    /// The caller's estimate of the output's tokens; right at the median, often far off.
+    pub estimate: Option<u32>,
+}
+
+/// What a caller's headers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// The id of this attempt of the caller.
+    pub id: Arc<str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The prompt, if the request is for a model.
+    pub prompt: Option<Prompt>,
+    /// The number of the last event that the caller has, if it resumes a stream.
+    pub resume: Option<u64>,
+}
+
+/// Where a prefill's result lies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// The engine that holds it.
+    pub address: SocketAddr,
+    /// Its name there.
+    pub handle: Arc<str>,
+}
+
+/// What an upstream is to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Answer it; a decode engine also reads the prompt.
+    Whole,
+    /// Read the prompt and keep the result.
+    Prefill,
+    /// Import the prompt's result and generate.
+    Decode(Source),
+}
+
+/// What an upstream is told beside the caller's own headers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// The upstream that is meant; any other one must refuse.
+    pub upstream: Upstream,
+    /// After what time it must stop work.
+    pub left: Option<Duration>,
+    /// What it is to do.
+    pub step: Step,
+    /// The number of the last event that the caller has, where the gateway resumes a stream.
+    pub resume: Option<u64>,
+}
+
+/// Requests at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What an upstream's headers say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// The id of the request that it answers, if it says so.
+    pub id: Option<Arc<str>>,
+    /// Whether it promises that the request has not run.
+    pub unrun: bool,
+    /// Whether it is another upstream than the one that was meant.
+    pub misdirected: bool,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+    /// The upstream's load, if it says so.
+    pub work: Option<Work>,
+}
+
+/// The result of a prefill.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prefilled {
+    /// The name under which the engine keeps it.
+    pub handle: Arc<str>,
+    /// The prompt's tokens.
+    pub tokens: u32,
+}
+
+/// What an engine reports of itself, some hundred milliseconds late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// What it does.
+    pub stage: Stage,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Tokens in memory that cannot be evicted.
+    pub used: u32,
+    /// Tokens that fit into the memory.
+    pub memory: u32,
+}
+
+/// How requests and answers are read and written.
+pub trait Dialect: Send + Sync {
+    /// Reads a caller's headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] with the header at fault.
+    fn ask(&self, headers: &HeaderMap) -> Result<Ask, Malformed>;
+
+    /// Removes the headers that only the system may set.
+    fn scrub(&self, headers: &mut HeaderMap);
+
+    /// Adds what an upstream is told.
+    fn stamp(&self, headers: &mut HeaderMap, stamp: &Stamp);
+
+    /// Reads the head of an upstream's answer.
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
+
+    /// Returns the headers by which callers tell an answer of the gateway from another request's.
+    fn label(&self, headers: &mut HeaderMap, ask: &Ask);
+
+    /// Reads the body of an answer to [`Step::Prefill`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] if it names no result.
+    fn prefilled(&self, body: &[u8]) -> Result<Prefilled, Malformed>;
+
+    /// Returns the call that frees a prefill's result.
+    fn free(&self, handle: &str) -> (Method, String);
+
+    /// Returns the path at which an engine reports its state.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads the body of a report.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] with the field at fault.
+    fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
+}
--- /dev/null
+++ b/crates/border/src/lib.rs
@@ -0,0 +1,53 @@
+//! What the gateway and the adapter of a platform know of each other.
+//!
+//! The gateway decides; an adapter only translates. It reads headers and published values into the
+//! types of this crate and writes them back, without waiting, retrying or remembering anything:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use border::{Stamp, Step};
+//!
+//! // What the gateway wants an upstream to hear of one attempt, whatever its headers are called.
+//! let stamp = Stamp {
+//!     upstream: "engine-7".into(),
+//!     left: Some(Duration::from_millis(900)),
+//!     step: Step::Prefill,
+//!     resume: None,
+//! };
+//! assert!(matches!(stamp.step, Step::Prefill));
+//! ```
+//!
+//! `docs/platform.md` has the programs, the reasons and the open questions.
+
+mod dialect;
+mod published;
+mod routing;
+
+pub use dialect::{Ask, Dialect, Prefilled, Prompt, Reply, Report, Source, Stamp, Step, Work};
+pub use published::{Catalogue, Change, Page, Stage, Topic, UpstreamEntry};
+pub use routing::{CallerLimits, Kind, Model, Route, Routing, ServiceDef};
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+
+/// Why bytes of the outside could not be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{at}: {problem}")]
+pub struct Malformed {
+    /// The key, header or field at fault.
+    pub at: Arc<str>,
+    /// What is wrong with it.
+    pub problem: Arc<str>,
+}
+
+impl Malformed {
+    /// Describes a fault at `at`.
+    pub fn new(at: impl Into<Arc<str>>, problem: impl Into<Arc<str>>) -> Self {
+        Self {
+            at: at.into(),
+            problem: problem.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/border/src/routing.rs
@@ -0,0 +1,120 @@
+//! Routes, services and limits: one version of what the operator wants.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::Service;
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The request may run any number of times.
+    Repeatable,
+    /// The request may run once at most.
+    Once,
+    /// The answer is a stream of numbered events.
+    Stream {
+        /// Whether another upstream may continue after the last event that the caller got;
+        /// otherwise the request may run once at most.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Returns whether the request may run more than once.
+    #[must_use]
+    pub fn repeats(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Stream { resumable: true })
+    }
+
+    /// Returns whether the answer is a stream of events.
+    #[must_use]
+    pub fn streams(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// Where requests of one host and path prefix go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The name, for log lines.
+    pub name: Arc<str>,
+    /// The host, in lower case.
+    pub host: Arc<str>,
+    /// The start of the path; it begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// The longest time that a caller is kept waiting for the final answer.
+    pub timeout: Duration,
+    /// The time within which the answer, or the first event of a stream, is worth most.
+    pub target: Duration,
+    /// The longest pause between two events of a stream that is on time.
+    pub pause: Option<Duration>,
+    /// The rank among requests; 0 goes first.
+    pub urgency: u8,
+    /// The services with their weights.
+    pub targets: Vec<(Service, u32)>,
+    /// The most upstreams that one request may run on.
+    pub attempts: u32,
+}
+
+/// The pool of model engines of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Tokens that fit into the memory of one engine.
+    pub memory: u32,
+    /// Tokens of one event of a stream at most.
+    pub stride: u32,
+    /// How long a prefill's result is kept for its import.
+    pub kept: Duration,
+}
+
+/// A service that routes lead to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceDef {
+    /// Connections that one upstream accepts from all callers together.
+    pub connections: u32,
+    /// The engines' figures; `None` for a plain service.
+    pub model: Option<Model>,
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request head.
+    pub head: usize,
+    /// Bytes of a request body.
+    pub body: usize,
+    /// Time for a request head.
+    pub header: Duration,
+    /// Time for which a kept connection may be idle.
+    pub idle: Duration,
+}
+
+/// One version of the routes, services and limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Routing {
+    /// Higher versions replace lower ones.
+    pub version: u64,
+    /// The routes, in no particular order.
+    pub routes: Vec<Arc<Route>>,
+    /// The services by name.
+    pub services: BTreeMap<Service, ServiceDef>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+impl Routing {
+    /// Returns the route of a host with the longest prefix that begins `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.to_ascii_lowercase();
+        let fits = |route: &&Arc<Route>| *route.host == *host && path.starts_with(&*route.prefix);
+        let fitting = self.routes.iter().filter(fits);
+        fitting.max_by_key(|route| route.prefix.len())
+    }
+}
--- a/crates/cumindoor/src/check.rs
+++ b/crates/cumindoor/src/check.rs
@@ -5,6 +5,7 @@
 use coord::name::Organisation;
 
 use crate::document::Document;
+use crate::gateway;
 use crate::ini::{self, Finding, Findings, Section};
 use crate::settings::Settings;
 
@@ -26,6 +27,7 @@
 
 enum Content {
     Settings(Box<Settings>),
+    Gateway(Box<gateway::Settings>),
     Document(Box<Document>),
 }
 
@@ -51,6 +53,7 @@
     let parsed = check_one(source).ok()?;
     let text = match &parsed.content {
         Content::Settings(settings) => settings.to_string(),
+        Content::Gateway(settings) => settings.to_string(),
         Content::Document(document) => document.to_string(),
     };
     Some(format!("# {}\n{text}", parsed.file))
@@ -86,6 +89,10 @@
         let document = Document::read(sections, findings);
         return document.map(|document| Content::Document(Box::new(document)));
     }
+    if has(&["gateway", "listen", "fleet", "store"]) {
+        let settings = gateway::Settings::read(sections, findings);
+        return settings.map(|settings| Content::Gateway(Box::new(settings)));
+    }
     if has(&["vm", "callers", "peers", "platform", "hops"]) {
         let settings = Settings::read(sections, findings);
         return settings.map(|settings| Content::Settings(Box::new(settings)));
@@ -95,8 +102,8 @@
     }
     findings.add(
         1,
-        "the file is neither the settings of a VM nor a document; expected a section [vm] or \
-         [organisation]",
+        "the file is neither the settings of a VM or gateway nor a document; expected a section \
+         [vm], [gateway] or [organisation]",
     );
     None
 }
@@ -104,7 +111,7 @@
 fn documents(parsed: &[Parsed]) -> impl Iterator<Item = (&Parsed, &Document)> {
     parsed.iter().filter_map(|file| match &file.content {
         Content::Document(document) => Some((file, document.as_ref())),
-        Content::Settings(_) => None,
+        Content::Settings(_) | Content::Gateway(_) => None,
     })
 }
 
--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod check;
+mod gateway;
 mod serve;
 mod standin;
 
@@ -38,6 +39,11 @@
     /// finishes the requests in progress, within `stop-limit`, and ends; a second SIGTERM has no
     /// effect.
     Serve(serve::ServeArgs),
+    /// Relay callers' requests to the upstreams that the platform publishes, until SIGTERM
+    ///
+    /// On SIGTERM the process says that it is not ready, serves until the balancer has noticed and
+    /// ends within the grace time; a second SIGTERM has no effect.
+    Gateway(gateway::GatewayArgs),
     /// Check settings and documents and list everything that is wrong
     ///
     /// Each finding is printed as `file:line: what is wrong and what is expected`. Files of both
@@ -126,6 +132,7 @@
 pub fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Serve(args) => serve::run(&args),
+        Command::Gateway(args) => gateway::run(&args),
         Command::Check(args) => return check::run(&args.files, args.print),
         Command::Demo(args) => block_on(demo::run(args.keep)),
         Command::Status(args) => block_on(show_status(args)),
--- a/crates/cumindoor/src/cli/serve.rs
+++ b/crates/cumindoor/src/cli/serve.rs
@@ -43,7 +43,7 @@
     Ok(())
 }
 
-fn level(level: LogLevel) -> log::LevelFilter {
+pub(super) fn level(level: LogLevel) -> log::LevelFilter {
     match level {
         LogLevel::Error => log::LevelFilter::Error,
         LogLevel::Warn => log::LevelFilter::Warn,
--- /dev/null
+++ b/crates/cumindoor/src/gateway.rs
@@ -0,0 +1,179 @@
+//! A gateway: relays callers' requests to upstreams that a store publishes.
+//!
+//! Each gateway decides alone, on what the store publishes, on what it has placed itself and on what
+//! other gateways tell it. Nothing of that lasts, and no gateway waits for another one.
+//! [`Gateway::bind`] returns a running handle. How a platform spells all this is the business of
+//! its adapter, which implements [`border::Catalogue`] and [`border::Dialect`].
+//!
+//! See `docs/platform.md` for the reasons.
+
+pub mod answer;
+pub mod board;
+pub mod budget;
+pub mod directory;
+pub mod events;
+mod exchange;
+mod feed;
+mod fetch;
+mod front;
+mod gate;
+pub mod health;
+mod peers;
+pub mod place;
+pub mod queue;
+mod settings;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use border::{Catalogue, Dialect, Topic};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::task::TaskTracker;
+
+pub use gate::Gate;
+pub use settings::{SECTIONS, Settings};
+
+use crate::serve::supervisor::{Restarts, Spec, Strategy, Supervisor};
+use front::{Front, Page};
+use peers::Peers;
+
+/// How long the balancer may still send new connections after readiness ended: it asks once a
+/// second and gives up after two misses.
+const BALANCER_TIME: Duration = Duration::from_millis(2_500);
+/// How often idle connections to upstreams are looked at.
+const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+
+/// A running gateway; dropping it ends it at once, [`Gateway::stop`] does so gracefully.
+pub struct Gateway {
+    gate: Arc<Gate>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    connections: TaskTracker,
+    supervisor: Supervisor,
+}
+
+impl Gateway {
+    /// Starts a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the address if a listener cannot be bound.
+    pub async fn bind(
+        settings: Settings,
+        catalogue: Arc<dyn Catalogue>,
+        dialect: Arc<dyn Dialect>,
+        seed: u64,
+    ) -> eyre::Result<Self> {
+        let gate = Gate::new(settings, catalogue, dialect, seed);
+        let connections = TaskTracker::new();
+        let front = Arc::new(Front::bind(&gate, connections.clone()).await?);
+        let ready = Arc::new(Page::readiness(&gate).await?);
+        let peers = Arc::new(Peers::bind(&gate).await?);
+        let (callers, ready_addr) = (front.addr()?, ready.addr()?);
+        let mut tasks = vec![
+            Spec::task("callers", move || Arc::clone(&front).run()),
+            Spec::task("readiness", move || Arc::clone(&ready).run()),
+            Spec::task("peers", move || Arc::clone(&peers).run()),
+        ];
+        if let Some(addr) = gate.settings.listen.metrics {
+            let metrics = Arc::new(Page::metrics(&gate, addr.0).await?);
+            tasks.push(Spec::task("metrics", move || Arc::clone(&metrics).run()));
+        }
+        for (name, topic) in [("routing", Topic::Routing), ("upstreams", Topic::Upstreams)] {
+            let following = Arc::clone(&gate);
+            tasks.push(Spec::task(name, move || {
+                feed::follow(Arc::clone(&following), topic)
+            }));
+        }
+        let expiring = Arc::clone(&gate);
+        tasks.push(Spec::task("expiry", move || {
+            feed::expire(Arc::clone(&expiring))
+        }));
+        let sweeping = Arc::clone(&gate);
+        tasks.push(Spec::task("idle-connections", move || {
+            sweep(Arc::clone(&sweeping))
+        }));
+        let root = Spec::group("gateway", Strategy::One, tasks);
+        let (supervisor, mut changes) = Supervisor::spawn(root, Restarts::default());
+        let telemetry = gate.telemetry.clone();
+        tokio::spawn(async move {
+            while let Some(change) = changes.recv().await {
+                telemetry.count(&format!("supervisor.{}", change.word()));
+            }
+        });
+        Ok(Self {
+            gate,
+            callers,
+            ready: ready_addr,
+            connections,
+            supervisor,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address that says whether the gateway is ready.
+    #[must_use]
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Returns what the gateway believes, for tests and pages.
+    #[must_use]
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// Stops gracefully: says that it is not ready, serves until the balancer has noticed, then
+    /// ends kept connections as their requests end.
+    ///
+    /// Returns true if every request ended by itself.
+    pub async fn stop(&self) -> bool {
+        let limit = Instant::now() + self.gate.settings.stop_limit();
+        self.gate.stopping.cancel();
+        self.gate.news.notify_one();
+        let accepting = BALANCER_TIME.min(self.gate.settings.stop_limit() / 3);
+        sleep(accepting).await;
+        self.gate.closing.cancel();
+        self.connections.close();
+        self.gate.tasks.close();
+        let ended = timeout_at(limit, async {
+            self.connections.wait().await;
+            self.gate.tasks.wait().await;
+        });
+        let complete = ended.await.is_ok();
+        self.supervisor.stop();
+        complete
+    }
+
+    /// Serves until SIGTERM, then stops gracefully; further signals have no effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be watched or the supervisor gave up.
+    pub async fn run_until_signal(&self) -> eyre::Result<bool> {
+        // The handler stays installed, so a second signal does not end the process.
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            () = self.supervisor.failed() => eyre::bail!("the supervisor gave up"),
+        }
+        log::info!("stopping");
+        let complete = self.stop().await;
+        log::info!(complete; "stopped");
+        Ok(complete)
+    }
+}
+
+async fn sweep(gate: Arc<Gate>) -> eyre::Result<()> {
+    loop {
+        sleep(SWEEP_PERIOD).await;
+        gate.pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -0,0 +1,216 @@
+//! The work that all gateways have placed on each upstream.
+//!
+//! Reports of engines are up to a second old, while a burst fills an engine in a tenth of that. So
+//! each gateway tells the others what it has placed, and adds up what it hears. A gateway that is
+//! not heard for a while has lost its connections to the upstreams as well, and its part is dropped.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coord::hash::hash64;
+use coord::name::{Service, Upstream};
+use coord::time::Time;
+use serde::{Deserialize, Serialize};
+
+/// The time after which a gateway that is not heard counts as gone.
+const FORGET: Duration = Duration::from_secs(3);
+
+/// What is placed on one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of prompts that are still to be read.
+    pub unread: u32,
+    /// Tokens of memory that requests will hold at their end.
+    pub memory: u32,
+}
+
+impl Load {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.unread += other.unread;
+        self.memory += other.memory;
+    }
+
+    fn remove(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread = self.unread.saturating_sub(other.unread);
+        self.memory = self.memory.saturating_sub(other.memory);
+    }
+
+    fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Requests of one service that wait for room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of memory that they will need.
+    pub memory: u32,
+    /// Milliseconds for which the first of them has waited.
+    pub oldest_ms: u32,
+}
+
+/// Names in messages between gateways are hashes, which are shorter.
+pub type Key = u64;
+
+/// Returns the key of an upstream.
+#[must_use]
+pub fn upstream_key(upstream: &Upstream) -> Key {
+    hash64(upstream.as_str().as_bytes())
+}
+
+/// Returns the key of a service.
+#[must_use]
+pub fn service_key(service: &Service) -> Key {
+    hash64(service.as_str().as_bytes())
+}
+
+/// What one gateway tells the others; a later one replaces an earlier one as a whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Tells a restarted gateway from its predecessor.
+    pub start: u64,
+    /// Increases with each digest of one start.
+    pub number: u64,
+    /// What the gateway has placed.
+    pub loads: Vec<(Key, Load)>,
+    /// What waits there, by service.
+    pub waiting: Vec<(Key, Waiting)>,
+    /// Other gateways that it heard lately.
+    pub peers: Vec<SocketAddr>,
+    /// Whether it stops and wants no more digests.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    heard: Time,
+    digest: Digest,
+}
+
+/// Own placements and those of the other gateways.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    own: BTreeMap<Key, Load>,
+    waiting: BTreeMap<Key, Waiting>,
+    peers: BTreeMap<SocketAddr, Peer>,
+    /// Sums over all gateways.
+    totals: BTreeMap<Key, Load>,
+}
+
+impl Board {
+    /// Notes own work on an upstream.
+    pub fn place(&mut self, key: Key, load: Load) {
+        self.own.entry(key).or_default().add(load);
+        self.totals.entry(key).or_default().add(load);
+    }
+
+    /// Notes that own work on an upstream has ended.
+    pub fn release(&mut self, key: Key, load: Load) {
+        take(&mut self.own, key, load);
+        take(&mut self.totals, key, load);
+    }
+
+    /// Notes what waits at this gateway for a service.
+    pub fn set_waiting(&mut self, service: Key, waiting: Waiting) {
+        if waiting.requests == 0 {
+            self.waiting.remove(&service);
+        } else {
+            self.waiting.insert(service, waiting);
+        }
+    }
+
+    /// Returns the work of all gateways on an upstream.
+    #[must_use]
+    pub fn load(&self, key: Key) -> Load {
+        self.totals.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Returns what waits at the other gateways for a service.
+    #[must_use]
+    pub fn waiting_elsewhere(&self, service: Key) -> Waiting {
+        let mut sum = Waiting::default();
+        let all = self.peers.values().flat_map(|peer| &peer.digest.waiting);
+        for (_, waiting) in all.filter(|(key, _)| *key == service) {
+            sum.requests += waiting.requests;
+            sum.memory += waiting.memory;
+            sum.oldest_ms = sum.oldest_ms.max(waiting.oldest_ms);
+        }
+        sum
+    }
+
+    /// Takes a digest; returns false if it is older than one that was heard before.
+    pub fn hear(&mut self, now: Time, from: SocketAddr, digest: Digest) -> bool {
+        let age = |digest: &Digest| (digest.start, digest.number);
+        if let Some(peer) = self.peers.get(&from) {
+            if age(&digest) <= age(&peer.digest) {
+                return false;
+            }
+        }
+        self.forget(from);
+        if digest.leaving && digest.loads.is_empty() {
+            return true;
+        }
+        for (key, load) in &digest.loads {
+            self.totals.entry(*key).or_default().add(*load);
+        }
+        self.peers.insert(from, Peer { heard: now, digest });
+        true
+    }
+
+    /// Drops gateways that were not heard lately and returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<SocketAddr> {
+        let silent = |peer: &&Peer| now.since(peer.heard) >= FORGET;
+        let gone = self.peers.iter().filter(|(_, peer)| silent(peer));
+        let gone: Vec<SocketAddr> = gone.map(|(addr, _)| *addr).collect();
+        for addr in &gone {
+            self.forget(*addr);
+        }
+        gone
+    }
+
+    /// Returns the gateways that were heard lately.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().copied()
+    }
+
+    /// Returns the number of gateways, this one included.
+    #[must_use]
+    pub fn gateways(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Returns the own part of a digest.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest {
+            loads: self.own.iter().map(|(key, load)| (*key, *load)).collect(),
+            waiting: self.waiting.iter().map(|(key, w)| (*key, *w)).collect(),
+            ..Digest::default()
+        }
+    }
+
+    fn forget(&mut self, addr: SocketAddr) {
+        let Some(peer) = self.peers.remove(&addr) else {
+            return;
+        };
+        for (key, load) in &peer.digest.loads {
+            take(&mut self.totals, *key, *load);
+        }
+    }
+}
+
+fn take(loads: &mut BTreeMap<Key, Load>, key: Key, load: Load) {
+    if let Some(sum) = loads.get_mut(&key) {
+        sum.remove(load);
+        if sum.is_empty() {
+            loads.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -0,0 +1,225 @@
+//! Waiting for room at the upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use border::{Model, Stage};
+use coord::name::Upstream;
+use coord::time::Time;
+use tokio::time::{Instant, sleep_until};
+
+use super::Job;
+use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::board::{Load, service_key};
+use crate::gateway::gate::{Gate, Hold, State};
+use crate::gateway::place::{Choice, Choosing, Demand};
+use crate::gateway::queue::{Pool, Ticket};
+
+use super::plain::LOAD;
+
+/// How often a waiting request looks for room without being told of any.
+const RECHECK: Duration = Duration::from_millis(50);
+/// The targets for which a request waits for room at most: callers of streams give up after four
+/// targets without an event, and the rest is for the prompt.
+const WAIT_TARGETS: f64 = 2.5;
+/// After what time a caller may come back if a service has no upstream.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(700);
+/// How long requests hold memory while nothing is known about it.
+const RESIDENCE: Duration = Duration::from_secs(2);
+
+/// Waits for a place at a plain upstream.
+pub(super) async fn for_plain(job: &Job, tried: &[Upstream]) -> Result<(Choice, Hold), Refusal> {
+    let until = wait_limit(job);
+    loop {
+        let room = job.gate.room.notified();
+        let mut room = std::pin::pin!(room);
+        room.as_mut().enable();
+        let chosen = {
+            let mut state = job.gate.state();
+            if state.directory.usable(&job.service, None).next().is_none() {
+                return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
+            }
+            choosing(&job.gate, &mut state).plain(&job.service, tried)
+        };
+        if let Some(choice) = chosen {
+            let hold = job.gate.hold(choice.key, LOAD);
+            return Ok((choice, hold));
+        }
+        if Instant::now() >= until {
+            return Err(Refusal::after(Reason::Overloaded, job.route.target));
+        }
+        tokio::select! {
+            () = room => {}
+            () = sleep_until((Instant::now() + RECHECK).min(until)) => {}
+        }
+    }
+}
+
+/// Waits for memory at a decode engine.
+pub(super) async fn for_decode(
+    job: &Job,
+    model: &Model,
+    demand: Demand,
+    tried: &[Upstream],
+) -> Result<(Choice, Hold), Refusal> {
+    wait_until(job, model, demand, tried, wait_limit(job)).await
+}
+
+/// Waits for memory at a decode engine for a stream that was broken, as long as its caller waits.
+pub(super) async fn for_resume(
+    job: &Job,
+    model: &Model,
+    demand: Demand,
+) -> Result<(Choice, Hold), Refusal> {
+    let limit = Instant::now() + job.route.target;
+    wait_until(job, model, demand, &[], limit.min(job.deadline)).await
+}
+
+async fn wait_until(
+    job: &Job,
+    model: &Model,
+    demand: Demand,
+    tried: &[Upstream],
+    until: Instant,
+) -> Result<(Choice, Hold), Refusal> {
+    let place = Place::enter(job, demand);
+    loop {
+        let room = job.gate.room.notified();
+        let mut room = std::pin::pin!(room);
+        room.as_mut().enable();
+        if let Some(chosen) = place.try_take(model, tried)? {
+            drop(place);
+            job.gate.room.notify_waiters();
+            return Ok(chosen);
+        }
+        let wait = place.estimate(model);
+        let now = Instant::now();
+        if now >= until || now + wait > until {
+            return Err(Refusal::after(Reason::Overloaded, wait));
+        }
+        tokio::select! {
+            () = room => {}
+            () = sleep_until((now + RECHECK).min(until)) => {}
+        }
+    }
+}
+
+fn wait_limit(job: &Job) -> Instant {
+    let limit = job.started + job.route.target.mul_f64(WAIT_TARGETS);
+    limit.min(job.deadline)
+}
+
+/// Returns what an upstream is chosen from.
+pub(super) fn choosing<'a>(
+    gate: &'a Gate,
+    state: &'a mut State,
+) -> Choosing<'a, rand_chacha::ChaCha8Rng> {
+    Choosing {
+        directory: &state.directory,
+        board: &state.board,
+        near: gate.near(),
+        now: gate.now(),
+        rng: &mut state.rng,
+    }
+}
+
+/// A place in the queue of a service; dropping it leaves the queue.
+struct Place<'a> {
+    job: &'a Job,
+    number: u64,
+    demand: Demand,
+}
+
+impl<'a> Place<'a> {
+    fn enter(job: &'a Job, demand: Demand) -> Self {
+        let ticket = Ticket {
+            arrived: job.arrived,
+            due: job.arrived + job.route.target,
+            urgency: job.route.urgency,
+            demand,
+        };
+        let mut state = job.gate.state();
+        let queue = state.queues.entry(job.service.clone()).or_default();
+        let number = queue.enter(ticket);
+        drop(state);
+        Self {
+            job,
+            number,
+            demand,
+        }
+    }
+
+    /// Takes a place at an engine if it is this request's turn and one has room.
+    fn try_take(
+        &self,
+        model: &Model,
+        tried: &[Upstream],
+    ) -> Result<Option<(Choice, Hold)>, Refusal> {
+        let gate: &Arc<Gate> = &self.job.gate;
+        let service = &self.job.service;
+        let now = gate.now();
+        let mut state = gate.state();
+        let stage = Some(Stage::Decode);
+        if state.directory.usable(service, stage).next().is_none() {
+            return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
+        }
+        let head = state.queues.get(service).and_then(|queue| queue.head(now));
+        if head != Some(self.number) {
+            return Ok(None);
+        }
+        let chosen = choosing(gate, &mut state).decode(service, model, self.demand, tried);
+        self.publish(&mut state, now);
+        drop(state);
+        Ok(chosen.map(|choice| {
+            let load = Load {
+                requests: 1,
+                unread: 0,
+                memory: self.demand.memory,
+            };
+            let hold = gate.hold(choice.key, load);
+            (choice, hold)
+        }))
+    }
+
+    /// Tells other gateways what waits here.
+    fn publish(&self, state: &mut State, now: Time) {
+        let service = &self.job.service;
+        let waiting = state.queues.get(service).map(|queue| queue.waiting(now));
+        let key = service_key(service);
+        state.board.set_waiting(key, waiting.unwrap_or_default());
+    }
+
+    /// Estimates how long it takes until there is room.
+    fn estimate(&self, model: &Model) -> Duration {
+        let now = self.job.gate.now();
+        let state = self.job.gate.state();
+        let service = &self.job.service;
+        let elsewhere = state.board.waiting_elsewhere(service_key(service));
+        let here = state.queues.get(service).map(|queue| queue.waiting(now));
+        let here = here.unwrap_or_default();
+        let mut pool = Pool::default();
+        for known in state.directory.usable(service, Some(Stage::Decode)) {
+            let used = state.board.load(known.key).memory;
+            pool.used += u64::from(used);
+            pool.free += u64::from(model.memory.saturating_sub(used));
+        }
+        let waiting = u64::from(elsewhere.memory) + u64::from(here.memory);
+        // Half of what waits goes first, on average.
+        pool.ahead = waiting / 2;
+        let residence = state.residence.get(service).copied();
+        pool.wait(self.demand, residence.unwrap_or(RESIDENCE))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now = self.job.gate.now();
+        let mut state = self.job.gate.state();
+        if let Some(queue) = state.queues.get_mut(&self.job.service) {
+            queue.leave(self.number);
+        }
+        self.publish(&mut state, now);
+        drop(state);
+        self.job.gate.room.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/fetch.rs
@@ -0,0 +1,59 @@
+//! Short calls whose whole answer is read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, StatusCode};
+use tokio::time::timeout;
+
+use crate::serve::engine::{Pool, SendError, full_body};
+
+/// Bytes of an answer at most: a page of the store holds up to 1 MB of values as base64 text.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+
+/// Why a call brought nothing.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum FetchError {
+    /// No answer came in time.
+    #[display("no answer in time")]
+    Late,
+    /// The call could not be sent or its answer broke off.
+    #[display("{_0}")]
+    Broken(String),
+}
+
+impl From<SendError> for FetchError {
+    fn from(error: SendError) -> Self {
+        Self::Broken(error.to_string())
+    }
+}
+
+/// Sends a call without a body and reads the answer.
+///
+/// # Errors
+///
+/// Returns [`FetchError`] if there is no whole answer within `limit`.
+pub async fn fetch(
+    pool: &Pool,
+    addr: SocketAddr,
+    call: (Method, &str),
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), FetchError> {
+    let (method, path) = call;
+    let request = Request::builder().method(method).uri(path);
+    let request = request
+        .body(full_body(Bytes::new()))
+        .map_err(|error| FetchError::Broken(error.to_string()))?;
+    let exchange = async {
+        let connected = pool.send(addr, request).await?;
+        let (head, body) = connected.response.into_parts();
+        let whole = Limited::new(body, ANSWER_LIMIT).collect().await;
+        let whole = whole.map_err(|error| FetchError::Broken(error.to_string()))?;
+        connected.lease.release();
+        Ok((head.status, whole.to_bytes()))
+    };
+    timeout(limit, exchange).await.unwrap_or(Err(FetchError::Late))
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -0,0 +1,179 @@
+//! Which upstream gets a request.
+
+use std::time::Duration;
+
+use border::{Model, Stage};
+use coord::name::{DataCentre, Service, Upstream};
+use coord::time::Time;
+use rand::{Rng, RngExt};
+
+use super::board::{Board, Key, Load};
+use super::directory::{Directory, Known};
+
+/// The share of an engine's memory that placements may fill. The rest is for blocks that are not
+/// full, cached prefixes and placements that other gateways made at the same moment.
+const FILL: f64 = 0.95;
+/// The share of the output limit that is reserved if the caller gives no estimate.
+const OUTPUT_SHARE: f64 = 0.6;
+/// What a failed request weighs against the load of an upstream when it is chosen.
+const FAILURE_WEIGHT: f64 = 2.0;
+/// What another data centre weighs against the load of an upstream when it is chosen; it costs
+/// little time, but the bytes between data centres have a price.
+const DISTANCE_WEIGHT: f64 = 0.15;
+/// Spread of the choice among upstreams of nearly the same load, so that gateways that decide at
+/// the same moment choose different ones.
+const JITTER: f64 = 0.05;
+/// Requests for each slot of a plain upstream, those that wait there included.
+const PLAIN_DEPTH: u32 = 2;
+/// How long an engine that had no room is left out.
+pub const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+/// What a request to a model needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens of memory at the end of the output.
+    pub memory: u32,
+}
+
+impl Demand {
+    /// Returns the demand of a prompt; at most one engine's memory is reserved.
+    #[must_use]
+    pub fn new(prompt: &border::Prompt, model: &Model) -> Self {
+        // The output limit is stated in events, each of up to `stride` tokens.
+        let limit = f64::from(prompt.output);
+        let output = match prompt.estimate {
+            Some(estimate) => f64::from(estimate).min(limit),
+            None => limit * OUTPUT_SHARE,
+        };
+        let output = to_tokens(output);
+        let memory = prompt.tokens.saturating_add(output);
+        Self {
+            prompt: prompt.tokens,
+            memory: memory.min(to_tokens(f64::from(model.memory) * FILL)),
+        }
+    }
+}
+
+/// Rounds a number of tokens.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "numbers of tokens are far below 2^32 and not negative"
+)]
+fn to_tokens(tokens: f64) -> u32 {
+    tokens.round().clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
+/// An upstream that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Its name.
+    pub name: Upstream,
+    /// Its key on the board.
+    pub key: Key,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+impl From<&Known> for Choice {
+    fn from(known: &Known) -> Self {
+        Self {
+            name: known.name.clone(),
+            key: known.key,
+            address: known.entry.address,
+            data_centre: known.entry.data_centre.clone(),
+        }
+    }
+}
+
+/// What a choice is made from.
+pub struct Choosing<'a, R> {
+    /// The upstreams.
+    pub directory: &'a Directory,
+    /// Their load.
+    pub board: &'a Board,
+    /// The data centre that is preferred.
+    pub near: &'a DataCentre,
+    /// The current instant.
+    pub now: Time,
+    /// Breaks ties.
+    pub rng: &'a mut R,
+}
+
+impl<R: Rng> Choosing<'_, R> {
+    /// Chooses an upstream of a plain service, or `None` if all are full.
+    pub fn plain(&mut self, service: &Service, tried: &[Upstream]) -> Option<Choice> {
+        let room = |known: &Known, load: Load| load.requests < known.entry.slots * PLAIN_DEPTH;
+        let weight =
+            |known: &Known, load: Load| f64::from(load.requests) / f64::from(known.entry.slots);
+        self.choose(service, None, tried, room, weight)
+    }
+
+    /// Chooses the engine that reads a prompt.
+    pub fn prefill(&mut self, service: &Service, tried: &[Upstream]) -> Option<Choice> {
+        // A prompt of a thousand tokens weighs as much as the distance to another data centre.
+        let weight = |_: &Known, load: Load| f64::from(load.unread) / 1_000.0 * DISTANCE_WEIGHT;
+        self.choose(service, Some(Stage::Prefill), tried, |_, _| true, weight)
+    }
+
+    /// Chooses the engine that generates, or `None` if none has room.
+    pub fn decode(
+        &mut self,
+        service: &Service,
+        model: &Model,
+        demand: Demand,
+        tried: &[Upstream],
+    ) -> Option<Choice> {
+        let limit = to_tokens(f64::from(model.memory) * FILL);
+        let room = |known: &Known, load: Load| {
+            load.memory + demand.memory <= limit && load.requests < known.entry.slots
+        };
+        let weight = |_: &Known, load: Load| f64::from(load.memory) / f64::from(model.memory);
+        self.choose(service, Some(Stage::Decode), tried, room, weight)
+    }
+
+    fn choose(
+        &mut self,
+        service: &Service,
+        stage: Option<Stage>,
+        tried: &[Upstream],
+        room: impl Fn(&Known, Load) -> bool,
+        weight: impl Fn(&Known, Load) -> f64,
+    ) -> Option<Choice> {
+        let able: Vec<&Known> = self
+            .directory
+            .usable(service, stage)
+            .filter(|known| !tried.contains(&known.name))
+            .collect();
+        let sound = |known: &&&Known| !known.health.ejected(self.now);
+        let sound: Vec<&Known> = able.iter().filter(sound).copied().collect();
+        if sound.is_empty() {
+            // All are suspected: the one whose pause ends first is tried again.
+            let next = able.iter().min_by_key(|known| known.health.until());
+            return next.map(|known| Choice::from(*known));
+        }
+        let mut best: Option<(f64, &Known)> = None;
+        for known in sound {
+            let load = self.board.load(known.key);
+            let full = known.health.was_full(self.now, FULL_PAUSE);
+            if full || !room(known, load) {
+                continue;
+            }
+            let far = known.entry.data_centre != *self.near;
+            let cold = if known.entry.cold.is_zero() { 0.0 } else { 1.0 };
+            let score = weight(known, load)
+                + known.health.failure_rate() * FAILURE_WEIGHT
+                + if far { DISTANCE_WEIGHT } else { 0.0 }
+                + cold
+                + self.rng.random_range(0.0..JITTER);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, known));
+            }
+        }
+        best.map(|(_, known)| Choice::from(known))
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/queue.rs
@@ -0,0 +1,105 @@
+//! Requests that wait for room, and the order in which they get it.
+//!
+//! The order answers a load above the engines' memory. There, first come first served makes every
+//! request late once the queue is as long as the target. So requests that can still be on time go
+//! first, oldest first, and those that are late already get what is left.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coord::time::Time;
+
+use super::board::Waiting;
+use super::place::Demand;
+
+/// One waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// When the request arrived.
+    pub arrived: Time,
+    /// Until when it has to start to be on time.
+    pub due: Time,
+    /// The rank; 0 goes first.
+    pub urgency: u8,
+    /// What it needs.
+    pub demand: Demand,
+}
+
+/// The waiting requests of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<u64, Ticket>,
+    next: u64,
+}
+
+impl Queue {
+    /// Adds a request and returns its number.
+    pub fn enter(&mut self, ticket: Ticket) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.waiting.insert(number, ticket);
+        number
+    }
+
+    /// Removes a request that got room or gave up.
+    pub fn leave(&mut self, number: u64) {
+        self.waiting.remove(&number);
+    }
+
+    /// Returns the number of the request that goes next.
+    #[must_use]
+    pub fn head(&self, now: Time) -> Option<u64> {
+        let rank = |(number, ticket): &(&u64, &Ticket)| {
+            let late = ticket.due < now;
+            (ticket.urgency, late, ticket.arrived, **number)
+        };
+        let first = self.waiting.iter().min_by_key(rank);
+        first.map(|(number, _)| *number)
+    }
+
+    /// Returns what waits, for other gateways.
+    #[must_use]
+    pub fn waiting(&self, now: Time) -> Waiting {
+        let tickets = || self.waiting.values();
+        let oldest = tickets().map(|ticket| now.since(ticket.arrived)).max();
+        let oldest = oldest.unwrap_or_default().as_millis();
+        Waiting {
+            requests: u32::try_from(tickets().len()).unwrap_or(u32::MAX),
+            memory: tickets().map(|ticket| ticket.demand.memory).sum(),
+            oldest_ms: u32::try_from(oldest).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// Memory of a service's engines, for the estimate of a wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pool {
+    /// Tokens that are free.
+    pub free: u64,
+    /// Tokens that requests hold.
+    pub used: u64,
+    /// Tokens that waiting requests need first.
+    pub ahead: u64,
+}
+
+impl Pool {
+    /// Estimates how long a request waits for room, if a request holds its memory for `residence`.
+    ///
+    /// Memory comes back at the rate at which all of it is used once.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "sums of tokens are far below 2^52"
+    )]
+    pub fn wait(&self, demand: Demand, residence: Duration) -> Duration {
+        let needed = self.ahead + u64::from(demand.memory);
+        let lacking = needed.saturating_sub(self.free);
+        if lacking == 0 {
+            return Duration::ZERO;
+        }
+        if self.used == 0 {
+            return residence;
+        }
+        residence.mul_f64(lacking as f64 / self.used as f64)
+    }
+}
--- /dev/null
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -0,0 +1,206 @@
+//! The settings of a gateway.
+
+use std::fmt;
+use std::time::Duration;
+
+use coord::name::{DataCentre, VmName};
+
+use crate::ini::{
+    self, Bytes, Count, Finding, Findings, KeySpec, Listen, Ratio, Section, Span, Target, write_section,
+};
+use crate::settings::{LogLevel, unknown_section};
+
+ini::section! {
+    /// Who the gateway is and how it stops.
+    pub struct Identity {
+        /// Name of the VM.
+        name: VmName = "name" Required,
+        /// Data centre of the VM.
+        data_centre: DataCentre = "data-centre" Required,
+        /// Time from a planned stop until the process is killed.
+        grace: Span = "grace" Value("8 s") ["1 s" to "1 h"],
+    }
+}
+
+ini::section! {
+    /// The listeners.
+    pub struct Listeners {
+        /// Where callers connect.
+        callers: Listen = "callers" Required,
+        /// Where the balancer asks whether the gateway is ready.
+        ready: Listen = "ready" Required,
+        /// Where counters and histograms are served as text; none are if absent.
+        metrics: Option<Listen> = "metrics" Absent,
+    }
+}
+
+ini::section! {
+    /// The other gateways.
+    pub struct Fleet {
+        /// Where this gateway exchanges loads with others, over UDP; all have the same port.
+        address: Target = "address" Required,
+        /// Addresses of some VMs of the fleet, dead ones allowed; only the IP address counts.
+        seeds: Vec<Target> = "seeds" Required,
+    }
+}
+
+ini::section! {
+    /// The store with routes and upstreams.
+    pub struct StoreKeys {
+        /// Address of the store.
+        address: Target = "address" Required,
+        /// How long one watch waits for a change.
+        watch: Span = "watch" Value("4 s") ["100 ms" to "30 s"],
+        /// Time for an answer, beyond the waiting time of a watch.
+        answer: Span = "answer" Value("1 s") ["50 ms" to "30 s"],
+        /// Time after which entries that were lost during an outage are taken for gone.
+        regain: Span = "regain" Value("2 s") ["0 s" to "1 min"],
+    }
+}
+
+ini::section! {
+    /// The bound on repeated requests over the whole fleet.
+    pub struct RepeatKeys {
+        /// Repeats for each request of a service.
+        ratio: Ratio = "ratio" Value("0.2") ["0" to "1"],
+        /// Repeats of a service that are allowed in addition in one window.
+        slack: Ratio = "slack" Value("50") ["0" to "100000"],
+        /// The window.
+        window: Span = "window" Value("10 s") ["1 s" to "5 min"],
+    }
+}
+
+ini::section! {
+    /// What the process may use.
+    pub struct Resources {
+        /// Connections of callers.
+        connections: Count = "connections" Value("3000") ["10" to "1000000"],
+        /// Bytes of request bodies in memory at once.
+        bodies: Bytes = "bodies" Value("32 MB") ["1 MB" to "64 GB"],
+    }
+}
+
+ini::section! {
+    /// Log lines.
+    pub struct Lines {
+        /// Least severe lines that are written.
+        level: LogLevel = "level" Value("info"),
+        /// Lines a second at most; further ones are counted by event.
+        rate: Count = "rate" Value("200") ["1" to "1000000"],
+    }
+}
+
+/// The settings of a gateway.
+///
+/// # Example
+///
+/// ```
+/// use cumindoor::gateway::Settings;
+///
+/// let text = "[gateway]\nname = vm-1\ndata-centre = suape\n\n[listen]\n\
+///             callers = 10.0.0.1:8080\nready = 10.0.0.1:8081\n\n[fleet]\n\
+///             address = 10.0.0.1:7000\nseeds = 10.0.0.2:1\n\n[store]\naddress = 10.0.0.9:7100\n";
+/// let settings = Settings::parse("vm-1.ini", text).unwrap();
+/// assert_eq!(settings.repeats.ratio.0, 0.2);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// `[gateway]`
+    pub gateway: Identity,
+    /// `[listen]`
+    pub listen: Listeners,
+    /// `[fleet]`
+    pub fleet: Fleet,
+    /// `[store]`
+    pub store: StoreKeys,
+    /// `[repeats]`
+    pub repeats: RepeatKeys,
+    /// `[resources]`
+    pub resources: Resources,
+    /// `[lines]`
+    pub lines: Lines,
+}
+
+/// The sections of a gateway's settings and their keys.
+pub const SECTIONS: &[(&str, &[KeySpec])] = &[
+    ("gateway", <Identity as ini::Keys>::KEYS),
+    ("listen", <Listeners as ini::Keys>::KEYS),
+    ("fleet", <Fleet as ini::Keys>::KEYS),
+    ("store", <StoreKeys as ini::Keys>::KEYS),
+    ("repeats", <RepeatKeys as ini::Keys>::KEYS),
+    ("resources", <Resources as ini::Keys>::KEYS),
+    ("lines", <Lines as ini::Keys>::KEYS),
+];
+
+impl Settings {
+    /// Reads the settings of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings, in the order of their lines.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Finding>> {
+        let mut findings = Findings::new(file);
+        let sections = ini::sections(text, &mut findings);
+        let settings = Self::read(&sections, &mut findings);
+        match settings {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            _ => Err(findings.into_list()),
+        }
+    }
+
+    pub(crate) fn read(sections: &[Section], findings: &mut Findings) -> Option<Self> {
+        let names = || SECTIONS.iter().map(|(name, _)| *name);
+        for section in sections {
+            let title = section.title.as_str();
+            if !names().any(|name| name == title) {
+                findings.add_with(section.line, || unknown_section(title, names()));
+            }
+        }
+        ini::repeated_titles(sections, findings);
+        let find = |title: &str| {
+            let found = sections.iter().find(|section| section.title == title);
+            found.cloned().unwrap_or_else(|| Section::new(1, title))
+        };
+        // All sections are read before the first faulty one ends the function, so that every
+        // finding is reported.
+        let gateway = find("gateway").read(findings);
+        let listen = find("listen").read(findings);
+        let fleet = find("fleet").read(findings);
+        let store = find("store").read(findings);
+        let repeats = find("repeats").read(findings);
+        let resources = find("resources").read(findings);
+        let lines = find("lines").read(findings);
+        Some(Self {
+            gateway: gateway?,
+            listen: listen?,
+            fleet: fleet?,
+            store: store?,
+            repeats: repeats?,
+            resources: resources?,
+            lines: lines?,
+        })
+    }
+
+    /// Returns how long a planned stop may take, with a margin before the kill.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        /// Time for last writes and the end of the process, as a share of the grace time.
+        const MARGIN: f64 = 0.05;
+        self.gateway.grace.0.mul_f64(1.0 - MARGIN)
+    }
+}
+
+impl fmt::Display for Settings {
+    /// Writes the settings as a file that names every value, defaults included.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = String::new();
+        write_section(&mut text, "gateway", &self.gateway);
+        write_section(&mut text, "listen", &self.listen);
+        write_section(&mut text, "fleet", &self.fleet);
+        write_section(&mut text, "store", &self.store);
+        write_section(&mut text, "repeats", &self.repeats);
+        write_section(&mut text, "resources", &self.resources);
+        write_section(&mut text, "lines", &self.lines);
+        f.write_str(&text)
+    }
+}
--- a/crates/cumindoor/src/ini/value.rs
+++ b/crates/cumindoor/src/ini/value.rs
@@ -43,6 +43,26 @@
     }
 }
 
+/// A number that need not be whole and is not negative.
+#[derive(Clone, Copy, Debug, Display, PartialEq, PartialOrd)]
+pub struct Ratio(pub f64);
+
+impl Setting for Ratio {
+    const UNIT: &'static str = "a number such as `0.2`";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let digits = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        match text.parse() {
+            Ok(number) if digits => Ok(Self(number)),
+            _ => Err(format!("expected {}", Self::UNIT)),
+        }
+    }
+
+    fn print(&self) -> String {
+        self.0.to_string()
+    }
+}
+
 /// A list without repetitions; it may be empty.
 impl<T: Setting + ListItem> Setting for Vec<T> {
     const UNIT: &'static str = T::LIST;
--- a/crates/cumindoor/src/serve.rs
+++ b/crates/cumindoor/src/serve.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod cluster;
 pub mod engine;
+pub(crate) mod headers;
 pub mod node;
 pub mod peer;
 pub mod plain;
--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -22,7 +22,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-pub use pool::{BodyError, Connected, Connection, OutBody, Pool, SendError, full_body};
+pub use pool::{BodyError, Connected, Connection, Lease, OutBody, Pool, SendError, full_body};
 pub use stream::{Piece, TokenStream};
 pub use wire::{CacheChange, CacheKind, DecodeCall, Load, PrefillCall, Prefilled};
 
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -12,16 +12,24 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Idle connections kept for one upstream; a decode engine holds about 20 requests.
 const IDLE_PER_UPSTREAM: usize = 32;
-/// Idle connections are closed after this time.
+/// Idle connections are closed after this time, or sooner if the upstream announces it.
 const IDLE_TIME: Duration = Duration::from_secs(15);
+/// An idle connection is closed this much before the upstream would: a request that crosses the
+/// upstream's close may have been received.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+/// Time without bytes after which the kernel asks whether the other end still knows the connection.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Unanswered questions after which a silent connection is broken.
+const KEEPALIVE_TRIES: u32 = 2;
 /// Read buffer of one connection; a batch of tokens is far smaller.
 const READ_BUFFER: usize = 64 * 1024;
 
@@ -67,13 +75,20 @@
     pool: Pool,
     addr: SocketAddr,
     sender: Sender,
+    /// How long the connection may stay idle.
+    idle: Duration,
 }
 
 impl Lease {
     /// Gives the connection back after the whole answer was read.
     pub fn release(self) {
-        let Self { pool, addr, sender } = self;
-        pool.put(addr, sender);
+        let Self {
+            pool,
+            addr,
+            sender,
+            idle,
+        } = self;
+        pool.put(addr, sender, idle);
     }
 }
 
@@ -105,6 +120,7 @@
 struct Idle {
     sender: Sender,
     since: Instant,
+    limit: Duration,
 }
 
 /// Connections to upstreams; clones share them.
@@ -130,11 +146,25 @@
     ///
     /// Returns [`SendError`], which tells whether the request may have been received.
     pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<OutBody>,
+    ) -> Result<Connected, SendError> {
+        self.send_within(addr, request, IDLE_TIME).await
+    }
+
+    /// Sends a request over a connection that was idle for less than `idle`, or over a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`], which tells whether the request may have been received.
+    pub async fn send_within(
         &self,
         addr: SocketAddr,
         mut request: Request<OutBody>,
+        idle: Duration,
     ) -> Result<Connected, SendError> {
-        while let Some(sender) = self.take(addr) {
+        while let Some(sender) = self.take(addr, idle) {
             match self.exchange(addr, sender, request).await {
                 Ok(connected) => return Ok(connected),
                 // The upstream had closed the idle connection; nothing was sent.
@@ -182,6 +212,12 @@
         })?;
         let unsent = |error: &dyn std::fmt::Display| SendError::Unsent(error.to_string());
         stream.set_nodelay(true).map_err(|error| unsent(&error))?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_TIME)
+            .with_interval(KEEPALIVE_TIME)
+            .with_retries(KEEPALIVE_TRIES);
+        let kept = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
+        kept.map_err(|error| unsent(&error))?;
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(TokioIo::new(stream));
@@ -198,12 +234,16 @@
         mut request: Request<OutBody>,
     ) -> Result<Connected, (Option<Request<OutBody>>, String)> {
         if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-            request.headers_mut().insert(HOST, host);
+            request.headers_mut().entry(HOST).or_insert(host);
         }
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let pool = self.clone();
-                let lease = Lease { pool, addr, sender };
+                let lease = Lease {
+                    pool: self.clone(),
+                    addr,
+                    sender,
+                    idle: idle_limit(response.headers()),
+                };
                 Ok(Connected { response, lease })
             }
             Err(mut failed) => {
@@ -213,15 +253,16 @@
         }
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Sender> {
+    fn take(&self, addr: SocketAddr, limit: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&addr)?;
         list.retain(is_usable);
-        let ready = list.iter().rposition(|idle| idle.sender.is_ready())?;
+        let fits = |idle: &Idle| idle.sender.is_ready() && idle.since.elapsed() < limit;
+        let ready = list.iter().rposition(fits)?;
         Some(list.swap_remove(ready).sender)
     }
 
-    fn put(&self, addr: SocketAddr, sender: Sender) {
+    fn put(&self, addr: SocketAddr, sender: Sender, limit: Duration) {
         if sender.is_closed() {
             return;
         }
@@ -229,7 +270,11 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(addr).or_default();
         if list.len() < IDLE_PER_UPSTREAM {
-            list.push(Idle { sender, since });
+            list.push(Idle {
+                sender,
+                since,
+                limit,
+            });
         }
     }
 
@@ -257,7 +302,18 @@
 }
 
 fn is_usable(idle: &Idle) -> bool {
-    !idle.sender.is_closed() && idle.since.elapsed() < IDLE_TIME
+    !idle.sender.is_closed() && idle.since.elapsed() < idle.limit
+}
+
+/// Returns how long a connection may stay idle after an answer: less than the upstream announces.
+fn idle_limit(headers: &HeaderMap) -> Duration {
+    let announced = headers.get("keep-alive").and_then(|value| {
+        let mut parts = value.to_str().ok()?.split(',');
+        let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout="))?;
+        seconds.trim().parse().ok().map(Duration::from_secs)
+    });
+    let limit = announced.map(|time| time.saturating_sub(CLOSE_MARGIN));
+    limit.map_or(IDLE_TIME, |limit| limit.min(IDLE_TIME))
 }
 
 /// Returns the text of an error with its causes.
--- a/crates/cumindoor/src/serve/plain/headers.rs
+++ b/crates/cumindoor/src/serve/headers.rs
@@ -2,9 +2,8 @@
 
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 
-const HOP_BY_HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 8] = [
     "connection",
-    "host",
     "keep-alive",
     "proxy-authenticate",
     "proxy-connection",
@@ -15,7 +14,7 @@
 ];
 
 /// Removes the fields that concern one connection only, those that `Connection` names included.
-pub(super) fn strip(headers: &mut HeaderMap) {
+pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/cumindoor/src/serve/plain.rs
+++ b/crates/cumindoor/src/serve/plain.rs
@@ -6,7 +6,6 @@
 mod answers;
 mod balance;
 mod bodies;
-mod headers;
 
 use std::sync::Arc;
 
@@ -16,6 +15,7 @@
 use fastrace::Span;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::sync::mpsc;
@@ -24,6 +24,7 @@
 pub use balance::Balance;
 
 use crate::serve::engine::{Connected, OutBody, SendError, full_body};
+use crate::serve::headers;
 use crate::serve::refusal::Refusal;
 use crate::serve::route::{self, Claim, Context, Entry, OpenGuard};
 use crate::serve::spec::{ServiceSpec, UpstreamSpec};
@@ -102,6 +103,8 @@
     let until = Instant::now() + spec.request_limit;
     let (mut parts, body) = request;
     headers::strip(&mut parts.headers);
+    // The connection sets its own.
+    parts.headers.remove(HOST);
     let (span, trace) = hop(&parts.headers);
     if let Ok(trace) = trace.parse() {
         parts.headers.insert(TRACE, trace);
--- a/crates/cumindoor/src/serve/telemetry.rs
+++ b/crates/cumindoor/src/serve/telemetry.rs
@@ -2,6 +2,7 @@
 
 mod lines;
 mod sink;
+mod stdout;
 mod trace;
 
 use std::net::{SocketAddr, UdpSocket};
@@ -117,3 +118,18 @@
     log::set_max_level(level);
     Ok(())
 }
+
+/// Writes structured log lines to the standard output, `level` and above, `rate` a second at most.
+///
+/// # Errors
+///
+/// Returns an error if the process has a logger already or the writing thread cannot start.
+pub fn log_to_stdout(level: log::LevelFilter, rate: u32) -> eyre::Result<()> {
+    let queued = stdout::Queued::spawn(rate)?;
+    logforth::starter_log::builder()
+        .dispatch(|d| d.filter(lines::OwnLines).append(queued))
+        .try_apply()
+        .map_err(|error| eyre::eyre!("cannot start logging: {error}"))?;
+    log::set_max_level(level);
+    Ok(())
+}
--- a/crates/cumindoor/src/serve/telemetry/sink.rs
+++ b/crates/cumindoor/src/serve/telemetry/sink.rs
@@ -1,11 +1,15 @@
 //! Where counters go: memory, or memory and a statsd server.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cadence::MetricSink;
 
+/// Upper bounds of a timer's buckets in milliseconds, about two for each factor of three.
+pub const BOUNDS_MS: [u64; 11] = [5, 10, 25, 50, 100, 150, 300, 900, 2_000, 5_000, 15_000];
+
 /// A timer's sums.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Timing {
@@ -15,6 +19,28 @@
     pub sum_ms: u64,
     /// The largest one in milliseconds.
     pub max_ms: u64,
+    /// Values up to each of [`BOUNDS_MS`]; larger ones are only in `count`.
+    pub buckets: [u64; BOUNDS_MS.len()],
+}
+
+impl Timing {
+    fn add(&mut self, ms: u64) {
+        self.count += 1;
+        self.sum_ms += ms;
+        self.max_ms = self.max_ms.max(ms);
+        for (bucket, bound) in self.buckets.iter_mut().zip(BOUNDS_MS) {
+            *bucket += u64::from(ms <= bound);
+        }
+    }
+
+    fn write(&self, text: &mut String, name: &str) {
+        for (count, bound) in self.buckets.iter().zip(BOUNDS_MS) {
+            let _ = writeln!(text, "{name}_ms_bucket{{le=\"{bound}\"}} {count}");
+        }
+        let _ = writeln!(text, "{name}_ms_bucket{{le=\"+Inf\"}} {}", self.count);
+        let _ = writeln!(text, "{name}_ms_sum {}", self.sum_ms);
+        let _ = writeln!(text, "{name}_ms_count {}", self.count);
+    }
 }
 
 /// The sums of all counters and timers and the last value of each gauge.
@@ -28,6 +54,25 @@
     pub timers: BTreeMap<String, Timing>,
 }
 
+impl Snapshot {
+    /// Writes the sums as text, one metric in each line, as common collectors read it.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let plain = |name: &str| name.replace(['.', '-'], "_");
+        for (name, value) in &self.counters {
+            let _ = writeln!(text, "{}_total {value}", plain(name));
+        }
+        for (name, value) in &self.gauges {
+            let _ = writeln!(text, "{} {value}", plain(name));
+        }
+        for (name, timing) in &self.timers {
+            timing.write(&mut text, &plain(name));
+        }
+        text
+    }
+}
+
 /// Adds up what it is sent; clones share the sums.
 #[derive(Clone, Debug, Default)]
 pub struct MemorySink {
@@ -57,9 +102,7 @@
             }
             "ms" => {
                 let timing = sums.timers.entry(name.to_owned()).or_default();
-                timing.count += 1;
-                timing.sum_ms += value;
-                timing.max_ms = timing.max_ms.max(value);
+                timing.add(value);
             }
             _ => return None,
         }
--- /dev/null
+++ b/crates/cumindoor/src/serve/telemetry/stdout.rs
@@ -0,0 +1,124 @@
+//! Log lines on the standard output that never hold up a request.
+//!
+//! Lines are kept in memory until a thread of their own has written them. Lines beyond a rate, or
+//! beyond what the buffer holds while nobody reads, are left out and counted.
+
+use std::io::Write as _;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use logforth::append::Append;
+use logforth::diagnostic::Diagnostic;
+use logforth::layout::{JsonLayout, Layout};
+use logforth::record::Record;
+
+/// Lines that wait for the writing thread.
+const QUEUED: usize = 4_096;
+/// How often lines are written; fewer wake-ups cost less.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Appends lines to a queue.
+#[derive(Debug)]
+pub(super) struct Queued {
+    layout: JsonLayout,
+    lines: SyncSender<Vec<u8>>,
+    rate: u32,
+    window: Mutex<Window>,
+}
+
+#[derive(Debug)]
+struct Window {
+    began: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+impl Queued {
+    /// Starts the writing thread; `rate` lines a second are written at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started.
+    pub(super) fn spawn(rate: u32) -> std::io::Result<Self> {
+        let (lines, receiver) = sync_channel(QUEUED);
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_all(&receiver))?;
+        Ok(Self {
+            layout: JsonLayout::default(),
+            lines,
+            rate,
+            window: Mutex::new(Window {
+                began: Instant::now(),
+                written: 0,
+                left_out: 0,
+            }),
+        })
+    }
+
+    /// Returns whether a line may be written, and a line about those that were left out before.
+    fn admit(&self) -> (bool, Option<Vec<u8>>) {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut notice = None;
+        if window.began.elapsed() >= Duration::from_secs(1) {
+            if window.left_out > 0 {
+                let count = window.left_out;
+                notice = Some(format!(r#"{{"message":"lines left out","count":{count}}}"#).into());
+            }
+            *window = Window {
+                began: Instant::now(),
+                written: 0,
+                left_out: 0,
+            };
+        }
+        window.written += 1;
+        let admitted = window.written <= self.rate;
+        window.left_out += u64::from(!admitted);
+        (admitted, notice)
+    }
+
+    fn queue(&self, mut line: Vec<u8>) {
+        line.push(b'\n');
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+            window.left_out += 1;
+        }
+    }
+}
+
+impl Append for Queued {
+    fn append(
+        &self,
+        record: &Record,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let (admitted, notice) = self.admit();
+        if let Some(notice) = notice {
+            self.queue(notice);
+        }
+        if admitted {
+            self.queue(self.layout.format(record, diagnostics)?);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        Ok(())
+    }
+}
+
+/// Writes lines as they come, several at a time; ends when nobody can read them any more.
+fn write_all(lines: &Receiver<Vec<u8>>) {
+    let mut output = std::io::stdout();
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(PERIOD);
+        let mut batch = first;
+        for line in lines.try_iter() {
+            batch.extend_from_slice(&line);
+        }
+        if output.write_all(&batch).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/cumindoor/tests/findings.rs
+++ b/crates/cumindoor/tests/findings.rs
@@ -135,7 +135,7 @@
 
 /// Guards against files that are no INI at all and end in a crash or an empty report.
 #[rstest::rstest]
-#[case::empty(b"".as_slice(), "f.ini:1: the file is neither the settings of a VM nor a document; expected a section [vm] or [organisation]")]
+#[case::empty(b"".as_slice(), "f.ini:1: the file is neither the settings of a VM or gateway nor a document; expected a section [vm], [gateway] or [organisation]")]
 #[case::binary(b"[vm]\n\xff\xfe".as_slice(), "f.ini:2: the line is not valid UTF-8")]
 fn not_a_file_of_either_form(#[case] bytes: &[u8], #[case] expected: &str) {
     let source = Source {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -243,7 +243,7 @@
             if switches.is_silent(number) {
                 std::future::pending::<()>().await;
             }
-            let answer = handler(token, request).await?;
+            let answer = handler(token.clone(), request).await?;
             if switches.is_silent(number) {
                 std::future::pending::<()>().await;
             }
@@ -251,6 +251,7 @@
                 body,
                 switches,
                 number,
+                life: token,
             });
             Ok::<Response<Gate>, crate::http::Closed>(gated)
         }
@@ -260,11 +261,12 @@
     let _ = connection.await;
 }
 
-/// A body that stops in the middle once its connection is silent.
+/// A body that stops in the middle once its connection is silent or its process has died.
 struct Gate {
     body: Body,
     switches: Arc<Switches>,
     number: u64,
+    life: CancellationToken,
 }
 
 impl HttpBody for Gate {
@@ -276,7 +278,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        if self.switches.is_silent(self.number) {
+        // The end of a producer that died with its process must not look like the end of the body.
+        if self.switches.is_silent(self.number) || self.life.is_cancelled() {
             return Poll::Pending;
         }
         polled
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -161,6 +161,36 @@
     assert_eq!((status, &load["used"]), (200, &json!(0)));
 }
 
+/// Guards against a death that ends some of many streams as if they were complete: their producers
+/// end before their connections do.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_of_a_dead_engine_looks_complete() {
+    for _ in 0..20 {
+        let options = EngineOptions {
+            slots: 32,
+            ..EngineOptions::default()
+        };
+        let engine = Engine::spawn(options).await.unwrap();
+        engine.fault(|fault| fault.stall_work = true);
+        let mut streams = Vec::new();
+        for number in 0..32 {
+            let id = format!("r-{number}");
+            let handle = prefill(&engine, &id, "p").await;
+            let body = decode_body(&engine, &handle, &id, "p", 0).to_string();
+            let mut sender = connect(engine.addr()).await.unwrap();
+            let answer = send(&mut sender, "POST", "/v1/decode", &body).await.unwrap();
+            streams.push((sender, answer));
+        }
+
+        engine.die().await;
+
+        for (_sender, stream) in streams {
+            let cut = http_body_util::BodyExt::collect(stream.into_body()).await;
+            assert!(cut.is_err());
+        }
+    }
+}
+
 /// Guards against a poison prompt that does not bring the engine down, or counts no crash.
 #[tokio::test]
 async fn poison_prompt_crashes_the_engine() {
