--- a/crates/cumindoor/src/cli/gateway.rs
+++ b/crates/cumindoor/src/cli/gateway.rs
@@ -26,7 +26,10 @@
         let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
         eyre!("the settings are not valid:\n{}", lines.join("\n"))
     })?;
-    log_to_stdout(super::serve::level(settings.lines.level), settings.lines.rate.0)?;
+    log_to_stdout(
+        super::serve::level(settings.lines.level),
+        settings.lines.rate.0,
+    )?;
     // One thread: the process has a part of one core.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/cumindoor/src/gateway/budget.rs
+++ b/crates/cumindoor/src/gateway/budget.rs
@@ -63,7 +63,8 @@
     }
 
     fn part(&mut self, now: Time, bound: &RepeatBound) -> &mut Part {
-        let length = (bound.window / u32::try_from(PARTS).unwrap_or(1)).max(Duration::from_millis(1));
+        let length =
+            (bound.window / u32::try_from(PARTS).unwrap_or(1)).max(Duration::from_millis(1));
         let number = now.as_micros() / u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
         let oldest = number.saturating_sub(PARTS as u64);
         while self.parts.front().is_some_and(|part| part.number < oldest) {
--- a/crates/cumindoor/src/gateway/events.rs
+++ b/crates/cumindoor/src/gateway/events.rs
@@ -79,6 +79,8 @@
 /// Returns the number in the event's `id` field.
 fn number(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let id = lines
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .next_back()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -59,7 +59,10 @@
         let limit = job.route.target.mul_f64(ATTEMPT_SHARE);
         let outcome = if repeats {
             let late = |_| Failure::Lost("no answer in time".to_owned());
-            timeout(limit, attempt).await.map_err(late).and_then(|tried| tried)
+            timeout(limit, attempt)
+                .await
+                .map_err(late)
+                .and_then(|tried| tried)
         } else {
             attempt.await
         };
@@ -112,7 +115,9 @@
     }
     job.gate.note(&choice.name, Outcome::Answered);
     job.gate.telemetry.count("answer.delivered");
-    job.gate.telemetry.time("answer.time", job.started.elapsed());
+    job.gate
+        .telemetry
+        .time("answer.time", job.started.elapsed());
     Ok(Tried::Answered(response))
 }
 
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -150,7 +150,11 @@
         let deadline = self.job.deadline;
         let silent = Instant::now() + silence(&self.job);
         let resumable = self.job.kind().repeats() && self.runs < self.job.route.attempts;
-        let until = if resumable { silent.min(deadline) } else { deadline };
+        let until = if resumable {
+            silent.min(deadline)
+        } else {
+            deadline
+        };
         match timeout_at(until, body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => match self.events.push(&data) {
@@ -190,10 +194,17 @@
         }
         model::note_residence(&self.job, gate.now().since(self.since));
         gate.telemetry.count("stream.complete");
-        gate.telemetry.time("stream.time", self.job.started.elapsed());
+        gate.telemetry
+            .time("stream.time", self.job.started.elapsed());
         let ms = millis(self.job.started.elapsed());
         let last = self.events.last().unwrap_or_default();
-        log::info!(id = &*self.job.ask.id, last, ms, runs = self.runs; "stream complete");
+        let prompt = self.job.ask.prompt.unwrap_or_default();
+        let (tokens, limit) = (prompt.tokens, prompt.output);
+        let estimate = prompt.estimate.unwrap_or_default();
+        log::info!(
+            id = &*self.job.ask.id, tokens, limit, estimate, last, ms, runs = self.runs;
+            "stream complete"
+        );
     }
 
     /// Gives up the present engine; its connection is closed, so it stops work.
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -81,7 +81,11 @@
     } else {
         ONCE_IDLE
     };
-    let sent = job.gate.pool.send_within(choice.address, request, idle).await;
+    let sent = job
+        .gate
+        .pool
+        .send_within(choice.address, request, idle)
+        .await;
     let answered = match sent {
         Ok(connected) => {
             let (head, body) = connected.response.into_parts();
@@ -124,7 +128,11 @@
     step: Step,
     resume: Option<u64>,
 ) -> Result<Request<crate::serve::engine::OutBody>, Failure> {
-    let path = job.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = job
+        .parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     let mut request = Request::builder()
         .method(job.parts.method.clone())
         .uri(path)
@@ -147,7 +155,9 @@
     let (status, reply) = (answer.head.status, &answer.reply);
     let other = reply.id.as_ref().is_some_and(|id| *id != job.ask.id);
     if other {
-        return Err(Failure::Lost("the answer belongs to another request".to_owned()));
+        return Err(Failure::Lost(
+            "the answer belongs to another request".to_owned(),
+        ));
     }
     if reply.misdirected {
         return Err(Failure::Misdirected);
--- a/crates/cumindoor/src/gateway/feed.rs
+++ b/crates/cumindoor/src/gateway/feed.rs
@@ -155,7 +155,9 @@
             return;
         }
         if self.topic == Topic::Upstreams {
-            state.directory.regained(now, self.gate.settings.store.regain.0);
+            state
+                .directory
+                .regained(now, self.gate.settings.store.regain.0);
         }
         drop(state);
         log::info!(topic = self.topic.name(); "store regained");
--- a/crates/cumindoor/src/gateway/fetch.rs
+++ b/crates/cumindoor/src/gateway/fetch.rs
@@ -55,5 +55,7 @@
         connected.lease.release();
         Ok((head.status, whole.to_bytes()))
     };
-    timeout(limit, exchange).await.unwrap_or(Err(FetchError::Late))
+    timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(FetchError::Late))
 }
--- a/crates/cumindoor/src/gateway/gate.rs
+++ b/crates/cumindoor/src/gateway/gate.rs
@@ -177,7 +177,8 @@
         let repeats = state.repeats.entry(service.clone()).or_default();
         let paid = repeats.try_repeat(now, &bound, gateways);
         drop(state);
-        self.telemetry.count(if paid { "repeat.paid" } else { "repeat.denied" });
+        self.telemetry
+            .count(if paid { "repeat.paid" } else { "repeat.denied" });
         paid
     }
 
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -173,7 +173,10 @@
         let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != own).collect();
         Self {
             own,
-            known: seeds.iter().map(|seed| (*seed, learned(gate.now()))).collect(),
+            known: seeds
+                .iter()
+                .map(|seed| (*seed, learned(gate.now())))
+                .collect(),
             seeds,
             start: unix_millis(),
             number: 0,
@@ -232,5 +235,7 @@
 /// matters, and a clock that was set back is overtaken by the silence that a restart makes.
 fn unix_millis() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
 }
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -6,7 +6,8 @@
 use coord::name::{DataCentre, VmName};
 
 use crate::ini::{
-    self, Bytes, Count, Finding, Findings, KeySpec, Listen, Ratio, Section, Span, Target, write_section,
+    self, Bytes, Count, Finding, Findings, KeySpec, Listen, Ratio, Section, Span, Target,
+    write_section,
 };
 use crate::settings::{LogLevel, unknown_section};
 
--- a/crates/cumindoor/src/ini.rs
+++ b/crates/cumindoor/src/ini.rs
@@ -18,7 +18,7 @@
 pub use page::{section_page, write_section};
 pub use quantity::{ByteRate, Bytes, Count, RequestRate, Span, TokenRate, Tokens};
 pub(crate) use value::choice;
-pub use value::{Ratio, Listen, ModelName, PathPrefix, Setting, Target};
+pub use value::{Listen, ModelName, PathPrefix, Ratio, Setting, Target};
 
 /// Bytes of one file at most: the platform's limit of one value.
 pub const FILE_LIMIT: usize = 1_000_000;
--- a/crates/cumindoor/src/ini/value.rs
+++ b/crates/cumindoor/src/ini/value.rs
@@ -51,7 +51,9 @@
     const UNIT: &'static str = "a number such as `0.2`";
 
     fn parse(text: &str) -> Result<Self, String> {
-        let digits = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let digits = text
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || byte == b'.');
         match text.parse() {
             Ok(number) if digits => Ok(Self(number)),
             _ => Err(format!("expected {}", Self::UNIT)),
--- a/crates/cumindoor/src/serve/telemetry/stdout.rs
+++ b/crates/cumindoor/src/serve/telemetry/stdout.rs
@@ -6,22 +6,23 @@
 use std::io::Write as _;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use logforth::append::Append;
 use logforth::diagnostic::Diagnostic;
-use logforth::layout::{JsonLayout, Layout};
+use logforth::kv::{KeyView, ValueView, Visitor};
 use logforth::record::Record;
 
 /// Lines that wait for the writing thread.
 const QUEUED: usize = 4_096;
+/// Bytes of a usual line.
+const LINE_BYTES: usize = 192;
 /// How often lines are written; fewer wake-ups cost less.
 const PERIOD: Duration = Duration::from_millis(200);
 
 /// Appends lines to a queue.
 #[derive(Debug)]
 pub(super) struct Queued {
-    layout: JsonLayout,
     lines: SyncSender<Vec<u8>>,
     rate: u32,
     window: Mutex<Window>,
@@ -46,7 +47,6 @@
             .name("log".to_owned())
             .spawn(move || write_all(&receiver))?;
         Ok(Self {
-            layout: JsonLayout::default(),
             lines,
             rate,
             window: Mutex::new(Window {
@@ -64,7 +64,7 @@
         if window.began.elapsed() >= Duration::from_secs(1) {
             if window.left_out > 0 {
                 let count = window.left_out;
-                notice = Some(format!(r#"{{"message":"lines left out","count":{count}}}"#).into());
+                notice = Some(format!(r#"{{"event":"lines left out","count":{count}}}"#).into());
             }
             *window = Window {
                 began: Instant::now(),
@@ -88,17 +88,13 @@
 }
 
 impl Append for Queued {
-    fn append(
-        &self,
-        record: &Record,
-        diagnostics: &[Box<dyn Diagnostic>],
-    ) -> Result<(), logforth::Error> {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), logforth::Error> {
         let (admitted, notice) = self.admit();
         if let Some(notice) = notice {
             self.queue(notice);
         }
         if admitted {
-            self.queue(self.layout.format(record, diagnostics)?);
+            self.queue(line(record)?);
         }
         Ok(())
     }
@@ -108,6 +104,39 @@
     }
 }
 
+/// Writes one record as a JSON object: when, the event's name, the level and the fields of the
+/// event. Where in the source it comes from is left out: a line costs as much as a small request.
+fn line(record: &Record) -> Result<Vec<u8>, logforth::Error> {
+    let since = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut line = Vec::with_capacity(LINE_BYTES);
+    let failed = logforth::Error::from_io_error;
+    write!(line, r#"{{"at":{:.3},"event":"#, since.as_secs_f64()).map_err(failed)?;
+    write_text(&mut line, &record.payload().to_string())?;
+    write!(line, r#","level":"{}""#, record.level().name()).map_err(failed)?;
+    record.key_values().visit(&mut Fields(&mut line))?;
+    line.push(b'}');
+    Ok(line)
+}
+
+struct Fields<'a>(&'a mut Vec<u8>);
+
+impl Visitor for Fields<'_> {
+    fn visit(&mut self, key: KeyView, value: ValueView) -> Result<(), logforth::Error> {
+        self.0.push(b',');
+        write_text(self.0, &key.to_string())?;
+        self.0.push(b':');
+        serde_json::to_writer(&mut *self.0, &value).map_err(encoding)
+    }
+}
+
+fn write_text(line: &mut Vec<u8>, text: &str) -> Result<(), logforth::Error> {
+    serde_json::to_writer(line, text).map_err(encoding)
+}
+
+fn encoding(error: serde_json::Error) -> logforth::Error {
+    logforth::Error::new("a log line cannot be encoded").with_source(error)
+}
+
 /// Writes lines as they come, several at a time; ends when nobody can read them any more.
 fn write_all(lines: &Receiver<Vec<u8>>) {
     let mut output = std::io::stdout();
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -178,7 +178,9 @@
             let handle = prefill(&engine, &id, "p").await;
             let body = decode_body(&engine, &handle, &id, "p", 0).to_string();
             let mut sender = connect(engine.addr()).await.unwrap();
-            let answer = send(&mut sender, "POST", "/v1/decode", &body).await.unwrap();
+            let answer = send(&mut sender, "POST", "/v1/decode", &body)
+                .await
+                .unwrap();
             streams.push((sender, answer));
         }
 
