Read the store anew after a lost watch, reload settings, take turns for room

Change: a failed watch is followed by a whole read; SIGHUP and a timer reread the settings; a gateway leaves 6 ms to each gateway whose request goes first.

--- a/crates/cumindoor/src/cli/gateway.rs
+++ b/crates/cumindoor/src/cli/gateway.rs
@@ -1,15 +1,20 @@
 //! `cumindoor gateway`: one gateway on a platform.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Args;
 use eyre::{WrapErr, eyre};
+use tokio::signal::unix::{SignalKind, signal};
 
 use super::print;
-use crate::gateway::{Gateway, Settings};
+use crate::gateway::{Gate, Gateway, Settings};
 use crate::serve::telemetry::log_to_stdout;
 
+/// How often the settings file is read without a signal.
+const REREAD_PERIOD: Duration = Duration::from_secs(10);
+
 #[derive(Debug, Args)]
 pub(super) struct GatewayArgs {
     /// Settings of this gateway
@@ -19,13 +24,7 @@
 
 /// Serves until SIGTERM.
 pub(super) fn run(args: &GatewayArgs) -> eyre::Result<()> {
-    let file = args.settings.display().to_string();
-    let text = std::fs::read_to_string(&args.settings);
-    let text = text.wrap_err_with(|| format!("cannot read {file}"))?;
-    let settings = Settings::parse(&file, &text).map_err(|findings| {
-        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
-        eyre!("the settings are not valid:\n{}", lines.join("\n"))
-    })?;
+    let settings = read(&args.settings)?;
     log_to_stdout(
         super::serve::level(settings.lines.level),
         settings.lines.rate.0,
@@ -34,10 +33,39 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, &args.settings))
+}
+
+fn read(path: &Path) -> eyre::Result<Settings> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path);
+    let text = text.wrap_err_with(|| format!("cannot read {file}"))?;
+    Settings::parse(&file, &text).map_err(|findings| {
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        eyre!("the settings are not valid:\n{}", lines.join("\n"))
+    })
+}
+
+/// Takes over changed settings on SIGHUP, and now and then without it; faulty ones are reported
+/// and left.
+async fn reload(gate: Arc<Gate>, path: PathBuf) -> eyre::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => log::info!("reload asked for"),
+            () = tokio::time::sleep(REREAD_PERIOD) => {}
+        }
+        match read(&path) {
+            Ok(settings) => gate.reload(settings),
+            Err(error) => {
+                let error = format!("{error:#}");
+                log::error!(error = error.as_str(); "settings not reloaded");
+            }
+        }
+    }
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
+async fn serve(settings: Settings, path: &Path) -> eyre::Result<()> {
     let vm = settings.gateway.name.clone();
     let seed = uuid::Uuid::new_v4().as_u64_pair().0;
     let catalogue = Arc::new(platform::Store);
@@ -45,6 +73,8 @@
     let gateway = Gateway::bind(settings, catalogue, dialect, seed).await?;
     print(&format!("callers {}\n", gateway.callers()));
     log::info!(vm = vm.as_str(); "started");
+    let reloading = tokio::spawn(reload(Arc::clone(gateway.gate()), path.to_owned()));
     gateway.run_until_signal().await?;
+    reloading.abort();
     Ok(())
 }
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -77,7 +77,7 @@
             Spec::task("readiness", move || Arc::clone(&ready).run()),
             Spec::task("peers", move || Arc::clone(&peers).run()),
         ];
-        if let Some(addr) = gate.settings.listen.metrics {
+        if let Some(addr) = gate.settings().listen.metrics {
             let metrics = Arc::new(Page::metrics(&gate, addr.0).await?);
             tasks.push(Spec::task("metrics", move || Arc::clone(&metrics).run()));
         }
@@ -135,10 +135,10 @@
     ///
     /// Returns true if every request ended by itself.
     pub async fn stop(&self) -> bool {
-        let limit = Instant::now() + self.gate.settings.stop_limit();
+        let limit = Instant::now() + self.gate.settings().stop_limit();
         self.gate.stopping.cancel();
         self.gate.news.notify_one();
-        let accepting = BALANCER_TIME.min(self.gate.settings.stop_limit() / 3);
+        let accepting = BALANCER_TIME.min(self.gate.settings().stop_limit() / 3);
         sleep(accepting).await;
         self.gate.closing.cancel();
         self.connections.close();
--- a/crates/cumindoor/src/gateway/board.rs
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -4,6 +4,7 @@
 //! each gateway tells the others what it has placed, and adds up what it hears. A gateway that is
 //! not heard for a while has lost its connections to the upstreams as well, and its part is dropped.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,8 +53,10 @@
     pub requests: u32,
     /// Tokens of memory that they will need.
     pub memory: u32,
+    /// Whether the first of them can no longer be on time.
+    pub late: bool,
     /// Milliseconds for which the first of them has waited.
-    pub oldest_ms: u32,
+    pub waited_ms: u32,
 }
 
 /// Names in messages between gateways are hashes, which are shorter.
@@ -140,11 +143,25 @@
         for (_, waiting) in all.filter(|(key, _)| *key == service) {
             sum.requests += waiting.requests;
             sum.memory += waiting.memory;
-            sum.oldest_ms = sum.oldest_ms.max(waiting.oldest_ms);
         }
         sum
     }
 
+    /// Returns how many other gateways have a request of a service that goes before one that waits
+    /// here.
+    #[must_use]
+    pub fn gateways_ahead(&self, now: Time, service: Key, late: bool, waited: Duration) -> u32 {
+        let ahead = |peer: &&Peer| {
+            let mut waiting = peer.digest.waiting.iter();
+            waiting.any(|(key, waiting)| {
+                let its = Duration::from_millis(waiting.waited_ms.into()) + now.since(peer.heard);
+                *key == service && (waiting.late, Reverse(its)) < (late, Reverse(waited))
+            })
+        };
+        let count = self.peers.values().filter(ahead).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Takes a digest; returns false if it is older than one that was heard before.
     pub fn hear(&mut self, now: Time, from: SocketAddr, digest: Digest) -> bool {
         let age = |digest: &Digest| (digest.start, digest.number);
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -1,5 +1,6 @@
 //! Waiting for room at the upstreams.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,11 @@
 
 /// How often a waiting request looks for room without being told of any.
 const RECHECK: Duration = Duration::from_millis(50);
+/// The time that a gateway leaves room to each gateway whose request goes first: that one hears of
+/// the room and tells that it took it within about two messages.
+const TURN: Duration = Duration::from_millis(6);
+/// Gateways that are left time at most.
+const TURNS: u32 = 8;
 /// The targets for which a request waits for room at most: callers of streams give up after four
 /// targets without an event, and the rest is for the prompt.
 const WAIT_TARGETS: f64 = 2.5;
@@ -99,7 +105,7 @@
         }
         tokio::select! {
             () = room => {}
-            () = sleep_until((now + RECHECK).min(until)) => {}
+            () = sleep_until((now + place.recheck()).min(until)) => {}
         }
     }
 }
@@ -128,6 +134,8 @@
     job: &'a Job,
     number: u64,
     demand: Demand,
+    /// Since when there has been room that other gateways' requests may take first.
+    room: Cell<Option<Time>>,
 }
 
 impl<'a> Place<'a> {
@@ -146,9 +154,21 @@
             job,
             number,
             demand,
+            room: Cell::new(None),
         }
     }
 
+    /// Returns whether gateways whose requests go first have had the time to take the room.
+    fn is_turn(&self, state: &State, now: Time) -> bool {
+        let waited = now.since(self.job.arrived);
+        let late = waited > self.job.route.target;
+        let service = service_key(&self.job.service);
+        let ahead = state.board.gateways_ahead(now, service, late, waited);
+        let since = self.room.get().unwrap_or(now);
+        self.room.set(Some(since));
+        now.since(since) >= TURN * ahead.min(TURNS)
+    }
+
     /// Takes a place at an engine if it is this request's turn and one has room.
     fn try_take(
         &self,
@@ -169,6 +189,13 @@
         }
         let chosen = choosing(gate, &mut state).decode(service, model, self.demand, tried);
         self.publish(&mut state, now);
+        if chosen.is_none() {
+            self.room.set(None);
+            return Ok(None);
+        }
+        if !self.is_turn(&state, now) {
+            return Ok(None);
+        }
         drop(state);
         Ok(chosen.map(|choice| {
             let load = Load {
@@ -181,6 +208,15 @@
         }))
     }
 
+    /// Returns when to look again without being told of a change.
+    fn recheck(&self) -> Duration {
+        if self.room.get().is_some() {
+            TURN
+        } else {
+            RECHECK
+        }
+    }
+
     /// Tells other gateways what waits here.
     fn publish(&self, state: &mut State, now: Time) {
         let service = &self.job.service;
--- a/crates/cumindoor/src/gateway/feed.rs
+++ b/crates/cumindoor/src/gateway/feed.rs
@@ -84,7 +84,7 @@
 
     /// Waits for changes; returns the revision to go on from, or `None` if the history is lost.
     async fn watch(&mut self, revision: u64) -> Option<u64> {
-        let wait = self.gate.settings.store.watch.0;
+        let wait = self.gate.settings().store.watch.0;
         let path = self.gate.catalogue.watch(self.topic, revision, wait);
         let started = tokio::time::Instant::now();
         match self.call(&path, wait).await {
@@ -106,16 +106,18 @@
                 self.gate.telemetry.count("store.history-lost");
                 None
             }
+            // A store that comes back may have lost its history without saying so to a watch that
+            // began before; so the topic is read again.
             Err(_) => {
                 self.pause().await;
-                Some(revision)
+                None
             }
         }
     }
 
     /// Sends one call; an error has the status if the store answered.
     async fn call(&mut self, path: &str, wait: Duration) -> Result<Page, Option<StatusCode>> {
-        let keys = &self.gate.settings.store;
+        let keys = self.gate.settings().store.clone();
         let limit = wait + keys.answer.0;
         self.gate.telemetry.count("store.calls");
         let call = (Method::GET, path);
@@ -157,7 +159,7 @@
         if self.topic == Topic::Upstreams {
             state
                 .directory
-                .regained(now, self.gate.settings.store.regain.0);
+                .regained(now, self.gate.settings().store.regain.0);
         }
         drop(state);
         log::info!(topic = self.topic.name(); "store regained");
--- a/crates/cumindoor/src/gateway/front.rs
+++ b/crates/cumindoor/src/gateway/front.rs
@@ -51,8 +51,8 @@
     ///
     /// Returns an error with the address if it cannot be bound.
     pub async fn bind(gate: &Arc<Gate>, connections: TaskTracker) -> eyre::Result<Self> {
-        let listener = listen(gate.settings.listen.callers.0).await?;
-        let permits = gate.settings.resources.connections.0 as usize;
+        let listener = listen(gate.settings().listen.callers.0).await?;
+        let permits = gate.settings().resources.connections.0 as usize;
         Ok(Self {
             gate: Arc::clone(gate),
             listener,
@@ -157,7 +157,7 @@
     ///
     /// Returns an error with the address if it cannot be bound.
     pub async fn readiness(gate: &Arc<Gate>) -> eyre::Result<Self> {
-        Self::bind(gate, gate.settings.listen.ready.0, readiness).await
+        Self::bind(gate, gate.settings().listen.ready.0, readiness).await
     }
 
     /// Binds the listener of counters and histograms.
--- a/crates/cumindoor/src/gateway/gate.rs
+++ b/crates/cumindoor/src/gateway/gate.rs
@@ -49,8 +49,6 @@
 
 /// The shared part of a gateway.
 pub struct Gate {
-    /// Its settings.
-    pub settings: Settings,
     /// How the store is read.
     pub catalogue: Arc<dyn Catalogue>,
     /// How headers are read.
@@ -73,6 +71,8 @@
     pub tasks: TaskTracker,
     /// Bytes of bodies that may still be read into memory.
     pub bodies: Arc<Semaphore>,
+    settings: Mutex<Arc<Settings>>,
+    near: DataCentre,
     state: Mutex<State>,
 }
 
@@ -97,7 +97,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         Arc::new(Self {
-            settings,
+            near: settings.gateway.data_centre.clone(),
+            settings: Mutex::new(Arc::new(settings)),
             catalogue,
             dialect,
             pool: Pool::new(CONNECT_TIME),
@@ -119,6 +120,25 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        let settings = self.settings.lock();
+        Arc::clone(&settings.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts changed settings in force. Listeners keep their addresses until the next start.
+    pub fn reload(&self, settings: Settings) {
+        let mut current = self.settings.lock().unwrap_or_else(PoisonError::into_inner);
+        if **current == settings {
+            return;
+        }
+        *current = Arc::new(settings);
+        drop(current);
+        log::info!("settings reloaded");
+        self.news.notify_one();
+    }
+
     /// Returns the current instant.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -128,7 +148,7 @@
     /// Returns the data centre of the gateway.
     #[must_use]
     pub fn near(&self) -> &DataCentre {
-        &self.settings.gateway.data_centre
+        &self.near
     }
 
     /// Returns whether callers may be sent here.
@@ -192,7 +212,7 @@
     }
 
     fn repeat_bound(&self) -> RepeatBound {
-        let keys = &self.settings.repeats;
+        let keys = &self.settings().repeats;
         RepeatBound {
             ratio: keys.ratio.0,
             slack: keys.slack.0,
@@ -203,7 +223,7 @@
     /// Returns the address that other gateways know this one by.
     #[must_use]
     pub fn own_address(&self) -> SocketAddr {
-        self.settings.fleet.address.0
+        self.settings().fleet.address.0
     }
 }
 
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -77,6 +77,7 @@
                 }
                 () = self.gate.news.notified() => pending = true,
                 () = sleep_until(due) => {
+                    roster.take_seeds(&self.gate);
                     let targets = roster.targets(self.gate.now(), due >= beat);
                     self.send(&mut roster, &targets).await;
                     self.expire();
@@ -167,23 +168,28 @@
 impl Roster {
     fn new(gate: &Gate) -> Self {
         let own = gate.own_address();
-        // All gateways listen on the same port; the settings may name another one of the VM.
-        let seeds = gate.settings.fleet.seeds.iter();
-        let seeds = seeds.map(|seed| SocketAddr::new(seed.0.ip(), own.port()));
-        let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != own).collect();
         Self {
             own,
-            known: seeds
-                .iter()
-                .map(|seed| (*seed, learned(gate.now())))
-                .collect(),
-            seeds,
+            known: BTreeMap::new(),
+            seeds: BTreeSet::new(),
             start: unix_millis(),
             number: 0,
             beats: 0,
         }
     }
 
+    /// Takes the addresses of the settings, which may have changed.
+    fn take_seeds(&mut self, gate: &Gate) {
+        // All gateways listen on the same port; the settings may name another one of the VM.
+        let settings = gate.settings();
+        let seeds = settings.fleet.seeds.iter();
+        let seeds = seeds.map(|seed| SocketAddr::new(seed.0.ip(), self.own.port()));
+        self.seeds = seeds.filter(|seed| *seed != self.own).collect();
+        for seed in &self.seeds {
+            self.known.entry(*seed).or_insert(learned(gate.now()));
+        }
+    }
+
     fn heard(&mut self, now: Time, from: SocketAddr, digest: &Digest) {
         if digest.leaving {
             self.known.remove(&from);
--- a/crates/cumindoor/src/gateway/queue.rs
+++ b/crates/cumindoor/src/gateway/queue.rs
@@ -61,12 +61,13 @@
     #[must_use]
     pub fn waiting(&self, now: Time) -> Waiting {
         let tickets = || self.waiting.values();
-        let oldest = tickets().map(|ticket| now.since(ticket.arrived)).max();
-        let oldest = oldest.unwrap_or_default().as_millis();
+        let first = self.head(now).and_then(|number| self.waiting.get(&number));
+        let waited = first.map_or(Duration::ZERO, |ticket| now.since(ticket.arrived));
         Waiting {
             requests: u32::try_from(tickets().len()).unwrap_or(u32::MAX),
             memory: tickets().map(|ticket| ticket.demand.memory).sum(),
-            oldest_ms: u32::try_from(oldest).unwrap_or(u32::MAX),
+            late: first.is_some_and(|ticket| ticket.due < now),
+            waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
