Move engines between prefill and decode as the load asks, and wait longer for room

Change: one gateway orders an engine to the other stage when the busier stage gains clearly; other gateways hear of it; refusals in a row lengthen an upstream's pause; waits of up to 3.3 targets.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coord::name::Upstream;
-use hyper::{HeaderMap, Method, StatusCode};
+use bytes::Bytes;
+use coord::name::{Upstream, VmName};
+use derive_more::Display;
+use hyper::{HeaderMap, Method, Request, StatusCode};
 
 use crate::{Malformed, Stage};
 
@@ -116,6 +118,39 @@
     pub memory: u32,
 }
 
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageOrder {
+    /// The engine that is meant; any other one must refuse.
+    pub upstream: Upstream,
+    /// What it is to do from now on.
+    pub stage: Stage,
+    /// The VM that gives the order.
+    pub holder: VmName,
+    /// The fencing number.
+    pub fence: u64,
+}
+
+/// What an engine says to an order.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It carries the order out.
+    #[display("accepted")]
+    Accepted,
+    /// The order holds already.
+    #[display("holds")]
+    Holds,
+    /// Another order is carried out.
+    #[display("busy")]
+    Busy,
+    /// It has seen a higher fencing number.
+    #[display("outdated")]
+    Outdated,
+    /// It is another engine, or does not know such orders.
+    #[display("refused")]
+    Refused,
+}
+
 /// How requests and answers are read and written.
 pub trait Dialect: Send + Sync {
     /// Reads a caller's headers.
@@ -147,6 +182,12 @@
     /// Returns the call that frees a prefill's result.
     fn free(&self, handle: &str) -> (Method, String);
 
+    /// Returns the call that gives an order.
+    fn order(&self, order: &StageOrder) -> Request<Bytes>;
+
+    /// Reads the status of an answer to an order.
+    fn ordered(&self, status: StatusCode) -> OrderAnswer;
+
     /// Returns the path at which an engine reports its state.
     fn report_path(&self) -> &'static str;
 
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -24,7 +24,10 @@
 mod published;
 mod routing;
 
-pub use dialect::{Ask, Dialect, Prefilled, Prompt, Reply, Report, Source, Stamp, Step, Work};
+pub use dialect::{
+    Ask, Dialect, OrderAnswer, Prefilled, Prompt, Reply, Report, Source, StageOrder, Stamp, Step,
+    Work,
+};
 pub use published::{Catalogue, Change, Page, Stage, Topic, UpstreamEntry};
 pub use routing::{CallerLimits, Kind, Model, Route, Routing, ServiceDef};
 
--- a/crates/coord/src/fence.rs
+++ b/crates/coord/src/fence.rs
@@ -62,6 +62,12 @@
         Self(((highest.counter() + 1) << HASH_BITS) | low)
     }
 
+    /// Returns the lowest number with a counter.
+    #[must_use]
+    pub const fn floor(counter: u64) -> Self {
+        Self(counter << HASH_BITS)
+    }
+
     /// Returns the counter.
     #[must_use]
     pub const fn counter(self) -> u64 {
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -8,6 +8,7 @@
 //! See `docs/platform.md` for the reasons.
 
 pub mod answer;
+pub mod balance;
 pub mod board;
 pub mod budget;
 pub mod directory;
@@ -18,6 +19,7 @@
 mod front;
 mod gate;
 pub mod health;
+mod orders;
 mod peers;
 pub mod place;
 pub mod queue;
@@ -91,6 +93,10 @@
         tasks.push(Spec::task("expiry", move || {
             feed::expire(Arc::clone(&expiring))
         }));
+        let balancing = Arc::clone(&gate);
+        tasks.push(Spec::task("orders", move || {
+            orders::balance(Arc::clone(&balancing))
+        }));
         let sweeping = Arc::clone(&gate);
         tasks.push(Spec::task("idle-connections", move || {
             sweep(Arc::clone(&sweeping))
--- a/crates/cumindoor/src/gateway/board.rs
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -87,6 +87,10 @@
     pub waiting: Vec<(Key, Waiting)>,
     /// Other gateways that it heard lately.
     pub peers: Vec<SocketAddr>,
+    /// The highest fencing number that the gateway knows.
+    pub fence: u64,
+    /// Engines that change their stage by its order, with the milliseconds that are left.
+    pub switching: Vec<(Key, u32)>,
     /// Whether it stops and wants no more digests.
     pub leaving: bool,
 }
@@ -103,6 +107,8 @@
     own: BTreeMap<Key, Load>,
     waiting: BTreeMap<Key, Waiting>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// The highest fencing number of any gateway.
+    fence: u64,
     /// Sums over all gateways.
     totals: BTreeMap<Key, Load>,
 }
@@ -171,6 +177,7 @@
             }
         }
         self.forget(from);
+        self.fence = self.fence.max(digest.fence);
         if digest.leaving && digest.loads.is_empty() {
             return true;
         }
@@ -203,11 +210,29 @@
         self.peers.len() + 1
     }
 
+    /// Returns the highest fencing number known.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Notes a fencing number that was used.
+    pub fn set_fence(&mut self, fence: u64) {
+        self.fence = self.fence.max(fence);
+    }
+
+    /// Returns what waits at this gateway for a service.
+    #[must_use]
+    pub fn waiting_here(&self, service: Key) -> Waiting {
+        self.waiting.get(&service).copied().unwrap_or_default()
+    }
+
     /// Returns the own part of a digest.
     #[must_use]
     pub fn digest(&self) -> Digest {
         Digest {
             loads: self.own.iter().map(|(key, load)| (*key, *load)).collect(),
+            fence: self.fence,
             waiting: self.waiting.iter().map(|(key, w)| (*key, *w)).collect(),
             ..Digest::default()
         }
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -22,6 +22,10 @@
     pub entry: UpstreamEntry,
     /// What became of the last requests.
     pub health: Health,
+    /// Until when it changes its stage by an order.
+    switching: Time,
+    /// Whether this gateway gave that order; only then it tells others.
+    ordered: bool,
     /// When its entry was lost during an outage of the store.
     missing: Option<Time>,
 }
@@ -61,6 +65,14 @@
     complete: bool,
 }
 
+impl Known {
+    /// Returns whether it changes its stage at present.
+    #[must_use]
+    pub fn is_switching(&self, now: Time) -> bool {
+        now < self.switching
+    }
+}
+
 impl Directory {
     /// Returns whether the list has been read as a whole once.
     #[must_use]
@@ -159,6 +171,42 @@
         self.upstreams.values().filter(fits)
     }
 
+    /// Returns the upstreams of a service that do not leave, whatever their stage.
+    pub fn usable_any<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Known> {
+        let fits = move |known: &&Known| known.entry.service == *service && !known.entry.leaving;
+        self.upstreams.values().filter(fits)
+    }
+
+    /// Notes that an upstream changes its stage until `until` by an order of this gateway.
+    pub fn switching(&mut self, name: &Upstream, until: Time) {
+        if let Some(known) = self.upstreams.get_mut(name) {
+            known.switching = until;
+            known.ordered = true;
+        }
+    }
+
+    /// As [`Self::switching`], by the key that other gateways use.
+    pub fn switching_key(&mut self, key: Key, until: Time) {
+        let mut all = self.upstreams.values_mut();
+        if let Some(known) = all.find(|known| known.key == key) {
+            known.switching = until;
+            known.ordered = false;
+        }
+    }
+
+    /// Returns the upstreams that change their stage, with the milliseconds that are left.
+    #[must_use]
+    pub fn switches(&self, now: Time) -> Vec<(Key, u32)> {
+        let switching = self
+            .upstreams
+            .values()
+            .filter(|k| k.ordered && k.is_switching(now));
+        let left = |known: &Known| known.switching.since(now).as_millis();
+        switching
+            .map(|known| (known.key, u32::try_from(left(known)).unwrap_or(u32::MAX)))
+            .collect()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Known> {
         self.upstreams.values()
@@ -171,6 +219,8 @@
                 name: name.clone(),
                 entry,
                 health: Health::default(),
+                switching: Time::ZERO,
+                ordered: false,
                 missing: None,
             };
             self.upstreams.insert(name.clone(), known);
@@ -182,6 +232,9 @@
         }
         let old = std::mem::replace(&mut known.entry, entry);
         let new = &known.entry;
+        if old.stage != new.stage {
+            known.switching = Time::ZERO;
+        }
         if (old.start, old.address) != (new.start, new.address) {
             known.health = Health::default();
             return Some(News::Restarted);
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use border::{Source, Step};
-use coord::name::Upstream;
+use coord::name::{DataCentre, Upstream};
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use tokio::time::{sleep, timeout};
@@ -53,7 +53,8 @@
     let mut refusals = 0;
     loop {
         let (decode, hold) = wait::for_decode(job, &model, demand, &tried).await?;
-        let kept = reader.read().await;
+        // The result is moved within a data centre if possible.
+        let kept = reader.read(&decode.data_centre).await;
         let step = match &kept {
             Some(kept) => Step::Decode(kept.source.clone()),
             None => Step::Whole,
@@ -159,7 +160,7 @@
     }
 
     /// Returns where the prompt's result lies, or `None` if no prefill engine brought one.
-    async fn read(&mut self) -> Option<Kept> {
+    async fn read(&mut self, near: &DataCentre) -> Option<Kept> {
         if let Some(kept) = self.kept.take() {
             return Some(kept);
         }
@@ -168,7 +169,7 @@
                 return None;
             }
             self.tries += 1;
-            match self.attempt().await? {
+            match self.attempt(near).await? {
                 Ok(kept) => return Some(kept),
                 Err(failure) if failure.arrived() => {}
                 Err(_) => self.tries -= 1,
@@ -178,12 +179,14 @@
     }
 
     /// Tries one engine; returns `None` if there is none left.
-    async fn attempt(&mut self) -> Option<Result<Kept, Failure>> {
+    async fn attempt(&mut self, near: &DataCentre) -> Option<Result<Kept, Failure>> {
         let gate = &self.job.gate;
         let service = &self.job.service;
         let chosen = {
             let mut state = gate.state();
-            wait::choosing(gate, &mut state).prefill(service, &self.tried)
+            let mut choosing = wait::choosing(gate, &mut state);
+            choosing.near = near;
+            choosing.prefill(service, &self.tried)
         };
         let choice = chosen?;
         let load = Load {
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -119,7 +119,12 @@
     }
     let (id, upstream) = (&*job.ask.id, choice.name.as_str());
     let (failure, left_ms) = (failure.to_string(), super::millis(job.left()));
-    log::info!(id, upstream, failure = failure.as_str(), left_ms; "attempt failed");
+    let believed = job.gate.state().board.load(choice.key);
+    log::info!(
+        id, upstream, failure = failure.as_str(), left_ms, requests = believed.requests,
+        memory = believed.memory;
+        "attempt failed"
+    );
 }
 
 fn request(
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -27,7 +27,7 @@
 const TURNS: u32 = 8;
 /// The targets for which a request waits for room at most: callers of streams give up after four
 /// targets without an event, and the rest is for the prompt.
-const WAIT_TARGETS: f64 = 2.5;
+const WAIT_TARGETS: f64 = 3.3;
 /// After what time a caller may come back if a service has no upstream.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(700);
 /// How long requests hold memory while nothing is known about it.
@@ -183,8 +183,8 @@
         if state.directory.usable(service, stage).next().is_none() {
             return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
         }
-        let head = state.queues.get(service).and_then(|queue| queue.head(now));
-        if head != Some(self.number) {
+        let queue = state.queues.get(service);
+        if !queue.is_some_and(|queue| queue.may_go(now, self.number)) {
             return Ok(None);
         }
         let chosen = choosing(gate, &mut state).decode(service, model, self.demand, tried);
--- a/crates/cumindoor/src/gateway/health.rs
+++ b/crates/cumindoor/src/gateway/health.rs
@@ -15,6 +15,11 @@
 /// The longest time for which an upstream is left out without another try.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// How long an upstream that had no room is left out at first; doubled with each further refusal.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// The longest time for which an upstream that had no room is left out.
+const LONGEST_FULL: Duration = Duration::from_millis(1_600);
+
 /// How a request ended at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -36,6 +41,8 @@
     streak: u32,
     until: Time,
     full: Time,
+    /// Refusals for lack of room in a row.
+    refusals: u32,
 }
 
 impl Health {
@@ -46,9 +53,11 @@
             Outcome::Failed | Outcome::Lost => 1.0,
             Outcome::Full => {
                 self.full = now;
+                self.refusals += 1;
                 return;
             }
         };
+        self.refusals = 0;
         self.rate += (failure - self.rate) * NEWEST;
         if outcome != Outcome::Lost {
             self.streak = 0;
@@ -74,10 +83,15 @@
         self.until
     }
 
-    /// Returns whether the upstream refused for lack of room within `recent`.
+    /// Returns whether the upstream refused for lack of room a short time ago.
+    ///
+    /// An engine that changes its stage refuses like a full one, so the time grows with each refusal
+    /// in a row.
     #[must_use]
-    pub fn was_full(&self, now: Time, recent: Duration) -> bool {
-        self.full > Time::ZERO && now.since(self.full) < recent
+    pub fn is_full(&self, now: Time) -> bool {
+        let doubled = 1 << self.refusals.saturating_sub(1).min(8);
+        let pause = (FULL_PAUSE * doubled).min(LONGEST_FULL);
+        self.refusals > 0 && now.since(self.full) < pause
     }
 
     /// Returns the share of recent requests that failed, 0 to 1.
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -102,7 +102,14 @@
         roster.heard(now, from, &digest);
         let known = self.gate.state().board.peers().any(|peer| peer == from);
         let leaving = digest.leaving;
-        let news = self.gate.state().board.hear(now, from, digest);
+        let news = {
+            let mut state = self.gate.state();
+            for (key, left) in &digest.switching {
+                let until = now + Duration::from_millis((*left).into());
+                state.directory.switching_key(*key, until);
+            }
+            state.board.hear(now, from, digest)
+        };
         if !known && !leaving {
             let peer = from.to_string();
             log::info!(peer = peer.as_str(); "peer heard");
@@ -114,7 +121,12 @@
 
     async fn send(&self, roster: &mut Roster, targets: &[SocketAddr]) {
         roster.number += 1;
-        let mut digest = self.gate.state().board.digest();
+        let mut digest = {
+            let state = self.gate.state();
+            let mut digest = state.board.digest();
+            digest.switching = state.directory.switches(self.gate.now());
+            digest
+        };
         digest.start = roster.start;
         digest.number = roster.number;
         digest.peers = roster.named();
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -1,7 +1,5 @@
 //! Which upstream gets a request.
 
-use std::time::Duration;
-
 use border::{Model, Stage};
 use coord::name::{DataCentre, Service, Upstream};
 use coord::time::Time;
@@ -25,8 +23,6 @@
 const JITTER: f64 = 0.05;
 /// Requests for each slot of a plain upstream, those that wait there included.
 const PLAIN_DEPTH: u32 = 2;
-/// How long an engine that had no room is left out.
-pub const FULL_PAUSE: Duration = Duration::from_millis(150);
 
 /// What a request to a model needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -149,7 +145,8 @@
             .usable(service, stage)
             .filter(|known| !tried.contains(&known.name))
             .collect();
-        let sound = |known: &&&Known| !known.health.ejected(self.now);
+        let sound =
+            |known: &&&Known| !known.health.ejected(self.now) && !known.is_switching(self.now);
         let sound: Vec<&Known> = able.iter().filter(sound).copied().collect();
         if sound.is_empty() {
             // All are suspected: the one whose pause ends first is tried again.
@@ -159,7 +156,7 @@
         let mut best: Option<(f64, &Known)> = None;
         for known in sound {
             let load = self.board.load(known.key);
-            let full = known.health.was_full(self.now, FULL_PAUSE);
+            let full = known.health.is_full(self.now);
             if full || !room(known, load) {
                 continue;
             }
--- a/crates/cumindoor/src/gateway/queue.rs
+++ b/crates/cumindoor/src/gateway/queue.rs
@@ -12,6 +12,9 @@
 use super::board::Waiting;
 use super::place::Demand;
 
+/// The share of its target for which the first request in a queue lets others pass.
+const BYPASS: f64 = 0.4;
+
 /// One waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ticket {
@@ -57,6 +60,22 @@
         first.map(|(number, _)| *number)
     }
 
+    /// Returns whether a request may take room that it finds.
+    ///
+    /// The head may. While the head has not waited long, others may as well: a large prompt that
+    /// fits nowhere yet would otherwise keep small ones from memory that it cannot use.
+    #[must_use]
+    pub fn may_go(&self, now: Time, number: u64) -> bool {
+        let Some(head) = self.head(now) else {
+            return false;
+        };
+        let Some(first) = self.waiting.get(&head) else {
+            return false;
+        };
+        let target = first.due.since(first.arrived);
+        head == number || now.since(first.arrived) < target.mul_f64(BYPASS)
+    }
+
     /// Returns what waits, for other gateways.
     #[must_use]
     pub fn waiting(&self, now: Time) -> Waiting {
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -71,6 +71,17 @@
     }
 }
 
+ini::section! {
+    /// Orders to engines.
+    pub struct OrderKeys {
+        /// Whether engines are moved between prefill and decode as the load asks; only where
+        /// engines refuse an order with an old fencing number.
+        balance: bool = "balance" Value("no"),
+        /// Time between orders of two gateways, and after a change among the gateways.
+        lease: Span = "lease" Value("3 s") ["100 ms" to "1 min"],
+    }
+}
+
 ini::section! {
     /// What the process may use.
     pub struct Resources {
@@ -116,6 +127,8 @@
     pub store: StoreKeys,
     /// `[repeats]`
     pub repeats: RepeatKeys,
+    /// `[orders]`
+    pub orders: OrderKeys,
     /// `[resources]`
     pub resources: Resources,
     /// `[lines]`
@@ -129,6 +142,7 @@
     ("fleet", <Fleet as ini::Keys>::KEYS),
     ("store", <StoreKeys as ini::Keys>::KEYS),
     ("repeats", <RepeatKeys as ini::Keys>::KEYS),
+    ("orders", <OrderKeys as ini::Keys>::KEYS),
     ("resources", <Resources as ini::Keys>::KEYS),
     ("lines", <Lines as ini::Keys>::KEYS),
 ];
@@ -169,6 +183,7 @@
         let fleet = find("fleet").read(findings);
         let store = find("store").read(findings);
         let repeats = find("repeats").read(findings);
+        let orders = find("orders").read(findings);
         let resources = find("resources").read(findings);
         let lines = find("lines").read(findings);
         Some(Self {
@@ -177,6 +192,7 @@
             fleet: fleet?,
             store: store?,
             repeats: repeats?,
+            orders: orders?,
             resources: resources?,
             lines: lines?,
         })
@@ -200,6 +216,7 @@
         write_section(&mut text, "fleet", &self.fleet);
         write_section(&mut text, "store", &self.store);
         write_section(&mut text, "repeats", &self.repeats);
+        write_section(&mut text, "orders", &self.orders);
         write_section(&mut text, "resources", &self.resources);
         write_section(&mut text, "lines", &self.lines);
         f.write_str(&text)
