Spread placements, share failures, and keep a prefill's result when an engine refuses

Cause: on the grown sites up to ten gateways placed requests on one engine within 100 ms (up to 230,000 tokens believed on an engine of 38,000), each refusal wasted a prefill, and each gateway found a failed engine out by itself. Change: digests go out 18 ms apart instead of 124 ms; one of several good engines is picked at random in large fleets; a place is changed while the prompt is read if others chose it too; a result is offered to another engine; failure rates are shared and fade; several engines change their stage at once in large pools.

--- a/crates/cumindoor/src/gateway/balance.rs
+++ b/crates/cumindoor/src/gateway/balance.rs
@@ -21,6 +21,9 @@
 /// The use after a change in relation to the use before, above which it is not worth its cost.
 const GAIN: f64 = 0.87;
 
+/// The part of all engines that may change their stage at once.
+const MOVED_PART: u32 = 8;
+
 /// The use of a service's engines at one moment, in engines.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -77,8 +80,8 @@
         }
     }
 
-    /// Takes the use at `now`; returns the stage that one more engine should have.
-    pub fn observe(&mut self, now: Time, usage: Usage, split: Split) -> Option<Stage> {
+    /// Takes the use at `now`; returns the stage that more engines should have, and how many.
+    pub fn observe(&mut self, now: Time, usage: Usage, split: Split) -> Option<(Stage, u32)> {
         let passed = now.since(self.updated).as_secs_f64();
         let share = 1.0 - (-passed / MEMORY.as_secs_f64()).exp();
         self.average.prefill += (usage.prefill - self.average.prefill) * share;
@@ -92,11 +95,29 @@
         if pressure < IDLE {
             return None;
         }
-        let better = |stage: &Stage| {
-            let moved = split.moved(*stage);
-            moved.is_some_and(|moved| moved.pressure(self.average) < pressure * GAIN)
-        };
-        [Stage::Decode, Stage::Prefill].into_iter().find(better)
+        let (stage, engines, after) = [Stage::Decode, Stage::Prefill]
+            .into_iter()
+            .map(|stage| self.best(split, stage))
+            .min_by(|a, b| a.2.total_cmp(&b.2))?;
+        (after < pressure * GAIN).then_some((stage, engines))
+    }
+
+    /// Returns how many engines should move to `stage` at once, and the pressure after that.
+    fn best(&self, split: Split, stage: Stage) -> (Stage, u32, f64) {
+        let most = ((split.prefill + split.decode) / MOVED_PART).max(1);
+        let mut best = (stage, 0, split.pressure(self.average));
+        let mut moved = split;
+        for engines in 1..=most {
+            let Some(next) = moved.moved(stage) else {
+                break;
+            };
+            moved = next;
+            let pressure = moved.pressure(self.average);
+            if pressure < best.2 {
+                best = (stage, engines, pressure);
+            }
+        }
+        best
     }
 
     /// Notes that an engine changes its stage, by whosever order.
--- a/crates/cumindoor/src/gateway/board.rs
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -17,6 +17,11 @@
 /// The time after which a gateway that is not heard counts as gone.
 const FORGET: Duration = Duration::from_secs(3);
 
+/// How long a gateway may need to hear the others after its start.
+const START_TIME: Duration = Duration::from_secs(5);
+/// Gateways that are assumed during that time.
+const START_SHARERS: usize = 16;
+
 /// What is placed on one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -89,6 +94,8 @@
     pub peers: Vec<SocketAddr>,
     /// The highest fencing number that the gateway knows.
     pub fence: u64,
+    /// Upstreams whose requests failed lately, with the share in hundredths.
+    pub failing: Vec<(Key, u8)>,
     /// Engines that change their stage by its order, with the milliseconds that are left.
     pub switching: Vec<(Key, u32)>,
     /// Whether it stops and wants no more digests.
@@ -107,6 +114,8 @@
     own: BTreeMap<Key, Load>,
     waiting: BTreeMap<Key, Waiting>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// The most gateways that were heard at once, this one included.
+    largest: usize,
     /// The highest fencing number of any gateway.
     fence: u64,
     /// Sums over all gateways.
@@ -168,6 +177,19 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns the upstreams whose requests failed lately at other gateways, with the highest share
+    /// that any of them saw.
+    #[must_use]
+    pub fn failing(&self) -> BTreeMap<Key, f64> {
+        let mut rates = BTreeMap::new();
+        for (key, percent) in self.peers.values().flat_map(|peer| &peer.digest.failing) {
+            let rate = f64::from(*percent) / 100.0;
+            let highest = rates.entry(*key).or_insert(rate);
+            *highest = rate.max(*highest);
+        }
+        rates
+    }
+
     /// Takes a digest; returns false if it is older than one that was heard before.
     pub fn hear(&mut self, now: Time, from: SocketAddr, digest: Digest) -> bool {
         let age = |digest: &Digest| (digest.start, digest.number);
@@ -185,6 +207,7 @@
             self.totals.entry(*key).or_default().add(*load);
         }
         self.peers.insert(from, Peer { heard: now, digest });
+        self.largest = self.largest.max(self.gateways());
         true
     }
 
@@ -227,6 +250,16 @@
         self.waiting.get(&service).copied().unwrap_or_default()
     }
 
+    /// Returns the number of gateways that a shared allowance is divided by: those that cannot be
+    /// heard at present use their share as well, and a gateway that has just started has not heard
+    /// all of them yet.
+    #[must_use]
+    pub fn sharers(&self, now: Time) -> usize {
+        let starting = now.since(Time::ZERO) < START_TIME;
+        let least = if starting { START_SHARERS } else { 1 };
+        self.largest.max(least)
+    }
+
     /// Returns the own part of a digest.
     #[must_use]
     pub fn digest(&self) -> Digest {
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -207,6 +207,17 @@
             .collect()
     }
 
+    /// Returns the upstreams whose requests failed lately, with the share in hundredths.
+    #[must_use]
+    pub fn failing(&self, now: Time) -> Vec<(Key, u8)> {
+        /// Shares below this say more about single requests than about the upstream.
+        const LEAST: f64 = 0.2;
+        let rates = self.upstreams.values();
+        let rates = rates.map(|known| (known.key, known.health.failure_rate(now)));
+        let failing = rates.filter(|(_, rate)| *rate >= LEAST);
+        failing.map(|(key, rate)| (key, percent(rate))).collect()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Known> {
         self.upstreams.values()
@@ -255,3 +266,12 @@
         Some(News::Gone)
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share is between 0 and 1"
+)]
+fn percent(share: f64) -> u8 {
+    (share * 100.0).round().clamp(0.0, 100.0) as u8
+}
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use border::{Source, Step};
+use border::{Model, Source, Step};
 use coord::name::{DataCentre, Upstream};
+use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use tokio::time::{sleep, timeout};
@@ -20,13 +21,17 @@
 use crate::gateway::fetch::fetch;
 use crate::gateway::gate::Gate;
 use crate::gateway::health::Outcome;
-use crate::gateway::place::Demand;
+use crate::gateway::place::{Choice, Demand};
 use crate::serve::engine::OutBody;
 
 /// Prefills that one request may try.
 const PREFILLS: u32 = 3;
 /// Decode engines that may refuse a request before it is given up.
-const REFUSALS: u32 = 3;
+const REFUSALS: u32 = 4;
+/// Decode engines that may refuse one result before it is taken for lapsed.
+const IMPORTS: u32 = 2;
+/// The share of its lifetime in which a result is offered to another engine.
+const FRESH: f64 = 0.7;
 /// Bytes of a prefill's answer at most.
 const HANDLE_BYTES: usize = 64 * 1024;
 /// Time to free a prefill's result that is not used; after that it lapses by itself.
@@ -40,7 +45,7 @@
 /// After what time a caller whose request was refused by the engines may come back.
 const REFUSED_RETRY: Duration = Duration::from_millis(500);
 /// Pause before a refused request looks for another place, so that engines' states can change.
-const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+const REFUSED_PAUSE: Duration = Duration::from_millis(3);
 
 /// Runs a request at the two stages of engines.
 pub(super) async fn run(job: &Arc<Job>) -> Result<Response<OutBody>, Refusal> {
@@ -52,9 +57,13 @@
     let mut tried: Vec<Upstream> = Vec::new();
     let mut refusals = 0;
     loop {
-        let (decode, hold) = wait::for_decode(job, &model, demand, &tried).await?;
+        let (mut decode, mut hold) = wait::for_decode(job, &model, demand, &tried).await?;
         // The result is moved within a data centre if possible.
         let kept = reader.read(&decode.data_centre).await;
+        // Other gateways may have placed requests there while the prompt was read.
+        if let Some(other) = wait::elsewhere(job, &model, demand, (&decode, &tried)) {
+            (decode, hold) = other;
+        }
         let step = match &kept {
             Some(kept) => Step::Decode(kept.source.clone()),
             None => Step::Whole,
@@ -80,7 +89,10 @@
                 tried.push(decode.name.clone());
                 reader.kept = kept;
             }
-            Failure::Refused(..) => reader.doubt(kept),
+            Failure::Refused(..) => {
+                tried.push(decode.name.clone());
+                reader.refused(kept, &model);
+            }
             Failure::Lost(_) => {
                 tried.push(decode.name.clone());
                 if !job.kind().repeats() || job.route.attempts <= 1 {
@@ -88,8 +100,8 @@
                 }
             }
         }
-        refusals += 1;
         let free = !failure.arrived();
+        refusals += u32::from(!free);
         if refusals > REFUSALS || !(free || job.gate.try_repeat(&job.service)) {
             return Err(job.refusal(Reason::Refused, Reason::Broken, REFUSED_RETRY));
         }
@@ -102,6 +114,9 @@
     gate: Arc<Gate>,
     source: Source,
     engine: Upstream,
+    since: Time,
+    /// Decode engines that refused to import it.
+    refusals: u32,
     armed: bool,
 }
 
@@ -151,9 +166,17 @@
         }
     }
 
-    /// Notes that a result could not be imported: it may have lapsed.
-    fn doubt(&mut self, kept: Option<Kept>) {
-        if let Some(kept) = kept {
+    /// Notes that a decode engine refused to import a result. That engine may have no room, so
+    /// another one is tried with the result while it is fresh; or the result has lapsed.
+    fn refused(&mut self, kept: Option<Kept>, model: &Model) {
+        let Some(mut kept) = kept else { return };
+        kept.refusals += 1;
+        let fresh = self.job.gate.now().since(kept.since) < model.kept.mul_f64(FRESH);
+        if fresh && kept.refusals <= IMPORTS {
+            self.kept = Some(kept);
+            return;
+        }
+        if fresh {
             self.job.gate.note(&kept.engine, Outcome::Failed);
             self.tried.push(kept.engine.clone());
         }
@@ -214,7 +237,7 @@
         Some(called)
     }
 
-    async fn call(&self, choice: &crate::gateway::place::Choice) -> Result<Kept, Failure> {
+    async fn call(&self, choice: &Choice) -> Result<Kept, Failure> {
         let gate = &self.job.gate;
         let started = gate.now();
         let answer = send::send(self.job, choice, Step::Prefill, None).await?;
@@ -239,6 +262,8 @@
                 handle: prefilled.handle,
             },
             engine: choice.name.clone(),
+            since: gate.now(),
+            refusals: 0,
             armed: true,
         })
     }
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -13,7 +13,7 @@
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::board::{Load, service_key};
 use crate::gateway::gate::{Gate, Hold, State};
-use crate::gateway::place::{Choice, Choosing, Demand};
+use crate::gateway::place::{Choice, Choosing, Demand, limit};
 use crate::gateway::queue::{Pool, Ticket};
 
 use super::plain::LOAD;
@@ -22,9 +22,9 @@
 const RECHECK: Duration = Duration::from_millis(50);
 /// The time that a gateway leaves room to each gateway whose request goes first: that one hears of
 /// the room and tells that it took it within about two messages.
-const TURN: Duration = Duration::from_millis(6);
+const TURN: Duration = Duration::from_millis(5);
 /// Gateways that are left time at most.
-const TURNS: u32 = 8;
+const TURNS: u32 = 20;
 /// The targets for which a request waits for room at most: callers of streams give up after four
 /// targets without an event, and the rest is for the prompt.
 const WAIT_TARGETS: f64 = 3.3;
@@ -71,6 +71,40 @@
     wait_until(job, model, demand, tried, wait_limit(job)).await
 }
 
+/// Returns a place at another decode engine if the present one got more requests than fit.
+///
+/// Gateways that choose the same engine at the same moment hear of each other while the prompts are
+/// read, in time to avoid that the engine refuses them.
+pub(super) fn elsewhere(
+    job: &Job,
+    model: &Model,
+    demand: Demand,
+    (present, tried): (&Choice, &[Upstream]),
+) -> Option<(Choice, Hold)> {
+    let gate = &job.gate;
+    let choice = {
+        let mut state = gate.state();
+        if state.board.load(present.key).memory <= limit(model) {
+            return None;
+        }
+        let mut tried = tried.to_vec();
+        tried.push(present.name.clone());
+        choosing(gate, &mut state).decode(&job.service, model, demand, &tried)?
+    };
+    gate.telemetry.count("place.changed");
+    let hold = hold(gate, &choice, demand);
+    Some((choice, hold))
+}
+
+fn hold(gate: &Arc<Gate>, choice: &Choice, demand: Demand) -> Hold {
+    let load = Load {
+        requests: 1,
+        unread: 0,
+        memory: demand.memory,
+    };
+    gate.hold(choice.key, load)
+}
+
 /// Waits for memory at a decode engine for a stream that was broken, as long as its caller waits.
 pub(super) async fn for_resume(
     job: &Job,
@@ -198,12 +232,7 @@
         }
         drop(state);
         Ok(chosen.map(|choice| {
-            let load = Load {
-                requests: 1,
-                unread: 0,
-                memory: self.demand.memory,
-            };
-            let hold = gate.hold(choice.key, load);
+            let hold = hold(gate, &choice, self.demand);
             (choice, hold)
         }))
     }
--- a/crates/cumindoor/src/gateway/gate.rs
+++ b/crates/cumindoor/src/gateway/gate.rs
@@ -193,7 +193,7 @@
         let now = self.now();
         let bound = self.repeat_bound();
         let mut state = self.state();
-        let gateways = state.board.gateways();
+        let gateways = state.board.sharers(now);
         let repeats = state.repeats.entry(service.clone()).or_default();
         let paid = repeats.try_repeat(now, &bound, gateways);
         drop(state);
--- a/crates/cumindoor/src/gateway/health.rs
+++ b/crates/cumindoor/src/gateway/health.rs
@@ -8,6 +8,11 @@
 
 /// The share of the newest outcome in the failure rate.
 const NEWEST: f64 = 0.15;
+/// The same for a request that was lost: a sound upstream loses none.
+const NEWEST_LOST: f64 = 0.4;
+/// The time over which a failure is forgotten: an upstream that is avoided for its failures gets no
+/// request that could show that it has recovered.
+const FORGET: Duration = Duration::from_secs(4);
 /// The failures in a row after which an upstream is left out.
 const STREAK: u32 = 2;
 /// How long an upstream is left out at first; doubled with each further failure.
@@ -38,6 +43,8 @@
 pub struct Health {
     /// Moving average of failures, 0 to 1.
     rate: f64,
+    /// When the rate was last updated.
+    updated: Time,
     streak: u32,
     until: Time,
     full: Time,
@@ -58,7 +65,14 @@
             }
         };
         self.refusals = 0;
-        self.rate += (failure - self.rate) * NEWEST;
+        let newest = if outcome == Outcome::Lost {
+            NEWEST_LOST
+        } else {
+            NEWEST
+        };
+        let rate = self.failure_rate(now);
+        self.rate = rate + (failure - rate) * newest;
+        self.updated = now;
         if outcome != Outcome::Lost {
             self.streak = 0;
             self.until = Time::ZERO;
@@ -96,7 +110,8 @@
 
     /// Returns the share of recent requests that failed, 0 to 1.
     #[must_use]
-    pub fn failure_rate(&self) -> f64 {
-        self.rate
+    pub fn failure_rate(&self, now: Time) -> f64 {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.rate * (-passed / FORGET.as_secs_f64()).exp()
     }
 }
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -102,7 +102,7 @@
             prefill: count(engines(Stage::Prefill).count()),
             decode: count(engines(Stage::Decode).count()),
         };
-        let Some(stage) = balance.observe(now, usage, split) else {
+        let Some((stage, moved)) = balance.observe(now, usage, split) else {
             continue;
         };
         let from = match stage {
@@ -110,10 +110,10 @@
             Stage::Decode => Stage::Prefill,
         };
         let sound = engines(from).filter(|known| !known.health.ejected(now));
-        let idle = sound.min_by_key(|known| (load(known).memory, load(known).unread));
-        if let Some(known) = idle {
-            wanted.push((service.clone(), known.clone(), stage));
-        }
+        let mut idle: Vec<&Known> = sound.collect();
+        idle.sort_by_key(|known| (load(known).memory, load(known).unread));
+        let chosen = idle.into_iter().take(moved as usize);
+        wanted.extend(chosen.map(|known| (service.clone(), known.clone(), stage)));
     }
     wanted
 }
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -22,7 +22,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// The shortest time between two digests for each gateway that they go to: the cost of a change
 /// grows with the fleet, so in large fleets more changes share a digest.
-const SPACING: Duration = Duration::from_millis(2);
+const SPACING: Duration = Duration::from_micros(300);
 /// The time after which an address that does not answer is tried rarely.
 const SILENCE: Duration = Duration::from_secs(5);
 /// How often such an address is tried, in heartbeats.
@@ -78,13 +78,16 @@
                 () = self.gate.news.notified() => pending = true,
                 () = sleep_until(due) => {
                     roster.take_seeds(&self.gate);
-                    let targets = roster.targets(self.gate.now(), due >= beat);
-                    self.send(&mut roster, &targets).await;
+                    let heartbeat = due >= beat;
+                    let targets = roster.targets(self.gate.now(), heartbeat);
+                    self.send(&mut roster, &targets, heartbeat).await;
                     self.expire();
                     pending = false;
                     let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
                     earliest = Instant::now() + SPACING * count;
-                    beat = Instant::now() + HEARTBEAT;
+                    if heartbeat {
+                        beat = Instant::now() + HEARTBEAT;
+                    }
                 }
             }
         }
@@ -119,17 +122,21 @@
         }
     }
 
-    async fn send(&self, roster: &mut Roster, targets: &[SocketAddr]) {
+    async fn send(&self, roster: &mut Roster, targets: &[SocketAddr], heartbeat: bool) {
         roster.number += 1;
         let mut digest = {
             let state = self.gate.state();
             let mut digest = state.board.digest();
-            digest.switching = state.directory.switches(self.gate.now());
+            let now = self.gate.now();
+            digest.switching = state.directory.switches(now);
+            digest.failing = state.directory.failing(now);
             digest
         };
         digest.start = roster.start;
         digest.number = roster.number;
-        digest.peers = roster.named();
+        if heartbeat {
+            digest.peers = roster.named();
+        }
         digest.leaving = self.gate.stopping.is_cancelled();
         let bytes = match rmp_serde::to_vec(&digest) {
             Ok(bytes) => bytes,
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -21,6 +21,10 @@
 /// Spread of the choice among upstreams of nearly the same load, so that gateways that decide at
 /// the same moment choose different ones.
 const JITTER: f64 = 0.05;
+/// Gateways for each upstream among which one is picked at random.
+const GATEWAYS_PER_CHOICE: usize = 8;
+/// How much higher the score of one that is picked may be.
+const SPREAD: f64 = 0.5;
 /// Requests for each slot of a plain upstream, those that wait there included.
 const PLAIN_DEPTH: u32 = 2;
 
@@ -38,20 +42,26 @@
     #[must_use]
     pub fn new(prompt: &border::Prompt, model: &Model) -> Self {
         // The output limit is stated in events, each of up to `stride` tokens.
-        let limit = f64::from(prompt.output);
+        let most = f64::from(prompt.output);
         let output = match prompt.estimate {
-            Some(estimate) => f64::from(estimate).min(limit),
-            None => limit * OUTPUT_SHARE,
+            Some(estimate) => f64::from(estimate).min(most),
+            None => most * OUTPUT_SHARE,
         };
         let output = to_tokens(output);
         let memory = prompt.tokens.saturating_add(output);
         Self {
             prompt: prompt.tokens,
-            memory: memory.min(to_tokens(f64::from(model.memory) * FILL)),
+            memory: memory.min(limit(model)),
         }
     }
 }
 
+/// Returns the tokens of memory that placements may fill on one engine.
+#[must_use]
+pub fn limit(model: &Model) -> u32 {
+    to_tokens(f64::from(model.memory) * FILL)
+}
+
 /// Rounds a number of tokens.
 #[expect(
     clippy::cast_possible_truncation,
@@ -124,7 +134,7 @@
         demand: Demand,
         tried: &[Upstream],
     ) -> Option<Choice> {
-        let limit = to_tokens(f64::from(model.memory) * FILL);
+        let limit = limit(model);
         let room = |known: &Known, load: Load| {
             load.memory + demand.memory <= limit && load.requests < known.entry.slots
         };
@@ -153,7 +163,8 @@
             let next = able.iter().min_by_key(|known| known.health.until());
             return next.map(|known| Choice::from(*known));
         }
-        let mut best: Option<(f64, &Known)> = None;
+        let elsewhere = self.board.failing();
+        let mut fitting: Vec<(f64, &Known)> = Vec::new();
         for known in sound {
             let load = self.board.load(known.key);
             let full = known.health.is_full(self.now);
@@ -161,16 +172,23 @@
                 continue;
             }
             let far = known.entry.data_centre != *self.near;
+            let failures = elsewhere.get(&known.key).copied().unwrap_or_default();
+            let failures = failures.max(known.health.failure_rate(self.now));
             let cold = if known.entry.cold.is_zero() { 0.0 } else { 1.0 };
             let score = weight(known, load)
-                + known.health.failure_rate() * FAILURE_WEIGHT
+                + failures * FAILURE_WEIGHT
                 + if far { DISTANCE_WEIGHT } else { 0.0 }
                 + cold
                 + self.rng.random_range(0.0..JITTER);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, known));
-            }
+            fitting.push((score, known));
         }
-        best.map(|(_, known)| Choice::from(known))
+        fitting.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // What gateways place at the same moment is not on the board yet. The more of them there
+        // are, the more they spread.
+        let lowest = fitting.first().map_or(0.0, |(score, _)| *score);
+        fitting.retain(|(score, _)| *score < lowest + SPREAD);
+        let spread = (self.board.gateways() / GATEWAYS_PER_CHOICE).clamp(1, fitting.len().max(1));
+        let picked = self.rng.random_range(0..spread);
+        fitting.get(picked).map(|(_, known)| Choice::from(*known))
     }
 }
