Wait longer for changes of the store, and trust other gateways' news of them

Change: watches wait 12 s; gateways tell up to which revision they heard of changes, and a gateway that is behind another one for 0.6 s reads again; changes of upstreams share calls within 0.4 s.

--- a/crates/border/src/published.rs
+++ b/crates/border/src/published.rs
@@ -81,6 +81,8 @@
     pub next: Option<Arc<str>>,
     /// The store's revision.
     pub revision: u64,
+    /// The highest revision at which something in it was changed; 0 if it holds nothing.
+    pub changed: u64,
 }
 
 /// How the store is asked and what its answers mean.
--- a/crates/cumindoor/src/gateway/board.rs
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -79,6 +79,15 @@
     hash64(service.as_str().as_bytes())
 }
 
+/// The store's revisions at the last changes that a gateway heard of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Of the routing.
+    pub routing: u64,
+    /// Of the upstreams.
+    pub upstreams: u64,
+}
+
 /// What one gateway tells the others; a later one replaces an earlier one as a whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -94,6 +103,8 @@
     pub peers: Vec<SocketAddr>,
     /// The highest fencing number that the gateway knows.
     pub fence: u64,
+    /// The store's revisions at the last changes that the gateway heard of, by topic.
+    pub seen: Seen,
     /// Upstreams whose requests failed lately, with the share in hundredths.
     pub failing: Vec<(Key, u8)>,
     /// Engines that change their stage by its order, with the milliseconds that are left.
@@ -177,6 +188,16 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns the highest revisions of changes that other gateways heard of.
+    #[must_use]
+    pub fn seen_elsewhere(&self) -> Seen {
+        let all = self.peers.values().map(|peer| peer.digest.seen);
+        all.fold(Seen::default(), |highest, seen| Seen {
+            routing: highest.routing.max(seen.routing),
+            upstreams: highest.upstreams.max(seen.upstreams),
+        })
+    }
+
     /// Returns the upstreams whose requests failed lately at other gateways, with the highest share
     /// that any of them saw.
     #[must_use]
--- a/crates/cumindoor/src/gateway/feed.rs
+++ b/crates/cumindoor/src/gateway/feed.rs
@@ -18,9 +18,15 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause between calls while the store is away.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// The shortest time between two watches of one topic, so that changes in quick succession cost
-/// one call together.
-const SPACING: Duration = Duration::from_millis(150);
+/// The shortest time between two watches, so that changes in quick succession cost one call
+/// together. Versions of the routing are in force within a second or two, and must not pile up.
+const ROUTING_SPACING: Duration = Duration::from_millis(150);
+/// The same for upstreams, of which many may change one after the other.
+const UPSTREAM_SPACING: Duration = Duration::from_millis(400);
+/// How often a waiting watch is compared with what other gateways heard.
+const BEHIND_PERIOD: Duration = Duration::from_millis(300);
+/// How long another gateway may be ahead: a slow store answers within that time.
+const BEHIND_TIME: Duration = Duration::from_millis(600);
 /// Failed calls in a row after which the store counts as away.
 const AWAY: u32 = 1;
 
@@ -56,17 +62,19 @@
     /// Reads the whole topic; returns the revision to watch from.
     async fn read(&mut self) -> u64 {
         loop {
-            if let Some((changes, revision)) = self.read_pages().await {
+            if let Some((changes, revision, changed)) = self.read_pages().await {
                 self.answered();
                 self.take_all(changes);
+                self.note_seen(changed);
                 return revision;
             }
             self.pause().await;
         }
     }
 
-    async fn read_pages(&mut self) -> Option<(Vec<Change>, u64)> {
+    async fn read_pages(&mut self) -> Option<(Vec<Change>, u64, u64)> {
         let mut changes = Vec::new();
+        let mut changed = 0;
         let mut first = None;
         let mut after: Option<Arc<str>> = None;
         loop {
@@ -75,9 +83,10 @@
             // Pages are no snapshot: what changes meanwhile is watched from the first one on.
             let revision = *first.get_or_insert(page.revision);
             changes.extend(page.changes);
+            changed = page.changed.max(changed);
             match page.next {
                 Some(next) => after = Some(next),
-                None => return Some((changes, revision)),
+                None => return Some((changes, revision, changed)),
             }
         }
     }
@@ -87,17 +96,28 @@
         let wait = self.gate.settings().store.watch.0;
         let path = self.gate.catalogue.watch(self.topic, revision, wait);
         let started = tokio::time::Instant::now();
-        match self.call(&path, wait).await {
+        let (gate, topic) = (Arc::clone(&self.gate), self.topic);
+        let called = tokio::select! {
+            called = self.call(&path, wait) => called,
+            () = behind(&gate, topic, revision) => {
+                log::warn!(topic = topic.name(), revision; "watch is silent");
+                return None;
+            }
+        };
+        match called {
             Ok(page) => {
                 self.answered();
                 let next = page.revision.max(revision);
                 let changed = !page.changes.is_empty();
+                if changed {
+                    self.note_seen(page.changed);
+                }
                 for change in page.changes {
                     self.take(change);
                 }
                 if changed {
                     self.gate.room.notify_waiters();
-                    tokio::time::sleep_until(started + SPACING).await;
+                    tokio::time::sleep_until(started + spacing(self.topic)).await;
                 }
                 Some(next)
             }
@@ -165,6 +185,18 @@
         log::info!(topic = self.topic.name(); "store regained");
     }
 
+    /// Tells other gateways up to which revision changes were heard of.
+    fn note_seen(&self, revision: u64) {
+        let mut state = self.gate.state();
+        let seen = match self.topic {
+            Topic::Routing => &mut state.seen.routing,
+            Topic::Upstreams => &mut state.seen.upstreams,
+        };
+        *seen = revision.max(*seen);
+        drop(state);
+        self.gate.news.notify_one();
+    }
+
     async fn pause(&self) {
         let doubled = 1 << self.failures.saturating_sub(1).min(8);
         tokio::time::sleep((FIRST_PAUSE * doubled).min(LONGEST_PAUSE)).await;
@@ -222,6 +254,33 @@
     }
 }
 
+fn spacing(topic: Topic) -> Duration {
+    match topic {
+        Topic::Routing => ROUTING_SPACING,
+        Topic::Upstreams => UPSTREAM_SPACING,
+    }
+}
+
+/// Ends when another gateway has heard of a change after `revision` for so long that the watch that
+/// waits here must have lost it: a connection may fall silent, and a store that hung may not answer
+/// the calls of before.
+async fn behind(gate: &Gate, topic: Topic, revision: u64) {
+    let mut since = None;
+    loop {
+        tokio::time::sleep(BEHIND_PERIOD).await;
+        let seen = gate.state().board.seen_elsewhere();
+        let seen = match topic {
+            Topic::Routing => seen.routing,
+            Topic::Upstreams => seen.upstreams,
+        };
+        if seen <= revision {
+            since = None;
+        } else if gate.now().since(*since.get_or_insert(gate.now())) >= BEHIND_TIME {
+            return;
+        }
+    }
+}
+
 fn report(name: &Upstream, news: &News) {
     let (upstream, news) = (name.as_str(), news.to_string());
     log::info!(upstream, news = news.as_str(); "upstream");
--- a/crates/cumindoor/src/gateway/gate.rs
+++ b/crates/cumindoor/src/gateway/gate.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::board::{Board, Key, Load};
+use super::board::{Board, Key, Load, Seen};
 use super::budget::{RepeatBound, Repeats};
 use super::directory::Directory;
 use super::health::Outcome;
@@ -43,6 +43,8 @@
     pub residence: BTreeMap<Service, Duration>,
     /// When the store answered last.
     pub contact: Time,
+    /// The store's revisions at the last changes that were heard of.
+    pub seen: Seen,
     /// Breaks ties.
     pub rng: ChaCha8Rng,
 }
@@ -94,6 +96,7 @@
             repeats: BTreeMap::new(),
             residence: BTreeMap::new(),
             contact: Time::ZERO,
+            seen: Seen::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         Arc::new(Self {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -130,6 +130,7 @@
             let now = self.gate.now();
             digest.switching = state.directory.switches(now);
             digest.failing = state.directory.failing(now);
+            digest.seen = state.seen;
             digest
         };
         digest.start = roster.start;
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -51,7 +51,7 @@
         /// Address of the store.
         address: Target = "address" Required,
         /// How long one watch waits for a change.
-        watch: Span = "watch" Value("4 s") ["100 ms" to "30 s"],
+        watch: Span = "watch" Value("12 s") ["100 ms" to "30 s"],
         /// Time for an answer, beyond the waiting time of a watch.
         answer: Span = "answer" Value("1 s") ["50 ms" to "30 s"],
         /// Time after which entries that were lost during an outage are taken for gone.
