--- a/crates/cumindoor/src/gateway/balance.rs
+++ b/crates/cumindoor/src/gateway/balance.rs
@@ -21,6 +21,9 @@
 /// The use after a change in relation to the use before, above which it is not worth its cost.
 const GAIN: f64 = 0.87;
 
+/// How much more the use of prefill engines counts: prompts that queue delay the first token, while
+/// requests that queue for memory still share what becomes free.
+const PREFILL_WEIGHT: f64 = 1.25;
 /// The part of all engines that may change their stage at once.
 const MOVED_PART: u32 = 8;
 
@@ -45,7 +48,7 @@
 impl Split {
     /// Returns the use of the stage that is used most.
     fn pressure(self, usage: Usage) -> f64 {
-        let prefill = usage.prefill / f64::from(self.prefill);
+        let prefill = PREFILL_WEIGHT * usage.prefill / f64::from(self.prefill);
         let decode = usage.decode / f64::from(self.decode);
         prefill.max(decode)
     }
--- /dev/null
+++ b/crates/cumindoor/tests/gateway.rs
@@ -0,0 +1,607 @@
+//! What a gateway decides, without a network and in virtual time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use border::{Change, Model, Prompt, Stage, UpstreamEntry};
+use coord::name::{DataCentre, Service, Upstream};
+use coord::time::Time;
+use cumindoor::gateway::balance::{Balance, Split, Usage};
+use cumindoor::gateway::board::{Board, Digest, Key, Load, Waiting, service_key, upstream_key};
+use cumindoor::gateway::budget::{RepeatBound, Repeats};
+use cumindoor::gateway::directory::{Directory, News};
+use cumindoor::gateway::events::Events;
+use cumindoor::gateway::health::{Health, Outcome};
+use cumindoor::gateway::place::{Choosing, Demand, limit};
+use cumindoor::gateway::queue::{Pool, Queue, Ticket};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+fn ms(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn model() -> Model {
+    Model {
+        slots: 64,
+        memory: 60_000,
+        stride: 11,
+        kept: Duration::from_millis(500),
+    }
+}
+
+fn entry(stage: Option<Stage>, zone: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: zone.into(),
+        slots: 64,
+        leaving: false,
+        cold: Duration::ZERO,
+        stage,
+        start: None,
+    }
+}
+
+fn directory(names: &[&str], stage: Option<Stage>) -> Directory {
+    let mut directory = Directory::default();
+    for name in names {
+        let change = Change::Upstream((*name).into(), Ok(entry(stage, "z")));
+        directory.apply(Time::ZERO, change);
+    }
+    directory
+}
+
+fn peer(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7000).into()
+}
+
+fn memory(tokens: u32) -> Load {
+    Load {
+        requests: 1,
+        unread: 0,
+        memory: tokens,
+    }
+}
+
+fn digest(number: u64, loads: &[(Key, Load)]) -> Digest {
+    Digest {
+        start: 1,
+        number,
+        loads: loads.to_vec(),
+        ..Digest::default()
+    }
+}
+
+struct World {
+    directory: Directory,
+    board: Board,
+    rng: ChaCha8Rng,
+}
+
+impl World {
+    fn new(names: &[&str], stage: Option<Stage>) -> Self {
+        Self {
+            directory: directory(names, stage),
+            board: Board::default(),
+            rng: ChaCha8Rng::seed_from_u64(1),
+        }
+    }
+
+    fn choosing<'a>(&'a mut self, near: &'a DataCentre, now: Time) -> Choosing<'a, ChaCha8Rng> {
+        Choosing {
+            directory: &self.directory,
+            board: &self.board,
+            near,
+            now,
+            rng: &mut self.rng,
+        }
+    }
+
+    fn decode(&mut self, tokens: u32, now: Time) -> Option<Upstream> {
+        let demand = Demand {
+            prompt: tokens,
+            memory: tokens,
+        };
+        let near = DataCentre::from("z");
+        let chosen = self
+            .choosing(&near, now)
+            .decode(&"s".into(), &model(), demand, &[]);
+        chosen.map(|choice| choice.name)
+    }
+}
+
+/// Guards against placements that overfill an engine's memory, which preempts streams.
+#[test]
+fn placements_never_overfill_an_engine() {
+    let mut world = World::new(&["a", "b"], Some(Stage::Decode));
+    let mut placed = 0;
+    while let Some(name) = world.decode(6_000, ms(1)) {
+        world.board.place(upstream_key(&name), memory(6_000));
+        placed += 1;
+        assert!(placed < 100);
+    }
+
+    for name in ["a", "b"] {
+        let load = world.board.load(upstream_key(&name.into()));
+        assert!(load.memory <= limit(&model()));
+    }
+    assert_eq!(placed, 18);
+}
+
+/// Guards against room that a gateway sees although another one has taken it.
+#[test]
+fn placements_of_other_gateways_count() {
+    let mut world = World::new(&["a"], Some(Stage::Decode));
+    let load = (upstream_key(&"a".into()), memory(55_000));
+    world.board.hear(ms(1), peer(2), digest(1, &[load]));
+
+    let chosen = world.decode(6_000, ms(2));
+
+    assert_eq!(chosen, None);
+}
+
+/// Guards against work that stays on the board after its gateway fell silent or stopped.
+#[test]
+fn work_of_silent_gateways_is_dropped() {
+    let key = upstream_key(&"a".into());
+    let mut board = Board::default();
+    board.hear(ms(1), peer(2), digest(1, &[(key, memory(10))]));
+    board.hear(ms(1), peer(3), digest(1, &[(key, memory(20))]));
+    let stopped = Digest {
+        leaving: true,
+        ..digest(2, &[])
+    };
+
+    board.hear(ms(2_000), peer(3), stopped);
+    let gone = board.expire(ms(3_500));
+
+    assert_eq!(gone, [peer(2)]);
+    assert_eq!(board.load(key), Load::default());
+    assert_eq!(board.gateways(), 1);
+}
+
+/// Guards against a late datagram that replaces a newer one, and a restarted gateway that is not
+/// heard because its numbers begin again.
+#[test]
+fn only_newer_digests_count() {
+    let key = upstream_key(&"a".into());
+    let mut board = Board::default();
+    board.hear(ms(1), peer(2), digest(5, &[(key, memory(10))]));
+
+    let late = board.hear(ms(2), peer(2), digest(4, &[(key, memory(99))]));
+    let restarted = Digest {
+        start: 2,
+        ..digest(1, &[(key, memory(7))])
+    };
+    let heard = board.hear(ms(3), peer(2), restarted);
+
+    assert!(!late);
+    assert!(heard);
+    assert_eq!(board.load(key).memory, 7);
+}
+
+/// Guards against gateways that all take the same room: the one whose request waits longest goes
+/// first, and requests that can be on time go before those that are late.
+#[rstest]
+#[case::older(false, 300, 1)]
+#[case::younger(false, 100, 0)]
+#[case::late(true, 900, 0)]
+fn the_longest_wait_goes_first(#[case] late: bool, #[case] waited: u32, #[case] ahead: u32) {
+    let service = service_key(&Service::from("s"));
+    let mut board = Board::default();
+    let waiting = Waiting {
+        requests: 1,
+        memory: 1,
+        late,
+        waited_ms: waited,
+    };
+    let digest = Digest {
+        waiting: vec![(service, waiting)],
+        ..digest(1, &[])
+    };
+    board.hear(ms(1_000), peer(2), digest);
+
+    let counted = board.gateways_ahead(ms(1_000), service, false, Duration::from_millis(200));
+
+    assert_eq!(counted, ahead);
+}
+
+fn ticket(arrived: u64, memory: u32) -> Ticket {
+    Ticket {
+        arrived: ms(arrived),
+        due: ms(arrived + 900),
+        urgency: 1,
+        demand: Demand {
+            prompt: memory,
+            memory,
+        },
+    }
+}
+
+/// Guards against an overload in which everybody is late: requests that can still be on time go
+/// first, oldest first.
+#[test]
+fn late_requests_do_not_hold_up_those_on_time() {
+    let mut queue = Queue::default();
+    let late = queue.enter(ticket(0, 1));
+    let first = queue.enter(ticket(600, 1));
+    let second = queue.enter(ticket(700, 1));
+
+    assert_eq!(queue.head(ms(800)), Some(late));
+    assert_eq!(queue.head(ms(1_000)), Some(first));
+    queue.leave(first);
+    assert_eq!(queue.head(ms(1_000)), Some(second));
+}
+
+/// Guards against a less urgent request that goes before a more urgent one.
+#[test]
+fn urgent_requests_go_first() {
+    let mut queue = Queue::default();
+    queue.enter(ticket(0, 1));
+    let urgent = queue.enter(Ticket {
+        urgency: 0,
+        ..ticket(5, 1)
+    });
+
+    assert_eq!(queue.head(ms(10)), Some(urgent));
+}
+
+/// Guards against a large prompt that keeps small ones from memory, and small ones that keep a
+/// large one waiting for ever.
+#[test]
+fn small_requests_pass_a_large_one_for_a_while() {
+    let mut queue = Queue::default();
+    queue.enter(ticket(0, 11_000));
+    let small = queue.enter(ticket(10, 1_000));
+
+    assert!(queue.may_go(ms(100), small));
+    assert!(!queue.may_go(ms(500), small));
+}
+
+/// Guards against a wait that is promised too short or too long.
+#[test]
+fn a_wait_follows_the_rate_at_which_memory_comes_back() {
+    let pool = Pool {
+        free: 1_000,
+        used: 100_000,
+        ahead: 5_000,
+    };
+    let demand = Demand {
+        prompt: 6_000,
+        memory: 6_000,
+    };
+
+    let wait = pool.wait(demand, Duration::from_secs(3));
+
+    assert_eq!(wait, Duration::from_millis(300));
+    assert_eq!(
+        Pool {
+            free: 20_000,
+            ..pool
+        }
+        .wait(demand, Duration::from_secs(3)),
+        Duration::ZERO
+    );
+}
+
+/// Guards against a demand that no engine can meet, and an estimate above the limit.
+#[test]
+fn a_demand_fits_one_engine() {
+    let prompt = Prompt {
+        tokens: 90_000,
+        output: 1_870,
+        estimate: Some(9_000),
+    };
+
+    let demand = Demand::new(&prompt, &model());
+
+    assert_eq!(demand.memory, limit(&model()));
+    let small = Demand::new(
+        &Prompt {
+            tokens: 1_000,
+            ..prompt
+        },
+        &model(),
+    );
+    assert_eq!(small.memory, 2_870);
+}
+
+/// Guards against upstreams that are gone, leave, belong to another stage or have failed.
+#[test]
+fn only_sound_upstreams_are_chosen() {
+    let mut world = World::new(&["a", "b", "c"], Some(Stage::Decode));
+    let leaving = UpstreamEntry {
+        leaving: true,
+        ..entry(Some(Stage::Decode), "z")
+    };
+    world
+        .directory
+        .apply(ms(1), Change::Upstream("a".into(), Ok(leaving)));
+    let other = entry(Some(Stage::Prefill), "z");
+    world
+        .directory
+        .apply(ms(1), Change::Upstream("b".into(), Ok(other)));
+    world.directory.apply(
+        ms(1),
+        Change::Upstream("d".into(), Ok(entry(Some(Stage::Decode), "z"))),
+    );
+    for _ in 0..2 {
+        let failed = world.directory.get_mut(&"d".into()).unwrap();
+        failed.health.note(ms(2), Outcome::Lost);
+    }
+
+    assert_eq!(world.decode(1_000, ms(3)), Some("c".into()));
+    world.directory.apply(ms(4), Change::Gone("c".into()));
+    // The last one that is left is tried again although it failed.
+    assert_eq!(world.decode(1_000, ms(5)), Some("d".into()));
+}
+
+/// Guards against a failed engine that each gateway has to find by itself.
+#[test]
+fn failures_that_others_saw_count() {
+    let mut world = World::new(&["a", "b"], Some(Stage::Decode));
+    let failing = Digest {
+        failing: vec![(upstream_key(&"a".into()), 100)],
+        ..digest(1, &[])
+    };
+    world.board.hear(ms(1), peer(2), failing);
+
+    for number in 0..20 {
+        assert_eq!(world.decode(1_000, ms(2 + number)), Some("b".into()));
+    }
+}
+
+/// Guards against an engine that gets work while it changes its stage.
+#[test]
+fn an_engine_that_changes_its_stage_gets_no_work() {
+    let mut world = World::new(&["a"], Some(Stage::Decode));
+    world.directory.switching(&"a".into(), ms(100));
+
+    assert_eq!(
+        world.directory.switches(ms(40)),
+        [(upstream_key(&"a".into()), 60)]
+    );
+    assert!(
+        world
+            .directory
+            .get(&"a".into())
+            .unwrap()
+            .is_switching(ms(40))
+    );
+    assert_eq!(world.decode(1_000, ms(101)), Some("a".into()));
+}
+
+/// Guards against entries that are taken for gone although the store was away, and against ones
+/// that stay after they should have come back.
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut directory = directory(&["a", "b"], None);
+    directory.regained(ms(1_000), Duration::from_secs(2));
+
+    let news = directory.replace(ms(1_000), Vec::new());
+    let back = Change::Upstream("b".into(), Ok(entry(None, "z")));
+    directory.apply(ms(2_000), back);
+    let early = directory.expire(ms(2_900));
+    let gone = directory.expire(ms(3_000));
+
+    assert_eq!(news.len(), 2);
+    assert_eq!(news[0].1, News::Missing);
+    assert_eq!(early, []);
+    assert_eq!(gone, [Upstream::from("a")]);
+    assert!(directory.get(&"b".into()).is_some());
+}
+
+/// Guards against a deletion that waits although the store was there all the time.
+#[test]
+fn entries_that_are_deleted_are_gone_at_once() {
+    let mut directory = directory(&["a"], None);
+
+    let news = directory.apply(ms(1), Change::Gone("a".into()));
+
+    assert_eq!(news, Some(("a".into(), News::Gone)));
+    assert!(directory.get(&"a".into()).is_none());
+}
+
+/// Guards against what is remembered of an engine that started again under its name.
+#[test]
+fn a_restarted_engine_starts_with_a_clean_record() {
+    let mut directory = directory(&["a"], None);
+    for _ in 0..3 {
+        directory
+            .get_mut(&"a".into())
+            .unwrap()
+            .health
+            .note(ms(1), Outcome::Lost);
+    }
+    let again = UpstreamEntry {
+        start: Some(5),
+        ..entry(None, "z")
+    };
+
+    let news = directory.apply(ms(2), Change::Upstream("a".into(), Ok(again)));
+
+    assert_eq!(news, Some(("a".into(), News::Restarted)));
+    assert!(!directory.get(&"a".into()).unwrap().health.ejected(ms(2)));
+}
+
+/// Guards against an upstream that is left out for ever, and one that is not left out at all.
+#[test]
+fn a_failed_upstream_is_left_out_for_a_while() {
+    let mut health = Health::default();
+    health.note(ms(0), Outcome::Lost);
+    assert!(!health.ejected(ms(1)));
+
+    health.note(ms(1), Outcome::Lost);
+    assert!(health.ejected(ms(2)));
+    assert!(!health.ejected(ms(600)));
+
+    health.note(ms(600), Outcome::Answered);
+    assert!(health.failure_rate(ms(60_000)) < 0.01);
+}
+
+/// Guards against an engine that changes its stage and is asked again every few milliseconds.
+#[test]
+fn refusals_in_a_row_lengthen_the_pause() {
+    let mut health = Health::default();
+    health.note(ms(1_000), Outcome::Full);
+    assert!(health.is_full(ms(1_050)));
+    assert!(!health.is_full(ms(1_150)));
+
+    for _ in 0..9 {
+        health.note(ms(2_000), Outcome::Full);
+    }
+    assert!(health.is_full(ms(3_500)));
+    assert!(!health.is_full(ms(3_700)));
+    health.note(ms(4_000), Outcome::Answered);
+    assert!(!health.is_full(ms(4_000)));
+}
+
+/// Guards against a fleet that exceeds the bound on repeats in some window, with requests that
+/// arrive unevenly.
+#[test]
+fn a_fleet_keeps_the_bound_on_repeats() {
+    let bound = RepeatBound {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    let gateways = 8;
+    let mut fleet: Vec<Repeats> = vec![Repeats::default(); gateways];
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for step in 0..600_u64 {
+        let now = ms(step * 50);
+        for (number, one) in fleet.iter_mut().enumerate() {
+            if step % (number as u64 + 1) == 0 {
+                one.request(now, &bound);
+                requests.push(step);
+            }
+            while one.try_repeat(now, &bound, gateways) {
+                repeats.push(step);
+            }
+        }
+    }
+
+    for start in 0..400 {
+        let within = |steps: &[u64]| {
+            steps
+                .iter()
+                .filter(|s| (start..start + 200).contains(*s))
+                .count()
+        };
+        let allowed = 0.2 * within(&requests) as f64 + 56.0;
+        assert!(within(&repeats) as f64 <= allowed, "from {start}");
+    }
+    assert!(!repeats.is_empty());
+}
+
+/// Guards against a gateway that has just started and uses the whole fleet's allowance.
+#[test]
+fn a_starting_gateway_assumes_others() {
+    let board = Board::default();
+
+    assert!(board.sharers(ms(100)) > 8);
+    assert_eq!(board.sharers(ms(6_000)), 1);
+}
+
+/// Guards against events that are cut, doubled or lost at any split of the bytes.
+#[test]
+fn events_are_whole_at_any_split() {
+    let text: String = (1..=4)
+        .map(|n| format!("id: {n}\ndata: t{n}\n\n"))
+        .collect();
+    for first in 0..text.len() {
+        let mut events = Events::after(None);
+        let mut seen = events.push(&text.as_bytes()[..first]).unwrap().to_vec();
+        // The first engine breaks off here; the next one sends again from the last event on.
+        events.restart();
+        let last = events.last().unwrap_or(0);
+        let rest: String = (last.max(1)..=4)
+            .map(|n| format!("id: {n}\ndata: t{n}\n\n"))
+            .collect();
+        seen.extend(events.push(rest.as_bytes()).unwrap());
+
+        assert_eq!(seen, text.as_bytes(), "split at {first}");
+        assert!(events.is_whole());
+    }
+}
+
+/// Guards against an event without an end that fills the memory.
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut events = Events::after(None);
+    let piece = vec![b'x'; 600 * 1024];
+
+    assert!(events.push(&piece).is_some());
+    assert!(events.push(&piece).is_none());
+}
+
+fn watch(balance: &mut Balance, usage: Usage, split: Split, seconds: u64) -> Option<(Stage, u32)> {
+    (1..=seconds * 5).find_map(|step| balance.observe(ms(step * 200), usage, split))
+}
+
+/// Guards against decode memory that is full while prefill engines idle: celeste-recife quiet-1
+/// used 1.3 of 4 prefill and 4.6 of 5 decode engines in bursts.
+#[test]
+fn idle_prefill_engines_move_to_decode() {
+    let mut balance = Balance::new(Time::ZERO);
+    let usage = Usage {
+        prefill: 1.3,
+        decode: 4.6,
+    };
+    let split = Split {
+        prefill: 4,
+        decode: 5,
+    };
+
+    let moved = watch(&mut balance, usage, split, 10);
+
+    assert_eq!(moved, Some((Stage::Decode, 1)));
+    let after = Split {
+        prefill: 3,
+        decode: 6,
+    };
+    assert_eq!(watch(&mut balance, usage, after, 60), None);
+}
+
+/// Guards against moves that gain nothing: at a low load, and with one engine of a stage left.
+#[rstest]
+#[case::idle(0.4, 1.0, 4, 5)]
+#[case::last(0.2, 4.6, 1, 8)]
+#[case::even(3.0, 4.0, 4, 5)]
+fn engines_stay_where_a_move_gains_little(
+    #[case] prefill: f64,
+    #[case] decode: f64,
+    #[case] readers: u32,
+    #[case] writers: u32,
+) {
+    let mut balance = Balance::new(Time::ZERO);
+    let split = Split {
+        prefill: readers,
+        decode: writers,
+    };
+
+    assert_eq!(
+        watch(&mut balance, Usage { prefill, decode }, split, 30),
+        None
+    );
+}
+
+/// Guards against a large pool that moves one engine at a time and never gains enough.
+#[test]
+fn a_large_pool_moves_several_engines() {
+    let mut balance = Balance::new(Time::ZERO);
+    let usage = Usage {
+        prefill: 7.0,
+        decode: 36.0,
+    };
+    let split = Split {
+        prefill: 21,
+        decode: 39,
+    };
+
+    let moved = watch(&mut balance, usage, split, 10);
+
+    assert!(matches!(moved, Some((Stage::Decode, 5..=7))), "{moved:?}");
+}
