Offer a prompt that was read the reserve of an engine's memory

Cause: a request whose engine refused it waited for room while its prefill's result lapsed. Change: such a request may use the reserve for growing outputs of another engine.

--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -57,7 +57,12 @@
     let mut tried: Vec<Upstream> = Vec::new();
     let mut refusals = 0;
     loop {
-        let (mut decode, mut hold) = wait::for_decode(job, &model, demand, &tried).await?;
+        let placed = if reader.kept.is_some() {
+            wait::for_read(job, &model, demand, &tried).await
+        } else {
+            wait::for_decode(job, &model, demand, &tried).await
+        };
+        let (mut decode, mut hold) = placed?;
         // The result is moved within a data centre if possible.
         let kept = reader.read(&decode.data_centre).await;
         // Other gateways may have placed requests there while the prompt was read.
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -71,6 +71,27 @@
     wait_until(job, model, demand, tried, wait_limit(job)).await
 }
 
+/// Returns a place for a request whose prompt has been read, or waits for one.
+pub(super) async fn for_read(
+    job: &Job,
+    model: &Model,
+    demand: Demand,
+    tried: &[Upstream],
+) -> Result<(Choice, Hold), Refusal> {
+    let gate = &job.gate;
+    let choice = {
+        let mut state = gate.state();
+        choosing(gate, &mut state).decode_read(&job.service, model, demand, tried)
+    };
+    match choice {
+        Some(choice) => {
+            let hold = hold(gate, &choice, demand);
+            Ok((choice, hold))
+        }
+        None => for_decode(job, model, demand, tried).await,
+    }
+}
+
 /// Returns a place at another decode engine if the present one got more requests than fit.
 ///
 /// Gateways that choose the same engine at the same moment hear of each other while the prompts are
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -134,7 +134,29 @@
         demand: Demand,
         tried: &[Upstream],
     ) -> Option<Choice> {
-        let limit = limit(model);
+        self.decode_below(service, model, (demand, limit(model)), tried)
+    }
+
+    /// Chooses the engine that generates for a request whose prompt has been read already.
+    ///
+    /// The result of that lapses soon, so the reserve for growing outputs may be used as well.
+    pub fn decode_read(
+        &mut self,
+        service: &Service,
+        model: &Model,
+        demand: Demand,
+        tried: &[Upstream],
+    ) -> Option<Choice> {
+        self.decode_below(service, model, (demand, model.memory), tried)
+    }
+
+    fn decode_below(
+        &mut self,
+        service: &Service,
+        model: &Model,
+        (demand, limit): (Demand, u32),
+        tried: &[Upstream],
+    ) -> Option<Choice> {
         let room = |known: &Known, load: Load| {
             load.memory + demand.memory <= limit && load.requests < known.entry.slots
         };
