Leave out engines at whose address nothing or another engine listens

Change: such an outcome counts as a failure rate of 1, is shared, and leaves the engine out while others are there; a misdirected request no longer removes the entry.

--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -141,12 +141,6 @@
         lost
     }
 
-    /// Removes an upstream that another one has replaced at its address; its next entry brings it
-    /// back.
-    pub fn misdirected(&mut self, name: &Upstream) {
-        self.upstreams.remove(name);
-    }
-
     /// Returns an upstream.
     #[must_use]
     pub fn get(&self, name: &Upstream) -> Option<&Known> {
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -90,7 +90,7 @@
         };
         drop(hold);
         match &failure {
-            Failure::Unsent(_) | Failure::Misdirected => {
+            Failure::Unsent(_) | Failure::Unlistened(_) | Failure::Misdirected => {
                 tried.push(decode.name.clone());
                 reader.kept = kept;
             }
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -34,6 +34,9 @@
     /// Nothing was sent.
     #[display("{_0}")]
     Unsent(String),
+    /// Nothing listens at the address.
+    #[display("{_0}")]
+    Unlistened(String),
     /// The upstream promises that it did not run the request; it may state its load.
     #[display("refused with {_0}, work {_1:?}")]
     Refused(StatusCode, Option<Work>),
@@ -53,13 +56,14 @@
 
     /// Returns whether the upstream has received the request.
     pub(super) fn arrived(&self) -> bool {
-        !matches!(self, Self::Unsent(_))
+        !matches!(self, Self::Unsent(_) | Self::Unlistened(_))
     }
 
     fn outcome(&self) -> Outcome {
         match self {
             Self::Refused(..) => Outcome::Full,
-            Self::Unsent(_) | Self::Misdirected | Self::Lost(_) => Outcome::Lost,
+            Self::Unlistened(_) | Self::Misdirected => Outcome::Gone,
+            Self::Unsent(_) | Self::Lost(_) => Outcome::Lost,
         }
     }
 }
@@ -98,7 +102,8 @@
             };
             check(job, answer, prefill)
         }
-        Err(SendError::Unsent(text) | SendError::Refused(text)) => Err(Failure::Unsent(text)),
+        Err(SendError::Unsent(text)) => Err(Failure::Unsent(text)),
+        Err(SendError::Refused(text)) => Err(Failure::Unlistened(text)),
         Err(SendError::Sent(text)) => Err(Failure::Lost(text)),
     };
     if let Err(failure) = &answered {
@@ -114,9 +119,6 @@
 pub(super) fn failed(job: &Job, choice: &Choice, failure: &Failure) {
     job.gate.telemetry.count("attempt.failed");
     job.gate.note(&choice.name, failure.outcome());
-    if *failure == Failure::Misdirected {
-        job.gate.state().directory.misdirected(&choice.name);
-    }
     let (id, upstream) = (&*job.ask.id, choice.name.as_str());
     let (failure, left_ms) = (failure.to_string(), super::millis(job.left()));
     let believed = job.gate.state().board.load(choice.key);
--- a/crates/cumindoor/src/gateway/health.rs
+++ b/crates/cumindoor/src/gateway/health.rs
@@ -36,6 +36,8 @@
     Full,
     /// The upstream could not be reached, fell silent, broke off or sent nonsense.
     Lost,
+    /// Nothing listens at the upstream's address, or another upstream does.
+    Gone,
 }
 
 /// What the last requests say about one upstream.
@@ -57,7 +59,7 @@
     pub fn note(&mut self, now: Time, outcome: Outcome) {
         let failure = match outcome {
             Outcome::Answered => 0.0,
-            Outcome::Failed | Outcome::Lost => 1.0,
+            Outcome::Failed | Outcome::Lost | Outcome::Gone => 1.0,
             Outcome::Full => {
                 self.full = now;
                 self.refusals += 1;
@@ -65,20 +67,23 @@
             }
         };
         self.refusals = 0;
-        let newest = if outcome == Outcome::Lost {
-            NEWEST_LOST
-        } else {
-            NEWEST
+        let newest = match outcome {
+            Outcome::Gone => 1.0,
+            Outcome::Lost => NEWEST_LOST,
+            Outcome::Answered | Outcome::Failed | Outcome::Full => NEWEST,
         };
         let rate = self.failure_rate(now);
         self.rate = rate + (failure - rate) * newest;
         self.updated = now;
-        if outcome != Outcome::Lost {
-            self.streak = 0;
-            self.until = Time::ZERO;
-            return;
+        match outcome {
+            Outcome::Lost => self.streak += 1,
+            Outcome::Gone => self.streak += STREAK,
+            Outcome::Answered | Outcome::Failed | Outcome::Full => {
+                self.streak = 0;
+                self.until = Time::ZERO;
+                return;
+            }
         }
-        self.streak += 1;
         if self.streak >= STREAK {
             let doubled = 1 << (self.streak - STREAK).min(8);
             self.until = now + (FIRST_PAUSE * doubled).min(LONGEST_PAUSE);
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -15,6 +15,8 @@
 const OUTPUT_SHARE: f64 = 0.6;
 /// What a failed request weighs against the load of an upstream when it is chosen.
 const FAILURE_WEIGHT: f64 = 2.0;
+/// The share of failures from which an upstream is left out as long as there are others.
+const FAILED: f64 = 0.7;
 /// What another data centre weighs against the load of an upstream when it is chosen; it costs
 /// little time, but the bytes between data centres have a price.
 const DISTANCE_WEIGHT: f64 = 0.15;
@@ -177,15 +179,22 @@
             .usable(service, stage)
             .filter(|known| !tried.contains(&known.name))
             .collect();
-        let sound =
-            |known: &&&Known| !known.health.ejected(self.now) && !known.is_switching(self.now);
+        let elsewhere = self.board.failing();
+        let failures = |known: &Known| {
+            let seen = elsewhere.get(&known.key).copied().unwrap_or_default();
+            seen.max(known.health.failure_rate(self.now))
+        };
+        // An engine that died has the most room, so it must not be a candidate at all.
+        let sound = |known: &&&Known| {
+            let able = !known.health.ejected(self.now) && !known.is_switching(self.now);
+            able && failures(known) < FAILED
+        };
         let sound: Vec<&Known> = able.iter().filter(sound).copied().collect();
         if sound.is_empty() {
             // All are suspected: the one whose pause ends first is tried again.
             let next = able.iter().min_by_key(|known| known.health.until());
             return next.map(|known| Choice::from(*known));
         }
-        let elsewhere = self.board.failing();
         let mut fitting: Vec<(f64, &Known)> = Vec::new();
         for known in sound {
             let load = self.board.load(known.key);
@@ -194,11 +203,9 @@
                 continue;
             }
             let far = known.entry.data_centre != *self.near;
-            let failures = elsewhere.get(&known.key).copied().unwrap_or_default();
-            let failures = failures.max(known.health.failure_rate(self.now));
             let cold = if known.entry.cold.is_zero() { 0.0 } else { 1.0 };
             let score = weight(known, load)
-                + failures * FAILURE_WEIGHT
+                + failures(known) * FAILURE_WEIGHT
                 + if far { DISTANCE_WEIGHT } else { 0.0 }
                 + cold
                 + self.rng.random_range(0.0..JITTER);
