Explain a request from its id, and list the gateway's events, metrics and refusals

Cause: on-call engineers had the log lines of eight processes and no page for them. Change: cumindoor explain ID prints one request's story; docs/OPERATIONS.md (moved) has every event, metric and refusal of the gateway and the way from an id to the cause; docs/gateway.md has its settings; tests compare the pages with the code.

--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -14,7 +14,7 @@
 
 use crate::bench;
 use crate::ini::{Setting, Span};
-use crate::{demo, status};
+use crate::{demo, explain, status};
 
 /// Routes requests to language-model engines and plain services.
 ///
@@ -78,11 +78,29 @@
                             2 if a file cannot be read or the usage is wrong."
     )]
     Replay(bench::ReplayArgs),
+    /// Print one request's story from the log lines of all gateways
+    ///
+    /// The lines are read from the files, or from the standard input. They are printed in the order
+    /// of their times, with the milliseconds since the first one.
+    #[command(
+        after_help = "Exit status: 0, 1 if no line names the request, a file cannot be read, or \
+                            lines were left out at that time."
+    )]
+    Explain(ExplainArgs),
     /// Run one stand-in of an external system until SIGTERM
     #[command(hide = true)]
     Standin(standin::StandinArgs),
 }
 
+#[derive(Debug, clap::Args)]
+struct ExplainArgs {
+    /// Id of the request, as its caller sent it
+    id: String,
+    /// Log files; lines may begin with the name of their gateway
+    #[arg(value_name = "FILE")]
+    files: Vec<PathBuf>,
+}
+
 #[derive(Debug, clap::Args)]
 struct CheckArgs {
     /// Files to check; `-` is the standard input
@@ -133,6 +151,7 @@
     let result = match Cli::parse().command {
         Command::Serve(args) => serve::run(&args),
         Command::Gateway(args) => gateway::run(&args),
+        Command::Explain(args) => explain_request(&args),
         Command::Check(args) => return check::run(&args.files, args.print),
         Command::Demo(args) => block_on(demo::run(args.keep)),
         Command::Status(args) => block_on(show_status(args)),
@@ -157,6 +176,16 @@
     runtime.block_on(future)
 }
 
+/// Prints a request's story; it is an error if parts of it may be missing.
+fn explain_request(args: &ExplainArgs) -> eyre::Result<()> {
+    let story = explain::run(&args.id, &args.files)?;
+    print(&story.to_string());
+    if story.left_out > 0 {
+        eyre::bail!("{} lines were left out at about that time", story.left_out);
+    }
+    Ok(())
+}
+
 async fn show_status(args: StatusArgs) -> eyre::Result<()> {
     let value = status::fetch(args.at, args.timeout.0).await?;
     let text = match args.format {
--- a/crates/cumindoor/src/lib.rs
+++ b/crates/cumindoor/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod demo;
 pub mod document;
+pub mod explain;
 pub mod gateway;
 pub mod ini;
 pub mod serve;
--- a/crates/cumindoor/src/serve/telemetry/stdout.rs
+++ b/crates/cumindoor/src/serve/telemetry/stdout.rs
@@ -6,7 +6,7 @@
 use std::io::Write as _;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use logforth::append::Append;
 use logforth::diagnostic::Diagnostic;
@@ -64,7 +64,10 @@
         if window.began.elapsed() >= Duration::from_secs(1) {
             if window.left_out > 0 {
                 let count = window.left_out;
-                notice = Some(format!(r#"{{"event":"lines left out","count":{count}}}"#).into());
+                let at = SystemTime::now().duration_since(UNIX_EPOCH);
+                let at = at.unwrap_or_default().as_secs_f64();
+                let text = format!(r#"{{"at":{at:.3},"event":"lines left out","count":{count}}}"#);
+                notice = Some(text.into());
             }
             *window = Window {
                 began: Instant::now(),
--- /dev/null
+++ b/crates/cumindoor/tests/gateway_pages.rs
@@ -0,0 +1,129 @@
+//! The gateway's log lines, metrics and refusals, as `docs/OPERATIONS.md` lists them.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use cumindoor::explain::Explainer;
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn sources(dir: &Path, text: &mut String) {
+    for entry in std::fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, text);
+        } else {
+            text.push_str(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+fn gateway() -> String {
+    let mut text = std::fs::read_to_string(root().join("src/gateway.rs")).unwrap();
+    text.push_str(&std::fs::read_to_string(root().join("src/cli/gateway.rs")).unwrap());
+    sources(&root().join("src/gateway"), &mut text);
+    text
+}
+
+/// Returns the first string literal after `end` in each call that begins with one of `calls`.
+fn names(text: &str, calls: &[&str]) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    for call in calls {
+        for (at, _) in text.match_indices(call) {
+            let rest = &text[at + call.len()..];
+            let rest = &rest[..rest.find(");").unwrap()];
+            let literal = rest.rsplit(';').next().unwrap_or(rest);
+            let mut parts = literal.split('"');
+            if let (Some(_), Some(name)) = (parts.next(), parts.next()) {
+                found.insert(name.to_owned());
+            }
+        }
+    }
+    found
+}
+
+fn page() -> String {
+    let page = root().join("../../docs/OPERATIONS.md");
+    let text = std::fs::read_to_string(page).unwrap();
+    text.split_once("# The gateway").unwrap().1.to_owned()
+}
+
+fn assert_listed(names: &BTreeSet<String>) {
+    let page = page();
+    let missing: Vec<&String> = names
+        .iter()
+        .filter(|name| !page.contains(&format!("`{name}`")))
+        .collect();
+    assert!(missing.is_empty(), "not on the page: {missing:?}");
+}
+
+/// Guards against an event that on-call engineers find on no page.
+#[test]
+fn every_log_event_is_on_the_page() {
+    let events = names(&gateway(), &["log::info!(", "log::warn!(", "log::error!("]);
+
+    assert!(events.len() > 15, "{events:?}");
+    assert_listed(&events);
+}
+
+/// Guards against a metric that nobody can read.
+#[test]
+fn every_metric_is_on_the_page() {
+    let calls = ["telemetry.count(", "telemetry.time(", "telemetry.gauge("];
+    let metrics: BTreeSet<String> = names(&gateway(), &calls)
+        .into_iter()
+        .map(|name| name.split('{').next().unwrap().to_owned())
+        .collect();
+
+    assert!(metrics.len() > 12, "{metrics:?}");
+    assert_listed(&metrics);
+}
+
+/// Guards against a refusal without a row.
+#[test]
+fn every_refusal_is_on_the_page() {
+    let text = std::fs::read_to_string(root().join("src/gateway/answer.rs")).unwrap();
+    let displays = text.match_indices("#[display(\"");
+    let reasons = displays.map(|(at, open)| {
+        let rest = &text[at + open.len()..];
+        rest[..rest.find('"').unwrap()].to_owned()
+    });
+
+    assert_listed(&reasons.collect());
+}
+
+const LOG: &str = r#"
+vm-2 {"at":12.250,"event":"request answered","level":"INFO","id":"r-1","status":200}
+not json
+vm-1 {"at":12.000,"event":"attempt failed","level":"INFO","id":"r-1","upstream":"i-1"}
+vm-1 {"at":12.100,"event":"request answered","level":"INFO","id":"r-2","status":500}
+"#;
+
+/// Guards against a story that lacks lines, has those of another request, or is out of order.
+#[test]
+fn a_story_has_the_lines_of_one_request_in_order() {
+    let mut explainer = Explainer::new("r-1");
+    explainer.read("log", LOG.as_bytes()).unwrap();
+
+    let story = explainer.finish().unwrap();
+
+    let expected = "       0 ms  vm-1  attempt failed  upstream=i-1\n     250 ms  vm-2  request answered  status=200\n";
+    assert_eq!(story.to_string(), expected);
+    assert_eq!(story.left_out, 0);
+}
+
+/// Guards against an unknown request that looks explained, and lines that were left out unnoticed.
+#[test]
+fn a_story_says_what_may_be_missing() {
+    let gap = r#"{"event":"lines left out","count":3,"at":12.5}"#;
+    let mut known = Explainer::new("r-2");
+    known.read("log", LOG.as_bytes()).unwrap();
+    known.read("log", gap.as_bytes()).unwrap();
+    let mut unknown = Explainer::new("r-3");
+    unknown.read("log", LOG.as_bytes()).unwrap();
+
+    assert_eq!(known.finish().unwrap().left_out, 3);
+    assert_eq!(unknown.finish(), None);
+}
--- a/crates/cumindoor/tests/operations.rs
+++ b/crates/cumindoor/tests/operations.rs
@@ -1,4 +1,4 @@
-//! Compares `docs/operations.md` with the refusals, metrics, tasks and log lines in the code.
+//! Compares `docs/OPERATIONS.md` with the refusals, metrics, tasks and log lines in the code.
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -113,7 +113,7 @@
 }
 
 fn page() -> String {
-    std::fs::read_to_string(root().join("../../docs/operations.md")).unwrap()
+    std::fs::read_to_string(root().join("../../docs/OPERATIONS.md")).unwrap()
 }
 
 /// Returns the names in the first column of the tables of one section.
--- a/crates/cumindoor/tests/pages.rs
+++ b/crates/cumindoor/tests/pages.rs
@@ -5,7 +5,7 @@
 
 use cumindoor::check::{Source, check};
 use cumindoor::ini::{KeySpec, section_page};
-use cumindoor::{bench, document, settings};
+use cumindoor::{bench, document, gateway, settings};
 
 const START: &str = "<!-- keys -->\n";
 const END: &str = "<!-- end of keys -->\n";
@@ -26,6 +26,7 @@
 /// Guards against a key, unit, default or bound that a page does not say or says wrongly.
 #[rstest::rstest]
 #[case::settings("docs/settings.md", settings::SECTIONS)]
+#[case::gateway("docs/gateway.md", gateway::SECTIONS)]
 #[case::documents("docs/documents.md", document::SECTIONS)]
 #[case::replay("docs/replay.md", bench::EXPECT_SECTIONS)]
 fn page_has_every_key(#[case] name: &str, #[case] sections: &[(&str, &[KeySpec])]) {
