Close the callers' socket of a stopping gateway when it accepts no more

Change: the socket is closed then, and half a second later, when the balancer has counted two misses.

--- a/crates/cumindoor/src/explain.rs
+++ b/crates/cumindoor/src/explain.rs
@@ -108,11 +108,17 @@
         for line in &self.lines {
             let mut fields = String::new();
             for (name, value) in &line.fields {
-                let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+                let text = value
+                    .as_str()
+                    .map_or_else(|| value.to_string(), str::to_owned);
                 let _ = write!(fields, "  {name}={text}");
             }
             let after = (line.at - first) * 1_000.0;
-            writeln!(f, "{after:>8.0} ms  {}  {}{fields}", line.source, line.event)?;
+            writeln!(
+                f,
+                "{after:>8.0} ms  {}  {}{fields}",
+                line.source, line.event
+            )?;
         }
         Ok(())
     }
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -43,7 +43,7 @@
 
 /// How long the balancer may still send new connections after readiness ended: it asks once a
 /// second and gives up after two misses.
-const BALANCER_TIME: Duration = Duration::from_millis(2_500);
+const BALANCER_TIME: Duration = Duration::from_millis(3_000);
 /// How often idle connections to upstreams are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 
@@ -73,7 +73,7 @@
         let front = Arc::new(Front::bind(&gate, connections.clone()).await?);
         let ready = Arc::new(Page::readiness(&gate).await?);
         let peers = Arc::new(Peers::bind(&gate).await?);
-        let (callers, ready_addr) = (front.addr()?, ready.addr()?);
+        let (callers, ready_addr) = (front.addr(), ready.addr()?);
         let mut tasks = vec![
             Spec::task("callers", move || Arc::clone(&front).run()),
             Spec::task("readiness", move || Arc::clone(&ready).run()),
@@ -144,7 +144,7 @@
         let limit = Instant::now() + self.gate.settings().stop_limit();
         self.gate.stopping.cancel();
         self.gate.news.notify_one();
-        let accepting = BALANCER_TIME.min(self.gate.settings().stop_limit() / 3);
+        let accepting = BALANCER_TIME.min(self.gate.settings().stop_limit().mul_f64(0.45));
         sleep(accepting).await;
         self.gate.closing.cancel();
         self.connections.close();
--- a/crates/cumindoor/src/gateway/front.rs
+++ b/crates/cumindoor/src/gateway/front.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use border::CallerLimits;
@@ -39,7 +39,8 @@
 /// Listens for callers.
 pub struct Front {
     gate: Arc<Gate>,
-    listener: TcpListener,
+    addr: SocketAddr,
+    listener: Mutex<Option<Arc<TcpListener>>>,
     permits: Arc<Semaphore>,
     connections: TaskTracker,
 }
@@ -52,38 +53,49 @@
     /// Returns an error with the address if it cannot be bound.
     pub async fn bind(gate: &Arc<Gate>, connections: TaskTracker) -> eyre::Result<Self> {
         let listener = listen(gate.settings().listen.callers.0).await?;
+        let addr = listener.local_addr()?;
         let permits = gate.settings().resources.connections.0 as usize;
         Ok(Self {
             gate: Arc::clone(gate),
-            listener,
+            addr,
+            listener: Mutex::new(Some(Arc::new(listener))),
             permits: Arc::new(Semaphore::new(permits)),
             connections,
         })
     }
 
     /// Returns the bound address.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the socket.
-    pub fn addr(&self) -> std::io::Result<SocketAddr> {
-        self.listener.local_addr()
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
 
-    /// Accepts callers until the gateway closes.
+    /// Accepts callers until the gateway closes. Then the socket is closed, so that callers who come
+    /// later are refused at once and go to another gateway.
     ///
     /// # Errors
     ///
     /// Returns an error if the process has no permits left, which does not happen.
     pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
+        let listener = self.lock().clone();
+        if let Some(listener) = listener {
+            let accepting = self.accept(&listener);
+            let accepted = self.gate.closing.run_until_cancelled(accepting).await;
+            accepted.unwrap_or(Ok(()))?;
+        }
+        self.lock().take();
+        std::future::pending().await
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<TcpListener>>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> eyre::Result<()> {
         loop {
             // Connections beyond the limit wait in the backlog.
             let permit = Arc::clone(&self.permits).acquire_owned().await?;
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                () = self.gate.closing.cancelled() => std::future::pending().await,
-            };
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -171,11 +171,15 @@
             ..EngineOptions::default()
         };
         let engine = Engine::spawn(options).await.unwrap();
-        engine.fault(|fault| fault.stall_work = true);
-        let mut streams = Vec::new();
+        let mut handles = Vec::new();
         for number in 0..32 {
             let id = format!("r-{number}");
             let handle = prefill(&engine, &id, "p").await;
+            handles.push((id, handle));
+        }
+        engine.fault(|fault| fault.stall_work = true);
+        let mut streams = Vec::new();
+        for (id, handle) in handles {
             let body = decode_body(&engine, &handle, &id, "p", 0).to_string();
             let mut sender = connect(engine.addr()).await.unwrap();
             let answer = send(&mut sender, "POST", "/v1/decode", &body)
