--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -9,7 +9,7 @@
     self, Bytes, Count, Finding, Findings, KeySpec, Listen, Ratio, Section, Span, Target,
     write_section,
 };
-use crate::settings::{LogLevel, unknown_section};
+use crate::settings::{LogLevel, check_titles};
 
 ini::section! {
     /// Who the gateway is and how it stops.
@@ -164,14 +164,7 @@
     }
 
     pub(crate) fn read(sections: &[Section], findings: &mut Findings) -> Option<Self> {
-        let names = || SECTIONS.iter().map(|(name, _)| *name);
-        for section in sections {
-            let title = section.title.as_str();
-            if !names().any(|name| name == title) {
-                findings.add_with(section.line, || unknown_section(title, names()));
-            }
-        }
-        ini::repeated_titles(sections, findings);
+        check_titles(sections, SECTIONS, findings);
         let find = |title: &str| {
             let found = sections.iter().find(|section| section.title == title);
             found.cloned().unwrap_or_else(|| Section::new(1, title))
--- a/crates/cumindoor/src/settings.rs
+++ b/crates/cumindoor/src/settings.rs
@@ -197,7 +197,7 @@
     }
 
     pub(crate) fn read(sections: &[Section], findings: &mut Findings) -> Option<Self> {
-        check_titles(sections, findings);
+        check_titles(sections, SECTIONS, findings);
         let find = |title: &str| {
             let found = sections.iter().find(|section| section.title == title);
             // A section without a line of its own: its missing keys are reported in line 1.
@@ -258,8 +258,13 @@
     }
 }
 
-fn check_titles(sections: &[Section], findings: &mut Findings) {
-    let names = || SECTIONS.iter().map(|(name, _)| *name);
+/// Finds sections that `known` does not have, and repeated ones.
+pub(crate) fn check_titles(
+    sections: &[Section],
+    known: &[(&'static str, &[KeySpec])],
+    findings: &mut Findings,
+) {
+    let names = || known.iter().map(|(name, _)| *name);
     for section in sections {
         let title = section.title.as_str();
         if !names().any(|name| name == title) {
--- /dev/null
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -0,0 +1,187 @@
+//! Health, repeats, events and stages, as a gateway judges them, in virtual time.
+
+use std::time::Duration;
+
+use border::Stage;
+use coord::time::Time;
+use cumindoor::gateway::balance::{Balance, Split, Usage};
+use cumindoor::gateway::budget::{RepeatBound, Repeats};
+use cumindoor::gateway::events::Events;
+use cumindoor::gateway::health::{Health, Outcome};
+use rstest::rstest;
+
+fn ms(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// Guards against an upstream that is left out for ever, and one that is not left out at all.
+#[test]
+fn a_failed_upstream_is_left_out_for_a_while() {
+    let mut health = Health::default();
+    health.note(ms(0), Outcome::Lost);
+    assert!(!health.ejected(ms(1)));
+
+    health.note(ms(1), Outcome::Lost);
+    assert!(health.ejected(ms(2)));
+    assert!(!health.ejected(ms(600)));
+
+    health.note(ms(600), Outcome::Answered);
+    assert!(health.failure_rate(ms(60_000)) < 0.01);
+}
+
+/// Guards against an engine that changes its stage and is asked again every few milliseconds.
+#[test]
+fn refusals_in_a_row_lengthen_the_pause() {
+    let mut health = Health::default();
+    health.note(ms(1_000), Outcome::Full);
+    assert!(health.is_full(ms(1_050)));
+    assert!(!health.is_full(ms(1_150)));
+
+    for _ in 0..9 {
+        health.note(ms(2_000), Outcome::Full);
+    }
+    assert!(health.is_full(ms(3_500)));
+    assert!(!health.is_full(ms(3_700)));
+    health.note(ms(4_000), Outcome::Answered);
+    assert!(!health.is_full(ms(4_000)));
+}
+
+/// Guards against a fleet that exceeds the bound on repeats in some window, with requests that
+/// arrive unevenly.
+#[test]
+fn a_fleet_keeps_the_bound_on_repeats() {
+    let bound = RepeatBound {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    let gateways = 8;
+    let mut fleet: Vec<Repeats> = vec![Repeats::default(); gateways];
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for step in 0..600_u64 {
+        let now = ms(step * 50);
+        for (number, one) in fleet.iter_mut().enumerate() {
+            if step % (number as u64 + 1) == 0 {
+                one.request(now, &bound);
+                requests.push(step);
+            }
+            while one.try_repeat(now, &bound, gateways) {
+                repeats.push(step);
+            }
+        }
+    }
+
+    for start in 0..400 {
+        let within = |steps: &[u64]| {
+            steps
+                .iter()
+                .filter(|s| (start..start + 200).contains(*s))
+                .count()
+        };
+        // A fifth of the requests, and 56 in addition.
+        let allowed = within(&requests) + 5 * 56;
+        assert!(5 * within(&repeats) <= allowed, "from {start}");
+    }
+    assert!(!repeats.is_empty());
+}
+
+/// Guards against events that are cut, doubled or lost at any split of the bytes.
+#[test]
+fn events_are_whole_at_any_split() {
+    let numbered = |from: u64| {
+        let events = (from..=4).map(|n| format!("id: {n}\ndata: t{n}\n\n"));
+        events.collect::<Vec<_>>().concat()
+    };
+    let text = numbered(1);
+    for first in 0..text.len() {
+        let mut events = Events::after(None);
+        let mut seen = events.push(&text.as_bytes()[..first]).unwrap().to_vec();
+        // The first engine breaks off here; the next one sends again from the last event on.
+        events.restart();
+        let last = events.last().unwrap_or(0);
+        let rest = numbered(last.max(1));
+        seen.extend(events.push(rest.as_bytes()).unwrap());
+
+        assert_eq!(seen, text.as_bytes(), "split at {first}");
+        assert!(events.is_whole());
+    }
+}
+
+/// Guards against an event without an end that fills the memory.
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut events = Events::after(None);
+    let piece = vec![b'x'; 600 * 1024];
+
+    assert!(events.push(&piece).is_some());
+    assert!(events.push(&piece).is_none());
+}
+
+fn watch(balance: &mut Balance, usage: Usage, split: Split, seconds: u64) -> Option<(Stage, u32)> {
+    (1..=seconds * 5).find_map(|step| balance.observe(ms(step * 200), usage, split))
+}
+
+/// Guards against decode memory that is full while prefill engines idle: celeste-recife quiet-1
+/// used 1.3 of 4 prefill and 4.6 of 5 decode engines in bursts.
+#[test]
+fn idle_prefill_engines_move_to_decode() {
+    let mut balance = Balance::new(Time::ZERO);
+    let usage = Usage {
+        prefill: 1.3,
+        decode: 4.6,
+    };
+    let split = Split {
+        prefill: 4,
+        decode: 5,
+    };
+
+    let moved = watch(&mut balance, usage, split, 10);
+
+    assert_eq!(moved, Some((Stage::Decode, 1)));
+    let after = Split {
+        prefill: 3,
+        decode: 6,
+    };
+    assert_eq!(watch(&mut balance, usage, after, 60), None);
+}
+
+/// Guards against moves that gain nothing: at a low load, and with one engine of a stage left.
+#[rstest]
+#[case::idle(0.4, 1.0, 4, 5)]
+#[case::last(0.2, 4.6, 1, 8)]
+#[case::even(3.0, 4.0, 4, 5)]
+fn engines_stay_where_a_move_gains_little(
+    #[case] prefill: f64,
+    #[case] decode: f64,
+    #[case] readers: u32,
+    #[case] writers: u32,
+) {
+    let mut balance = Balance::new(Time::ZERO);
+    let split = Split {
+        prefill: readers,
+        decode: writers,
+    };
+
+    assert_eq!(
+        watch(&mut balance, Usage { prefill, decode }, split, 30),
+        None
+    );
+}
+
+/// Guards against a large pool that moves one engine at a time and never gains enough.
+#[test]
+fn a_large_pool_moves_several_engines() {
+    let mut balance = Balance::new(Time::ZERO);
+    let usage = Usage {
+        prefill: 7.0,
+        decode: 36.0,
+    };
+    let split = Split {
+        prefill: 21,
+        decode: 39,
+    };
+
+    let moved = watch(&mut balance, usage, split, 10);
+
+    assert!(matches!(moved, Some((Stage::Decode, 5..=7))), "{moved:?}");
+}
