Remove parts of the border that nothing uses, and note lost requests in one place

Cause: engines' reports, strides and connection bounds were read and used nowhere; two time-outs were told from other losses by their text. Change: they are removed; send::lost notes a loss where it is known.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -103,21 +103,6 @@
     pub tokens: u32,
 }
 
-/// What an engine reports of itself, some hundred milliseconds late.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// What it does.
-    pub stage: Stage,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Tokens in memory that cannot be evicted.
-    pub used: u32,
-    /// Tokens that fit into the memory.
-    pub memory: u32,
-}
-
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageOrder {
@@ -187,14 +172,4 @@
 
     /// Reads the status of an answer to an order.
     fn ordered(&self, status: StatusCode) -> OrderAnswer;
-
-    /// Returns the path at which an engine reports its state.
-    fn report_path(&self) -> &'static str;
-
-    /// Reads the body of a report.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Malformed`] with the field at fault.
-    fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
 }
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -25,8 +25,7 @@
 mod routing;
 
 pub use dialect::{
-    Ask, Dialect, OrderAnswer, Prefilled, Prompt, Reply, Report, Source, StageOrder, Stamp, Step,
-    Work,
+    Ask, Dialect, OrderAnswer, Prefilled, Prompt, Reply, Source, StageOrder, Stamp, Step, Work,
 };
 pub use published::{Catalogue, Change, Page, Stage, Topic, UpstreamEntry};
 pub use routing::{CallerLimits, Kind, Model, Route, Routing, ServiceDef};
--- a/crates/border/src/routing.rs
+++ b/crates/border/src/routing.rs
@@ -63,12 +63,8 @@
 /// The pool of model engines of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Model {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
     /// Tokens that fit into the memory of one engine.
     pub memory: u32,
-    /// Tokens of one event of a stream at most.
-    pub stride: u32,
     /// How long a prefill's result is kept for its import.
     pub kept: Duration,
 }
@@ -76,8 +72,6 @@
 /// A service that routes lead to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceDef {
-    /// Connections that one upstream accepts from all callers together.
-    pub connections: u32,
     /// The engines' figures; `None` for a plain service.
     pub model: Option<Model>,
 }
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -228,15 +228,11 @@
         let expected = Duration::from_secs_f64(expected / 1_000.0);
         let limit = expected.mul_f64(PREFILL_FACTOR) + PREFILL_EXTRA;
         let call = self.call(&choice);
-        let late = |_| Failure::Lost("no prefill in time".to_owned());
+        let late = |_| send::lost(self.job, &choice, "no prefill in time");
         let called = timeout(limit, call).await.map_err(late).and_then(|r| r);
         drop(hold);
         self.tried.push(choice.name.clone());
-        if let Err(failure) = &called {
-            if *failure == Failure::Lost("no prefill in time".to_owned()) {
-                send::failed(self.job, &choice, failure);
-            }
-        } else {
+        if called.is_ok() {
             gate.note(&choice.name, Outcome::Answered);
         }
         Some(called)
@@ -246,11 +242,7 @@
         let gate = &self.job.gate;
         let started = gate.now();
         let answer = send::send(self.job, choice, Step::Prefill, None).await?;
-        let lost = |text: String| {
-            let failure = Failure::Lost(text);
-            send::failed(self.job, choice, &failure);
-            failure
-        };
+        let lost = |text: String| send::lost(self.job, choice, &text);
         let whole = Limited::new(answer.body, HANDLE_BYTES).collect().await;
         let whole = whole.map_err(|error| lost(error.to_string()))?;
         answer.lease.release();
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -58,7 +58,7 @@
         let attempt = attempt(job, &choice);
         let limit = job.route.target.mul_f64(ATTEMPT_SHARE);
         let outcome = if repeats {
-            let late = |_| Failure::Lost("no answer in time".to_owned());
+            let late = |_| send::lost(job, &choice, "no answer in time");
             timeout(limit, attempt)
                 .await
                 .map_err(late)
@@ -74,9 +74,6 @@
                 repeats
             }
             Err(failure) => {
-                if failure == Failure::Lost("no answer in time".to_owned()) {
-                    send::failed(job, &choice, &failure);
-                }
                 if failure.unrun() {
                     runs -= 1;
                     refusals += 1;
@@ -151,9 +148,7 @@
             } else {
                 "the answer broke off"
             };
-            let failure = Failure::Lost(text.to_owned());
-            send::failed(job, choice, &failure);
-            Err(failure)
+            Err(send::lost(job, choice, text))
         }
     }
 }
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -16,7 +16,7 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::{Instant, timeout_at};
 
-use super::send::{self, Answer, Failure};
+use super::send::{self, Answer};
 use super::{Job, millis, model, plain, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::events::Events;
@@ -212,7 +212,7 @@
         self.source = None;
         self.events.restart();
         if let Some(run) = self.run.take() {
-            send::failed(&self.job, &run.choice, &Failure::Lost(text.to_owned()));
+            send::lost(&self.job, &run.choice, text);
         }
     }
 
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -115,6 +115,13 @@
     answered
 }
 
+/// Notes that a request was lost at an upstream.
+pub(super) fn lost(job: &Job, choice: &Choice, text: &str) -> Failure {
+    let failure = Failure::Lost(text.to_owned());
+    failed(job, choice, &failure);
+    failure
+}
+
 /// Notes a failed attempt.
 pub(super) fn failed(job: &Job, choice: &Choice, failure: &Failure) {
     job.gate.telemetry.count("attempt.failed");
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -43,7 +43,6 @@
     /// Returns the demand of a prompt; at most one engine's memory is reserved.
     #[must_use]
     pub fn new(prompt: &border::Prompt, model: &Model) -> Self {
-        // The output limit is stated in events, each of up to `stride` tokens.
         let most = f64::from(prompt.output);
         let output = match prompt.estimate {
             Some(estimate) => f64::from(estimate).min(most),
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -21,9 +21,7 @@
 
 fn model() -> Model {
     Model {
-        slots: 64,
         memory: 60_000,
-        stride: 11,
         kept: Duration::from_millis(500),
     }
 }
