Keep a refusal from promising that a lost attempt did not run

Cause: found by reading. A repeatable request that was lost at one engine and refused by the next got 503, which promises that it did not run: the second attempt reset what the first one had noted, and a model's later refusal was passed on unchecked. A request whose engines were all tried also waited for room at them. Change: an attempt that did not run restores what was known before it; refusals of later attempts are made true; a request that has been to all upstreams is refused at once.

--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -76,6 +76,14 @@
         self.route.kind
     }
 
+    /// Replaces a refusal that promises too much.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run() {
+            return Refusal::new(Reason::Broken);
+        }
+        refusal
+    }
+
     /// Returns the refusal that is true of a request that was given up.
     fn refusal(&self, unrun: Reason, ran: Reason, retry: Duration) -> Refusal {
         if self.may_have_run() {
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -62,7 +62,7 @@
         } else {
             wait::for_decode(job, &model, demand, &tried).await
         };
-        let (mut decode, mut hold) = placed?;
+        let (mut decode, mut hold) = placed.map_err(|refusal| job.truthful(refusal))?;
         // The result is moved within a data centre if possible.
         let kept = reader.read(&decode.data_centre).await;
         // Other gateways may have placed requests there while the prompt was read.
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -50,7 +50,7 @@
                 chosen
             }
             (Err(_), Some(kept)) => return Ok(kept),
-            (Err(refusal), None) => return Err(true_refusal(job, refusal)),
+            (Err(refusal), None) => return Err(job.truthful(refusal)),
         };
         tried.push(choice.name.clone());
         runs += 1;
@@ -90,14 +90,6 @@
     }
 }
 
-/// Replaces a refusal that promises too much.
-fn true_refusal(job: &Job, refusal: Refusal) -> Refusal {
-    if job.may_have_run() {
-        return Refusal::new(Reason::Broken);
-    }
-    refusal
-}
-
 async fn attempt(job: &Job, choice: &Choice) -> Result<Tried, Failure> {
     let answer = send::send(job, choice, Step::Whole, None).await?;
     let status = answer.head.status;
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -77,6 +77,7 @@
 ) -> Result<Answer, Failure> {
     let prefill = step == Step::Prefill;
     let request = request(job, choice, step, resume)?;
+    let ran_before = job.may_have_run();
     if !prefill {
         job.set_maybe_ran(true);
     }
@@ -109,7 +110,7 @@
     if let Err(failure) = &answered {
         failed(job, choice, failure);
         if !prefill && failure.unrun() {
-            job.set_maybe_ran(false);
+            job.set_maybe_ran(ran_before);
         }
     }
     answered
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use border::{Model, Stage};
-use coord::name::Upstream;
+use coord::name::{Service, Upstream};
 use coord::time::Time;
 use tokio::time::{Instant, sleep_until};
 
@@ -42,7 +42,7 @@
         room.as_mut().enable();
         let chosen = {
             let mut state = job.gate.state();
-            if state.directory.usable(&job.service, None).next().is_none() {
+            if all_tried(&state, &job.service, None, tried) {
                 return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
             }
             choosing(&job.gate, &mut state).plain(&job.service, tried)
@@ -165,6 +165,12 @@
     }
 }
 
+/// Returns whether no upstream is left that a request has not been to.
+fn all_tried(state: &State, service: &Service, stage: Option<Stage>, tried: &[Upstream]) -> bool {
+    let mut upstreams = state.directory.usable(service, stage);
+    upstreams.all(|known| tried.contains(&known.name))
+}
+
 fn wait_limit(job: &Job) -> Instant {
     let limit = job.started + job.route.target.mul_f64(WAIT_TARGETS);
     limit.min(job.deadline)
@@ -235,7 +241,7 @@
         let now = gate.now();
         let mut state = gate.state();
         let decoding = Some(Stage::Decode);
-        if state.directory.usable(service, decoding).next().is_none() {
+        if all_tried(&state, service, decoding, tried) {
             return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
         }
         let queue = state.queues.get(service);
