--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -12,6 +12,7 @@
 use super::Job;
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::board::{Load, service_key};
+use crate::gateway::directory::Directory;
 use crate::gateway::gate::{Gate, Hold, State};
 use crate::gateway::place::{Choice, Choosing, Demand, limit};
 use crate::gateway::queue::{Pool, Ticket};
@@ -42,7 +43,7 @@
         room.as_mut().enable();
         let chosen = {
             let mut state = job.gate.state();
-            if all_tried(&state, &job.service, None, tried) {
+            if all_tried(&state.directory, &job.service, None, tried) {
                 return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
             }
             choosing(&job.gate, &mut state).plain(&job.service, tried)
@@ -166,9 +167,14 @@
 }
 
 /// Returns whether no upstream is left that a request has not been to.
-fn all_tried(state: &State, service: &Service, stage: Option<Stage>, tried: &[Upstream]) -> bool {
-    let mut upstreams = state.directory.usable(service, stage);
-    upstreams.all(|known| tried.contains(&known.name))
+fn all_tried(
+    known: &Directory,
+    service: &Service,
+    stage: Option<Stage>,
+    tried: &[Upstream],
+) -> bool {
+    let mut upstreams = known.usable(service, stage);
+    upstreams.all(|upstream| tried.contains(&upstream.name))
 }
 
 fn wait_limit(job: &Job) -> Instant {
@@ -241,7 +247,7 @@
         let now = gate.now();
         let mut state = gate.state();
         let decoding = Some(Stage::Decode);
-        if all_tried(&state, service, decoding, tried) {
+        if all_tried(&state.directory, service, decoding, tried) {
             return Err(Refusal::after(Reason::NoUpstream, NO_UPSTREAM_RETRY));
         }
         let queue = state.queues.get(service);
