Give each run of the process tests its own settings directory

Cause: runs of eight_processes_survive_signals beside each other wrote the settings of vm-1 to vm-8 to one directory, so a router could start with the platform of another run, in which its callers' requests had no upstreams. Ruled out: a fault of the routers; the binary is the same in both runs. Change: the directory's name holds the id of the test process.

--- a/crates/cumindoor/tests/common/processes.rs
+++ b/crates/cumindoor/tests/common/processes.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// A fleet of router processes.
+/// A fleet of router processes; its settings are removed when the handle is dropped.
 pub struct Processes {
     pub vms: BTreeMap<String, Process>,
     pub platform: Platform,
@@ -104,6 +104,9 @@
 
 impl Processes {
     /// Starts `vms` routers in front of two prefill and two decode engines.
+    ///
+    /// The directory of settings is named after the test process too, because runs of a test
+    /// beside each other would otherwise start routers with each other's settings.
     pub async fn start(test: &str, vms: usize, slots: u32) -> Self {
         let platform = Platform::spawn(PlatformOptions::default()).await.unwrap();
         platform.put_document("celeste", &document(slots)).unwrap();
@@ -121,7 +124,8 @@
             platform,
             prefills,
             decodes,
-            dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test),
+            dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+                .join(format!("{test}-{}", std::process::id())),
         };
         for number in 1..=vms {
             processes.add(&format!("vm-{number}"), (0, 0)).await;
@@ -176,6 +180,12 @@
     }
 }
 
+impl Drop for Processes {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
 fn put(platform: &Platform, name: &str, role: &str, engine: &Engine) {
     platform.put_upstream(UpstreamEntry {
         name: name.into(),
