Let waiting requests take places by rank, and add up the fleet's lost requests

Cause: on the grown sites prompts read in vain cost most. Change: a waiting request takes the place of its rank among the gateways' first requests, in an order that all share, and moves up one place for each turn (3 ms and a digest's spacing). Lost requests that several gateways report add up; a gateway that reports more than a third of the upstreams is not believed, and an own answer within the last second counts more.

--- a/crates/cumindoor/src/gateway/board.rs
+++ b/crates/cumindoor/src/gateway/board.rs
@@ -17,6 +17,12 @@
 /// The time after which a gateway that is not heard counts as gone.
 const FORGET: Duration = Duration::from_secs(3);
 
+/// The share of failures that tells a lost request, which a sound upstream has none of, from a
+/// failure that an upstream answered: one lost request makes 0.4 at first.
+const LOST_SHARE: f64 = 0.35;
+/// A gateway at which more than one in this many upstreams fail is not believed.
+const SUSPECT_PART: usize = 3;
+
 /// How long a gateway may need to hear the others after its start.
 const START_TIME: Duration = Duration::from_secs(5);
 /// Gateways that are assumed during that time.
@@ -198,15 +204,25 @@
         })
     }
 
-    /// Returns the upstreams whose requests failed lately at other gateways, with the highest share
-    /// that any of them saw.
+    /// Returns the upstreams whose requests failed lately at other gateways, with the share of
+    /// failures that their reports amount to.
+    ///
+    /// Lost requests that several gateways saw are independent evidence and add up. A gateway that
+    /// reports a large part of the `known` upstreams is probably cut off itself.
     #[must_use]
-    pub fn failing(&self) -> BTreeMap<Key, f64> {
-        let mut rates = BTreeMap::new();
-        for (key, percent) in self.peers.values().flat_map(|peer| &peer.digest.failing) {
-            let rate = f64::from(*percent) / 100.0;
-            let highest = rates.entry(*key).or_insert(rate);
-            *highest = rate.max(*highest);
+    pub fn failing(&self, known: usize) -> BTreeMap<Key, f64> {
+        let most = known / SUSPECT_PART;
+        let reports = self.peers.values().map(|peer| &peer.digest.failing);
+        let credible = reports.filter(|failing| failing.len() <= most.max(1));
+        let mut rates: BTreeMap<Key, f64> = BTreeMap::new();
+        for (key, percent) in credible.flatten() {
+            let share = f64::from(*percent) / 100.0;
+            let rate = rates.entry(*key).or_default();
+            *rate = if share >= LOST_SHARE {
+                1.0 - (1.0 - *rate) * (1.0 - share)
+            } else {
+                rate.max(share)
+            };
         }
         rates
     }
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -153,11 +153,11 @@
     }
 
     /// Returns the upstreams of a service that take new requests for a stage.
-    pub fn usable<'a>(
+    pub fn usable<'a, 's>(
         &'a self,
-        service: &'a Service,
+        service: &'s Service,
         stage: Option<Stage>,
-    ) -> impl Iterator<Item = &'a Known> {
+    ) -> impl Iterator<Item = &'a Known> + use<'a, 's> {
         let fits = move |known: &&Known| {
             let entry = &known.entry;
             entry.service == *service && entry.stage == stage && !entry.leaving
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -14,6 +14,7 @@
 use crate::gateway::board::{Load, service_key};
 use crate::gateway::directory::Directory;
 use crate::gateway::gate::{Gate, Hold, State};
+use crate::gateway::peers::SPACING;
 use crate::gateway::place::{Choice, Choosing, Demand, limit};
 use crate::gateway::queue::{Pool, Ticket};
 
@@ -21,9 +22,9 @@
 
 /// How often a waiting request looks for room without being told of any.
 const RECHECK: Duration = Duration::from_millis(50);
-/// The time that a gateway leaves room to each gateway whose request goes first: that one hears of
-/// the room and tells that it took it within about two messages.
-const TURN: Duration = Duration::from_millis(5);
+/// The time that a gateway leaves a place to each gateway whose request goes first, beyond the
+/// time between two digests of one: that one hears of the room and tells that it took it.
+const TURN: Duration = Duration::from_millis(3);
 /// Gateways that are left time at most.
 const TURNS: u32 = 20;
 /// The targets for which a request waits for room at most: callers of streams give up after four
@@ -197,6 +198,7 @@
         near: gate.near(),
         now: gate.now(),
         rng: &mut state.rng,
+        rank: None,
     }
 }
 
@@ -229,15 +231,25 @@
         }
     }
 
-    /// Returns whether gateways whose requests go first have had the time to take the room.
-    fn is_turn(&self, state: &State, now: Time) -> bool {
+    /// Returns how many places are left to other gateways, whose requests go first, or `None` if
+    /// no requests wait there.
+    ///
+    /// A gateway that does not take its place, for example because its prompt does not fit, loses
+    /// its turn after a time.
+    fn rank(&self, state: &State, now: Time) -> Option<usize> {
+        let service = service_key(&self.job.service);
+        if state.board.waiting_elsewhere(service).requests == 0 {
+            return None;
+        }
         let waited = now.since(self.job.arrived);
         let late = self.due < now;
-        let service = service_key(&self.job.service);
         let ahead = state.board.gateways_ahead(now, service, late, waited);
-        let since = self.room.get().unwrap_or(now);
-        self.room.set(Some(since));
-        now.since(since) >= TURN * ahead.min(TURNS)
+        let gateways = u32::try_from(state.board.gateways()).unwrap_or(u32::MAX);
+        let turn = TURN + SPACING * gateways;
+        let since = now.since(self.room.get().unwrap_or(now));
+        let turns = since.as_micros() / turn.as_micros();
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+        usize::try_from(ahead.min(TURNS).saturating_sub(turns)).ok()
     }
 
     /// Takes a place at an engine if it is this request's turn and one has room.
@@ -258,15 +270,19 @@
         if !queue.is_some_and(|queue| queue.may_go(now, self.number)) {
             return Ok(None);
         }
-        let chosen = choosing(gate, &mut state).decode(service, model, self.demand, tried);
-        self.publish(&mut state, now);
+        let rank = self.rank(&state, now);
+        let mut choosing = choosing(gate, &mut state);
+        choosing.rank = rank;
+        let chosen = choosing.decode(service, model, self.demand, tried);
         if chosen.is_none() {
-            self.room.set(None);
-            return Ok(None);
-        }
-        if !self.is_turn(&state, now) {
-            return Ok(None);
+            choosing.rank = None;
+            let room = choosing
+                .decode(service, model, self.demand, tried)
+                .is_some();
+            let since = self.room.get().unwrap_or(now);
+            self.room.set(room.then_some(since));
         }
+        self.publish(&mut state, now);
         drop(state);
         Ok(chosen.map(|choice| {
             let hold = hold(gate, &choice, self.demand);
--- a/crates/cumindoor/src/gateway/health.rs
+++ b/crates/cumindoor/src/gateway/health.rs
@@ -13,6 +13,8 @@
 /// The time over which a failure is forgotten: an upstream that is avoided for its failures gets no
 /// request that could show that it has recovered.
 const FORGET: Duration = Duration::from_secs(4);
+/// How long an answer outweighs what other gateways report.
+const TRUST: Duration = Duration::from_secs(1);
 /// The failures in a row after which an upstream is left out.
 const STREAK: u32 = 2;
 /// How long an upstream is left out at first; doubled with each further failure.
@@ -52,6 +54,8 @@
     full: Time,
     /// Refusals for lack of room in a row.
     refusals: u32,
+    /// When the last request was answered; `None` if it failed.
+    answered: Option<Time>,
 }
 
 impl Health {
@@ -67,6 +71,7 @@
             }
         };
         self.refusals = 0;
+        self.answered = (outcome == Outcome::Answered).then_some(now);
         let newest = match outcome {
             Outcome::Gone => 1.0,
             Outcome::Lost => NEWEST_LOST,
@@ -96,6 +101,13 @@
         now < self.until
     }
 
+    /// Returns whether the last request was answered, a short time ago: then the upstream is sound
+    /// for this gateway, whatever others say.
+    #[must_use]
+    pub fn answered(&self, now: Time) -> bool {
+        self.answered.is_some_and(|at| now.since(at) < TRUST)
+    }
+
     /// Returns when the upstream may be tried again.
     #[must_use]
     pub fn until(&self) -> Time {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -23,7 +23,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// The shortest time between two digests for each gateway that they go to: the cost of a change
 /// grows with the fleet, so in large fleets more changes share a digest.
-const SPACING: Duration = Duration::from_micros(300);
+pub(super) const SPACING: Duration = Duration::from_micros(300);
 /// The time after which an address that does not answer is tried rarely.
 const SILENCE: Duration = Duration::from_secs(5);
 /// How often such an address is tried, in heartbeats.
--- a/crates/cumindoor/src/gateway/place.rs
+++ b/crates/cumindoor/src/gateway/place.rs
@@ -109,9 +109,12 @@
     pub now: Time,
     /// Breaks ties.
     pub rng: &'a mut R,
+    /// How many places are left to other gateways whose requests go first; `None` if no others
+    /// wait for places, so that the best one may be taken.
+    pub rank: Option<usize>,
 }
 
-impl<R: Rng> Choosing<'_, R> {
+impl<'a, R: Rng> Choosing<'a, R> {
     /// Chooses an upstream of a plain service, or `None` if all are full.
     pub fn plain(&mut self, service: &Service, tried: &[Upstream]) -> Option<Choice> {
         let room = |known: &Known, load: Load| load.requests < known.entry.slots * PLAIN_DEPTH;
@@ -173,28 +176,60 @@
         room: impl Fn(&Known, Load) -> bool,
         weight: impl Fn(&Known, Load) -> f64,
     ) -> Option<Choice> {
-        let able: Vec<&Known> = self
+        let mut fitting = match self.fitting(service, stage, tried, room, weight) {
+            Ok(fitting) => fitting,
+            Err(suspect) => return suspect,
+        };
+        if let Some(rank) = self.rank {
+            // In the same order at all gateways.
+            fitting.sort_by_key(|(_, known)| known.key);
+            return fitting.get(rank).map(|(_, known)| Choice::from(*known));
+        }
+        fitting.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // What gateways place at the same moment is not on the board yet. The more of them there
+        // are, the more they spread.
+        let lowest = fitting.first().map_or(0.0, |(score, _)| *score);
+        fitting.retain(|(score, _)| *score < lowest + SPREAD);
+        let spread = (self.board.gateways() / GATEWAYS_PER_CHOICE).clamp(1, fitting.len().max(1));
+        let picked = self.rng.random_range(0..spread);
+        fitting.get(picked).map(|(_, known)| Choice::from(*known))
+    }
+
+    /// Returns the upstreams with room and their scores; if all are suspected, the one to try.
+    fn fitting(
+        &mut self,
+        service: &Service,
+        stage: Option<Stage>,
+        tried: &[Upstream],
+        room: impl Fn(&Known, Load) -> bool,
+        weight: impl Fn(&Known, Load) -> f64,
+    ) -> Result<Vec<(f64, &'a Known)>, Option<Choice>> {
+        let able: Vec<&'a Known> = self
             .directory
             .usable(service, stage)
             .filter(|known| !tried.contains(&known.name))
             .collect();
-        let elsewhere = self.board.failing();
+        let elsewhere = self.board.failing(able.len());
         let failures = |known: &Known| {
+            let own = known.health.failure_rate(self.now);
+            if known.health.answered(self.now) {
+                return own;
+            }
             let seen = elsewhere.get(&known.key).copied().unwrap_or_default();
-            seen.max(known.health.failure_rate(self.now))
+            seen.max(own)
         };
         // An engine that died has the most room, so it must not be a candidate at all.
-        let sound = |known: &&&Known| {
+        let sound = |known: &&&'a Known| {
             let able = !known.health.ejected(self.now) && !known.is_switching(self.now);
             able && failures(known) < FAILED
         };
-        let sound: Vec<&Known> = able.iter().filter(sound).copied().collect();
+        let sound: Vec<&'a Known> = able.iter().filter(sound).copied().collect();
         if sound.is_empty() {
             // All are suspected: the one whose pause ends first is tried again.
             let next = able.iter().min_by_key(|known| known.health.until());
-            return next.map(|known| Choice::from(*known));
+            return Err(next.map(|known| Choice::from(*known)));
         }
-        let mut fitting: Vec<(f64, &Known)> = Vec::new();
+        let mut fitting: Vec<(f64, &'a Known)> = Vec::new();
         for known in sound {
             let load = self.board.load(known.key);
             let full = known.health.is_full(self.now);
@@ -210,13 +245,6 @@
                 + self.rng.random_range(0.0..JITTER);
             fitting.push((score, known));
         }
-        fitting.sort_by(|a, b| a.0.total_cmp(&b.0));
-        // What gateways place at the same moment is not on the board yet. The more of them there
-        // are, the more they spread.
-        let lowest = fitting.first().map_or(0.0, |(score, _)| *score);
-        fitting.retain(|(score, _)| *score < lowest + SPREAD);
-        let spread = (self.board.gateways() / GATEWAYS_PER_CHOICE).clamp(1, fitting.len().max(1));
-        let picked = self.rng.random_range(0..spread);
-        fitting.get(picked).map(|(_, known)| Choice::from(*known))
+        Ok(fitting)
     }
 }
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -1,6 +1,6 @@
 //! Where a gateway places requests and in which order, without a network and in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -75,6 +75,7 @@
     directory: Directory,
     board: Board,
     rng: ChaCha8Rng,
+    rank: Option<usize>,
 }
 
 impl World {
@@ -83,6 +84,7 @@
             directory: directory(names, stage),
             board: Board::default(),
             rng: ChaCha8Rng::seed_from_u64(1),
+            rank: None,
         }
     }
 
@@ -93,6 +95,7 @@
             near,
             now,
             rng: &mut self.rng,
+            rank: self.rank,
         }
     }
 
@@ -379,6 +382,82 @@
     }
 }
 
+fn report(world: &mut World, number: u8, percent: u8, names: &[&str]) {
+    let failing = names.iter().map(|name| upstream_key(&(*name).into()));
+    let failing = Digest {
+        failing: failing.map(|key| (key, percent)).collect(),
+        ..digest(1, &[])
+    };
+    world.board.hear(ms(1), peer(number), failing);
+}
+
+/// Guards against an engine that loses requests of each gateway of a large fleet once or twice
+/// before all have left it out, and against one that is left out for single failures it answered.
+#[rstest]
+#[case(40, true)]
+#[case(25, false)]
+fn lost_requests_of_several_gateways_add_up(#[case] percent: u8, #[case] out: bool) {
+    let mut world = World::new(&["a", "b", "c", "d", "e", "f"], Some(Stage::Decode));
+    // Only the suspect has room.
+    for name in ["b", "c", "d", "e", "f"] {
+        world
+            .board
+            .place(upstream_key(&name.into()), memory(60_000));
+    }
+
+    for number in 2..5 {
+        report(&mut world, number, percent, &["a"]);
+    }
+
+    assert_eq!(world.decode(1_000, ms(2)).is_none(), out);
+}
+
+/// Guards against a gateway that is cut off from the engines and makes the others leave all out.
+#[test]
+fn a_gateway_at_which_most_upstreams_fail_is_not_believed() {
+    let mut world = World::new(&["a", "b", "c"], Some(Stage::Decode));
+
+    report(&mut world, 2, 100, &["a", "b"]);
+
+    let chosen: BTreeSet<_> = (0..50).filter_map(|_| world.decode(1_000, ms(2))).collect();
+    assert_eq!(chosen.len(), 3);
+}
+
+/// Guards against others' reports that outweigh an answer that the engine has just given here.
+#[test]
+fn an_answer_outweighs_reports_of_others() {
+    let mut world = World::new(&["a"], Some(Stage::Decode));
+    report(&mut world, 2, 100, &["a"]);
+    let known = world.directory.get_mut(&"a".into()).unwrap();
+    known.health.note(ms(1), Outcome::Answered);
+    world.directory.apply(
+        ms(1),
+        Change::Upstream("b".into(), Ok(entry(Some(Stage::Decode), "z"))),
+    );
+
+    let chosen: BTreeSet<_> = (0..50).filter_map(|_| world.decode(1_000, ms(2))).collect();
+    assert_eq!(chosen.len(), 2);
+}
+
+/// Guards against waiting requests of several gateways that all take the one place that became
+/// free: each takes the place of its rank, and none if there are fewer places.
+#[test]
+fn waiting_requests_take_the_places_of_their_ranks() {
+    let places = |rank| {
+        let mut world = World::new(&["a", "b", "c"], Some(Stage::Decode));
+        // Two of the three have room.
+        world.board.place(upstream_key(&"b".into()), memory(60_000));
+        world.rank = Some(rank);
+        world.decode(1_000, ms(1))
+    };
+
+    let taken = [places(0), places(1), places(2)];
+
+    let distinct: BTreeSet<_> = taken[..2].iter().flatten().collect();
+    assert_eq!(distinct.len(), 2);
+    assert_eq!(taken[2], None);
+}
+
 /// Guards against an engine that gets work while it changes its stage.
 #[test]
 fn an_engine_that_changes_its_stage_gets_no_work() {
