Name other gateways in turn, so that a large fleet knows itself in seconds

Cause: 68 gateways needed 15 s to hear all others: each digest named 12 addresses, but the window moved by one a digest, and as all started at the same time, all named nearly the same 12. Orders to engines wait until the set of gateways has been stable, so this was suspected of delaying them. Change: each heartbeat's names follow on those of the one before; the roster of addresses is a module of its own without a socket. The new test leaves most gateways with 19 of 67 addresses without the change.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -24,6 +24,7 @@
 mod peers;
 pub mod place;
 pub mod queue;
+pub mod roster;
 mod settings;
 pub mod wakes;
 
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -5,18 +5,18 @@
 //! from what it hears. Nothing depends on being heard: alone, a gateway decides on what it placed
 //! itself.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use coord::time::Time;
 use eyre::WrapErr;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
 use super::board::Digest;
 use super::gate::Gate;
+use super::roster::Roster;
 use super::wakes::Wakes;
 
 /// The time between two digests without a change.
@@ -24,14 +24,6 @@
 /// The shortest time between two digests for each gateway that they go to: the cost of a change
 /// grows with the fleet, so in large fleets more changes share a digest.
 pub(super) const SPACING: Duration = Duration::from_micros(300);
-/// The time after which an address that does not answer is tried rarely.
-const SILENCE: Duration = Duration::from_secs(5);
-/// How often such an address is tried, in heartbeats.
-const RARELY: u64 = 8;
-/// The time after which such an address is dropped, unless the settings name it.
-const DROP: Duration = Duration::from_secs(30);
-/// Addresses named in one digest.
-const NAMED: usize = 12;
 /// Bytes of one datagram; a fleet's largest digest, 500 loads, takes 8 KB.
 const DATAGRAM: usize = 16 * 1024;
 
@@ -39,6 +31,10 @@
 pub struct Peers {
     gate: Arc<Gate>,
     socket: UdpSocket,
+    /// Tells this process's digests from its predecessor's.
+    start: u64,
+    /// The number of the next digest.
+    number: AtomicU64,
 }
 
 impl Peers {
@@ -54,6 +50,8 @@
         Ok(Self {
             gate: Arc::clone(gate),
             socket,
+            start: unix_millis(),
+            number: AtomicU64::new(1),
         })
     }
 
@@ -63,7 +61,7 @@
     ///
     /// Never ends; a failed datagram is lost like any other.
     pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
-        let mut roster = Roster::new(&self.gate);
+        let mut roster = Roster::new(self.gate.own_address());
         let mut buffer = vec![0; DATAGRAM];
         let mut beat = Instant::now();
         let mut earliest = Instant::now();
@@ -86,10 +84,10 @@
                 }
                 () = self.gate.news.notified() => pending = true,
                 () = sleep_until(due) => {
-                    roster.take_seeds(&self.gate);
+                    self.take_seeds(&mut roster);
                     let heartbeat = due >= beat;
                     let targets = roster.targets(self.gate.now(), heartbeat);
-                    self.send(&mut roster, &targets, heartbeat).await;
+                    self.send(&roster, &targets, heartbeat).await;
                     self.expire();
                     pending = false;
                     let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
@@ -102,6 +100,12 @@
         }
     }
 
+    fn take_seeds(&self, roster: &mut Roster) {
+        let settings = self.gate.settings();
+        let seeds = settings.fleet.seeds.iter().map(|seed| seed.0.ip());
+        roster.take_seeds(self.gate.now(), seeds);
+    }
+
     /// Takes a datagram; returns whether it changed what is known of the others' work.
     fn receive(&self, roster: &mut Roster, from: SocketAddr, bytes: &[u8]) -> bool {
         let Ok(digest) = rmp_serde::from_slice::<Digest>(bytes) else {
@@ -127,8 +131,7 @@
         news
     }
 
-    async fn send(&self, roster: &mut Roster, targets: &[SocketAddr], heartbeat: bool) {
-        roster.number += 1;
+    async fn send(&self, roster: &Roster, targets: &[SocketAddr], heartbeat: bool) {
         let mut digest = {
             let state = self.gate.state();
             let mut digest = state.board.digest();
@@ -138,8 +141,8 @@
             digest.seen = state.seen;
             digest
         };
-        digest.start = roster.start;
-        digest.number = roster.number;
+        digest.start = self.start;
+        digest.number = self.number.fetch_add(1, Ordering::Relaxed);
         if heartbeat {
             digest.peers = roster.named();
         }
@@ -170,98 +173,6 @@
     }
 }
 
-/// What is known of another gateway's address.
-#[derive(Clone, Copy)]
-struct Contact {
-    /// When it was heard last, or learned.
-    at: Time,
-    /// Whether it was heard itself; only such addresses are named to others, so that dead ones are
-    /// forgotten.
-    heard: bool,
-}
-
-/// The addresses of other gateways.
-struct Roster {
-    own: SocketAddr,
-    seeds: BTreeSet<SocketAddr>,
-    known: BTreeMap<SocketAddr, Contact>,
-    start: u64,
-    number: u64,
-    beats: u64,
-}
-
-impl Roster {
-    fn new(gate: &Gate) -> Self {
-        let own = gate.own_address();
-        Self {
-            own,
-            known: BTreeMap::new(),
-            seeds: BTreeSet::new(),
-            start: unix_millis(),
-            number: 0,
-            beats: 0,
-        }
-    }
-
-    /// Takes the addresses of the settings, which may have changed.
-    fn take_seeds(&mut self, gate: &Gate) {
-        // All gateways listen on the same port; the settings may name another one of the VM.
-        let settings = gate.settings();
-        let seeds = settings.fleet.seeds.iter();
-        let seeds = seeds.map(|seed| SocketAddr::new(seed.0.ip(), self.own.port()));
-        self.seeds = seeds.filter(|seed| *seed != self.own).collect();
-        for seed in &self.seeds {
-            self.known.entry(*seed).or_insert(learned(gate.now()));
-        }
-    }
-
-    fn heard(&mut self, now: Time, from: SocketAddr, digest: &Digest) {
-        if digest.leaving {
-            self.known.remove(&from);
-            return;
-        }
-        let contact = Contact {
-            at: now,
-            heard: true,
-        };
-        self.known.insert(from, contact);
-        for peer in digest.peers.iter().filter(|peer| **peer != self.own) {
-            self.known.entry(*peer).or_insert(learned(now));
-        }
-    }
-
-    /// Returns who gets the next digest; on a heartbeat, silent addresses get one now and then.
-    fn targets(&mut self, now: Time, beat: bool) -> Vec<SocketAddr> {
-        let seeds = &self.seeds;
-        self.known
-            .retain(|addr, contact| seeds.contains(addr) || now.since(contact.at) < DROP);
-        self.beats += u64::from(beat);
-        let rare = beat && self.beats.is_multiple_of(RARELY);
-        let due = |contact: &Contact| rare || now.since(contact.at) < SILENCE;
-        let targets = self.known.iter().filter(|(_, contact)| due(contact));
-        targets.map(|(addr, _)| *addr).collect()
-    }
-
-    /// Returns the addresses that the next digest names, in turn.
-    fn named(&self) -> Vec<SocketAddr> {
-        let live = self.known.iter().filter(|(_, contact)| contact.heard);
-        let live: Vec<SocketAddr> = live.map(|(addr, _)| *addr).collect();
-        let turn = usize::try_from(self.number).unwrap_or(0) % live.len().max(1);
-        let all = live.iter().chain(&live);
-        all.skip(turn)
-            .take(NAMED.min(live.len()))
-            .copied()
-            .collect()
-    }
-}
-
-fn learned(now: Time) -> Contact {
-    Contact {
-        at: now,
-        heard: false,
-    }
-}
-
 /// Returns a number that is higher at a later start; only its order among the starts of one VM
 /// matters, and a clock that was set back is overtaken by the silence that a restart makes.
 fn unix_millis() -> u64 {
--- a/crates/cumindoor/tests/gateway_rules.rs
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -1,13 +1,16 @@
 //! Health, repeats, events and stages, as a gateway judges them, in virtual time.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use border::Stage;
 use coord::time::Time;
 use cumindoor::gateway::balance::{Balance, Split, Usage};
+use cumindoor::gateway::board::Digest;
 use cumindoor::gateway::budget::{RepeatBound, Repeats};
 use cumindoor::gateway::events::Events;
 use cumindoor::gateway::health::{Health, Outcome};
+use cumindoor::gateway::roster::Roster;
 use cumindoor::gateway::wakes::{WAKE_SPACING, Wakes};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -206,3 +209,44 @@
     assert_eq!((idle, first, done), (None, Some(now), None));
     assert_eq!(second, Some(now + WAKE_SPACING));
 }
+
+/// Guards against a large fleet whose gateways name the same few addresses at the same time.
+///
+/// With 12 names in a digest, 68 gateways are named in six heartbeats; two more make the first
+/// contact through the one seed.
+#[test]
+fn a_large_fleet_knows_all_its_gateways_after_eight_heartbeats() {
+    const GATEWAYS: u8 = 68;
+    const BEATS: u64 = 8;
+    let address = |number: u8| SocketAddr::from(([10, 0, 0, number], 7000));
+    let mut rosters: Vec<Roster> = (0..GATEWAYS).map(|n| Roster::new(address(n))).collect();
+
+    for beat in 0..BEATS {
+        let now = Time::from_millis(500 * beat);
+        let mut sent = Vec::new();
+        for (number, roster) in (0..GATEWAYS).zip(&mut rosters) {
+            roster.take_seeds(now, [address(0).ip()].into_iter());
+            let targets = roster.targets(now, true);
+            let digest = Digest {
+                peers: roster.named(),
+                ..Digest::default()
+            };
+            sent.push((address(number), targets, digest));
+        }
+        for (from, targets, digest) in sent {
+            for target in targets {
+                let SocketAddr::V4(to) = target else { continue };
+                let number = usize::from(to.ip().octets()[3]);
+                rosters[number].heard(now, from, &digest);
+            }
+        }
+    }
+
+    let now = Time::from_millis(500 * BEATS);
+    let known: Vec<usize> = rosters
+        .iter_mut()
+        .map(|r| r.targets(now, true).len())
+        .collect();
+    let all = usize::from(GATEWAYS) - 1;
+    assert!(known.iter().all(|known| *known == all), "{known:?}");
+}
