Count the outcomes of all requests, and keep the last lines of a process

Cause: the last lines of an ending process were lost, with them the count of the lines left out, and 'stopped' never came (the writing thread slept while the process ended). Batches over the pipe's capacity were cut when a process died.

--- a/crates/cumindoor/src/cli.rs
+++ b/crates/cumindoor/src/cli.rs
@@ -11,6 +11,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use eyre::WrapErr;
 
 use crate::bench;
 use crate::ini::{Setting, Span};
@@ -94,11 +95,14 @@
 
 #[derive(Debug, clap::Args)]
 struct ExplainArgs {
-    /// Id of the request, as its caller sent it
+    /// Id of the request, as its caller sent it; `all` counts the outcomes of all requests
     id: String,
     /// Log files; lines may begin with the name of their gateway
     #[arg(value_name = "FILE")]
     files: Vec<PathBuf>,
+    /// With `all`, also write a plot of the outcomes by second
+    #[arg(long, value_name = "FILE.svg")]
+    plot: Option<PathBuf>,
 }
 
 #[derive(Debug, clap::Args)]
@@ -178,6 +182,15 @@
 
 /// Prints a request's story; it is an error if parts of it may be missing.
 fn explain_request(args: &ExplainArgs) -> eyre::Result<()> {
+    if args.id == "all" {
+        let summary = explain::summary(&args.files)?;
+        print(&summary.to_string());
+        if let Some(path) = &args.plot {
+            let written = std::fs::write(path, summary.plot());
+            written.wrap_err_with(|| format!("cannot write {}", path.display()))?;
+        }
+        return Ok(());
+    }
     let story = explain::run(&args.id, &args.files)?;
     print(&story.to_string());
     if story.left_out > 0 {
--- a/crates/cumindoor/src/cli/gateway.rs
+++ b/crates/cumindoor/src/cli/gateway.rs
@@ -33,7 +33,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, &args.settings))
+    let served = runtime.block_on(serve(settings, &args.settings));
+    log::logger().flush();
+    served
 }
 
 fn read(path: &Path) -> eyre::Result<Settings> {
--- a/crates/cumindoor/src/explain.rs
+++ b/crates/cumindoor/src/explain.rs
@@ -1,4 +1,7 @@
-//! `cumindoor explain`: one request's story from the log lines of all gateways.
+//! `cumindoor explain`: one request's story, or the outcomes of all, from the log lines of all
+//! gateways.
+
+mod summary;
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read};
@@ -6,6 +9,8 @@
 
 use serde_json::{Map, Value};
 
+pub use summary::{Outcome, Summary};
+
 /// The event that says how many lines were not written.
 const LEFT_OUT: &str = "lines left out";
 /// How long before and after a request lines that were left out may belong to it, in seconds: the
@@ -22,6 +27,41 @@
     fields: Map<String, Value>,
 }
 
+impl Line {
+    /// Reads a line; what stands before the object is kept as its source. Returns `None` for lines
+    /// of other programs, which may write to the same log.
+    fn parse(source: &str, text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let Ok(Value::Object(mut fields)) = serde_json::from_str(&text[start..]) else {
+            return None;
+        };
+        let event = fields.remove("event").unwrap_or_default();
+        let at = fields.remove("at").and_then(|at| at.as_f64());
+        let prefix = text[..start].split_whitespace().last().unwrap_or(source);
+        Some(Self {
+            at: at.unwrap_or_default(),
+            source: prefix.to_owned(),
+            event: event.as_str().unwrap_or_default().to_owned(),
+            fields,
+        })
+    }
+
+    fn id(&self) -> Option<&str> {
+        self.fields.get("id").and_then(Value::as_str)
+    }
+
+    fn text(&self, field: &str) -> &str {
+        let value = self.fields.get(field).and_then(Value::as_str);
+        value.unwrap_or_default()
+    }
+
+    /// Returns how many lines were left out before, if the line says so.
+    fn left_out(&self) -> Option<u64> {
+        let count = self.fields.get("count").and_then(Value::as_u64);
+        (self.event == LEFT_OUT).then(|| count.unwrap_or(1))
+    }
+}
+
 /// The story of one request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Story {
@@ -54,38 +94,17 @@
     ///
     /// Returns the error of the input.
     pub fn read(&mut self, source: &str, input: impl Read) -> std::io::Result<()> {
-        for line in BufReader::new(input).lines() {
-            self.take(source, &line?);
-        }
-        Ok(())
+        each_line(source, input, &mut |line| self.take(line))
     }
 
-    fn take(&mut self, source: &str, text: &str) {
-        let Some(start) = text.find('{') else { return };
-        // Other programs may write to the same log; their lines tell nothing here.
-        let Ok(Value::Object(mut fields)) = serde_json::from_str(&text[start..]) else {
-            return;
-        };
-        let event = fields.remove("event").unwrap_or_default();
-        let event = event.as_str().unwrap_or_default().to_owned();
-        let at = fields.remove("at").and_then(|at| at.as_f64());
-        if event == LEFT_OUT {
-            let count = fields.get("count").and_then(Value::as_u64).unwrap_or(1);
-            self.gaps.push((at.unwrap_or_default(), count));
-            return;
-        }
-        if fields.get("id").and_then(Value::as_str) != Some(&self.id) {
-            return;
+    fn take(&mut self, mut line: Line) {
+        if let Some(count) = line.left_out() {
+            self.gaps.push((line.at, count));
+        } else if line.id() == Some(&self.id) {
+            line.fields.remove("id");
+            line.fields.remove("level");
+            self.lines.push(line);
         }
-        fields.remove("id");
-        fields.remove("level");
-        let prefix = text[..start].split_whitespace().last().unwrap_or(source);
-        self.lines.push(Line {
-            at: at.unwrap_or_default(),
-            source: prefix.to_owned(),
-            event,
-            fields,
-        });
     }
 
     /// Returns the story, or `None` if no line names the request.
@@ -124,23 +143,50 @@
     }
 }
 
-/// Reads `files`, or the standard input if there are none.
+/// Returns the story of a request in `files`, or in the standard input if there are none.
 ///
 /// # Errors
 ///
 /// Returns an error with the file that cannot be read, or if no line names the request.
 pub fn run(id: &str, files: &[PathBuf]) -> eyre::Result<Story> {
     let mut explainer = Explainer::new(id);
+    read_all(files, &mut |line| explainer.take(line))?;
+    let story = explainer.finish();
+    story.ok_or_else(|| eyre::eyre!("no line names the request {id}"))
+}
+
+/// Returns the outcomes of all requests in `files`, or in the standard input if there are none.
+///
+/// # Errors
+///
+/// Returns an error with the file that cannot be read, or if no line names a request.
+pub fn summary(files: &[PathBuf]) -> eyre::Result<Summary> {
+    let mut summary = Summary::default();
+    read_all(files, &mut |line| summary.take(&line))?;
+    if summary.is_empty() {
+        eyre::bail!("no line names a request");
+    }
+    Ok(summary)
+}
+
+fn read_all(files: &[PathBuf], take: &mut dyn FnMut(Line)) -> eyre::Result<()> {
     if files.is_empty() {
-        explainer.read("-", std::io::stdin())?;
+        each_line("-", std::io::stdin(), take)?;
     }
     for path in files {
         let name = path.display().to_string();
-        let opened = std::fs::File::open(path);
-        let opened = opened.map_err(|error| eyre::eyre!("cannot read {name}: {error}"))?;
-        let read = explainer.read(&name, opened);
-        read.map_err(|error| eyre::eyre!("cannot read {name}: {error}"))?;
+        let failed = |error| eyre::eyre!("cannot read {name}: {error}");
+        let opened = std::fs::File::open(path).map_err(failed)?;
+        each_line(&name, opened, take).map_err(failed)?;
     }
-    let story = explainer.finish();
-    story.ok_or_else(|| eyre::eyre!("no line names the request {id}"))
+    Ok(())
+}
+
+fn each_line(source: &str, input: impl Read, take: &mut dyn FnMut(Line)) -> std::io::Result<()> {
+    for line in BufReader::new(input).lines() {
+        if let Some(line) = Line::parse(source, &line?) {
+            take(line);
+        }
+    }
+    Ok(())
 }
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -9,7 +9,7 @@
 use coord::time::Time;
 use tokio::time::{Instant, sleep_until};
 
-use super::Job;
+use super::{Job, millis};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::board::{Load, service_key};
 use crate::gateway::directory::Directory;
@@ -160,6 +160,9 @@
             Some(known) if now < known.0 + RECHECK => known,
             _ => (now, place.estimate(model)),
         };
+        if estimated.is_none() {
+            place.note_wait(wait);
+        }
         estimated = Some((at, wait));
         if now >= until || now + wait > until {
             return Err(Refusal::after(Reason::Overloaded, wait));
@@ -307,6 +310,21 @@
         state.board.set_waiting(key, waiting.unwrap_or_default());
     }
 
+    /// Writes what the request waits for.
+    fn note_wait(&self, wait: Duration) {
+        let now = self.job.gate.now();
+        let service = service_key(&self.job.service);
+        let (here, elsewhere) = {
+            let state = self.job.gate.state();
+            let queue = state.queues.get(&self.job.service);
+            let here = queue.map_or(0, |queue| queue.waiting(now).requests);
+            (here, state.board.waiting_elsewhere(service).requests)
+        };
+        let (id, memory) = (&*self.job.ask.id, self.demand.memory);
+        let (late, wait_ms) = (self.due < now, millis(wait));
+        log::info!(id, memory, here, elsewhere, late, wait_ms; "request waits");
+    }
+
     /// Estimates how long it takes until there is room.
     fn estimate(&self, model: &Model) -> Duration {
         let now = self.job.gate.now();
--- a/crates/cumindoor/src/serve/telemetry/stdout.rs
+++ b/crates/cumindoor/src/serve/telemetry/stdout.rs
@@ -4,8 +4,9 @@
 //! beyond what the buffer holds while nobody reads, are left out and counted.
 
 use std::io::Write as _;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use logforth::append::Append;
@@ -19,11 +20,20 @@
 const LINE_BYTES: usize = 192;
 /// How often lines are written; fewer wake-ups cost less.
 const PERIOD: Duration = Duration::from_millis(200);
+/// Bytes of one write at most: a pipe takes so many at once or none (POSIX, `PIPE_BUF`), so that
+/// lines of processes with a common pipe are not mixed, and a killed process cuts no line.
+const WRITE_BYTES: usize = 4_096;
+/// How long an ending process waits for its last lines to be read.
+const FLUSH_TIME: Duration = Duration::from_secs(1);
+/// How often it looks.
+const FLUSH_PERIOD: Duration = Duration::from_millis(10);
 
 /// Appends lines to a queue.
 #[derive(Debug)]
 pub(super) struct Queued {
     lines: SyncSender<Vec<u8>>,
+    /// Lines that are queued and not yet written.
+    pending: Arc<AtomicUsize>,
     rate: u32,
     window: Mutex<Window>,
 }
@@ -35,6 +45,22 @@
     left_out: u64,
 }
 
+impl Window {
+    /// Begins the next window; returns a line about what was left out in this one.
+    fn end(&mut self) -> Option<Vec<u8>> {
+        let count = self.left_out;
+        *self = Self {
+            began: Instant::now(),
+            written: 0,
+            left_out: 0,
+        };
+        let at = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = at.unwrap_or_default().as_secs_f64();
+        let text = format!(r#"{{"at":{at:.3},"event":"lines left out","count":{count}}}"#);
+        (count > 0).then(|| text.into())
+    }
+}
+
 impl Queued {
     /// Starts the writing thread; `rate` lines a second are written at most.
     ///
@@ -43,11 +69,14 @@
     /// Returns an error if the thread cannot be started.
     pub(super) fn spawn(rate: u32) -> std::io::Result<Self> {
         let (lines, receiver) = sync_channel(QUEUED);
+        let pending = Arc::new(AtomicUsize::new(0));
+        let unwritten = Arc::clone(&pending);
         std::thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_all(&receiver))?;
+            .spawn(move || write_all(&receiver, &unwritten))?;
         Ok(Self {
             lines,
+            pending,
             rate,
             window: Mutex::new(Window {
                 began: Instant::now(),
@@ -62,18 +91,7 @@
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         let mut notice = None;
         if window.began.elapsed() >= Duration::from_secs(1) {
-            if window.left_out > 0 {
-                let count = window.left_out;
-                let at = SystemTime::now().duration_since(UNIX_EPOCH);
-                let at = at.unwrap_or_default().as_secs_f64();
-                let text = format!(r#"{{"at":{at:.3},"event":"lines left out","count":{count}}}"#);
-                notice = Some(text.into());
-            }
-            *window = Window {
-                began: Instant::now(),
-                written: 0,
-                left_out: 0,
-            };
+            notice = window.end();
         }
         window.written += 1;
         let admitted = window.written <= self.rate;
@@ -83,7 +101,9 @@
 
     fn queue(&self, mut line: Vec<u8>) {
         line.push(b'\n');
+        self.pending.fetch_add(1, Ordering::Relaxed);
         if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            self.pending.fetch_sub(1, Ordering::Relaxed);
             let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
             window.left_out += 1;
         }
@@ -102,7 +122,19 @@
         Ok(())
     }
 
+    /// Waits until the queued lines are written, but not for a reader that has gone.
     fn flush(&self) -> Result<(), logforth::Error> {
+        let notice = {
+            let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+            window.end()
+        };
+        if let Some(notice) = notice {
+            self.queue(notice);
+        }
+        let until = Instant::now() + FLUSH_TIME;
+        while self.pending.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            std::thread::sleep(FLUSH_PERIOD);
+        }
         Ok(())
     }
 }
@@ -141,16 +173,25 @@
 }
 
 /// Writes lines as they come, several at a time; ends when nobody can read them any more.
-fn write_all(lines: &Receiver<Vec<u8>>) {
+fn write_all(lines: &Receiver<Vec<u8>>, pending: &AtomicUsize) {
     let mut output = std::io::stdout();
     while let Ok(first) = lines.recv() {
         std::thread::sleep(PERIOD);
-        let mut batch = first;
+        let (mut batch, mut count) = (first, 1);
         for line in lines.try_iter() {
+            if batch.len() + line.len() > WRITE_BYTES {
+                if output.write_all(&batch).is_err() {
+                    return;
+                }
+                pending.fetch_sub(count, Ordering::Relaxed);
+                (batch, count) = (Vec::new(), 0);
+            }
             batch.extend_from_slice(&line);
+            count += 1;
         }
         if output.write_all(&batch).is_err() {
             return;
         }
+        pending.fetch_sub(count, Ordering::Relaxed);
     }
 }
--- a/crates/cumindoor/tests/gateway_pages.rs
+++ b/crates/cumindoor/tests/gateway_pages.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
-use cumindoor::explain::Explainer;
+use cumindoor::explain::{Explainer, Summary};
 
 fn root() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR"))
@@ -127,3 +127,41 @@
     assert_eq!(known.finish().unwrap().left_out, 3);
     assert_eq!(unknown.finish(), None);
 }
+
+const DAY: &str = r#"
+vm-1 {"at":10.0,"event":"request waits","id":"r-1"}
+vm-1 {"at":10.4,"event":"stream started","id":"r-1"}
+vm-1 {"at":11.0,"event":"stream complete","id":"r-1"}
+vm-1 {"at":11.1,"event":"request answered","id":"r-2","status":200}
+vm-2 {"at":11.2,"event":"request answered","id":"r-3","status":500}
+vm-2 {"at":13.2,"event":"request refused","id":"r-4","reason":"overloaded"}
+vm-2 {"at":13.3,"event":"stream cut","id":"r-5","reason":"broken"}
+vm-2 {"at":13.4,"event":"stream started","id":"r-6"}
+vm-2 {"at":13.5,"event":"lines left out","count":2}
+"#;
+
+/// Guards against requests that are counted twice or not at all, and against a worst second that
+/// is not shown.
+#[test]
+fn a_summary_counts_each_request_once() {
+    let mut summary = Summary::default();
+    summary.read("log", DAY.as_bytes()).unwrap();
+
+    let text = summary.to_string();
+    let plot = summary.plot();
+
+    let expected = [
+        "       2  served",
+        "       1  upstream answered 500",
+        "       1  refused: overloaded",
+        "       1  cut: broken",
+        "       1  no end logged",
+        "worst seconds, counted from the first request that ended:",
+        "       2 s  0 served, 3 not",
+        "       0 s  2 served, 1 not",
+        "2 lines were left out",
+    ];
+    assert_eq!(text.lines().collect::<Vec<_>>(), expected);
+    assert_eq!(plot.matches("#2a6").count(), 2);
+    assert!(plot.ends_with("</svg>\n"));
+}
--- a/crates/cumindoor/tests/gateway_process.rs
+++ b/crates/cumindoor/tests/gateway_process.rs
@@ -1,6 +1,8 @@
 //! The gateway as a process: signals, and settings that change while it runs.
 
-use std::io::{BufRead, BufReader, Lines};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Lines, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 
@@ -11,6 +13,7 @@
     child: Child,
     lines: Lines<BufReader<ChildStdout>>,
     file: PathBuf,
+    callers: SocketAddr,
 }
 
 impl Drop for Process {
@@ -33,9 +36,13 @@
 
 impl Process {
     fn start(test: &str) -> Self {
+        Self::start_with(test, &settings("0.2"))
+    }
+
+    fn start_with(test: &str, settings: &str) -> Self {
         let name = format!("{test}-{}.ini", std::process::id());
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        std::fs::write(&file, settings("0.2")).unwrap();
+        std::fs::write(&file, settings).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_cumindoor"))
             .args(["gateway", "--settings"])
             .arg(&file)
@@ -43,8 +50,15 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
-        let mut process = Self { child, lines, file };
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let first = lines.next().expect("a line with the address").unwrap();
+        let callers = first.strip_prefix("callers ").unwrap().parse().unwrap();
+        let mut process = Self {
+            child,
+            lines,
+            file,
+            callers,
+        };
         process.await_event("started");
         process
     }
@@ -73,11 +87,23 @@
         panic!("the gateway ended before the event: {event}");
     }
 
-    fn stop(mut self) -> ExitStatus {
+    /// Stops the process as planned; returns its status and its remaining lines.
+    fn stop(mut self) -> (ExitStatus, Vec<Value>) {
         self.signal("-TERM");
-        // The pipe is read to its end, so that the process never waits for room in it.
-        self.lines.by_ref().for_each(drop);
-        self.child.wait().unwrap()
+        let lines = self.lines.by_ref().map(|line| line.unwrap());
+        let lines = lines.map(|line| serde_json::from_str(&line).unwrap());
+        let lines = lines.collect();
+        (self.child.wait().unwrap(), lines)
+    }
+
+    /// Sends a request, which is refused because no routes are known.
+    fn request(&self) {
+        let mut stream = TcpStream::connect(self.callers).unwrap();
+        let head = "GET / HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     }
 }
 
@@ -89,7 +115,7 @@
     gateway.change(&settings("0.1"));
     gateway.await_event("settings reloaded");
 
-    assert!(gateway.stop().success());
+    assert!(gateway.stop().0.success());
 }
 
 /// Guards against faulty settings that end a running gateway or that are left without a word.
@@ -104,5 +130,44 @@
 
     let error = line["error"].as_str().unwrap();
     assert!(error.contains("ratio"), "{error}");
-    assert!(gateway.stop().success());
+    assert!(gateway.stop().0.success());
+}
+
+/// Guards against a log that floods its reader, lines that are lost without being counted, and the
+/// last lines of a process that ends: 200 refusals with ten lines a second.
+#[test]
+fn lines_beyond_the_rate_are_counted() {
+    const REQUESTS: u64 = 200;
+    const RATE: usize = 10;
+    let text = settings("0.2") + &format!("\n[lines]\nrate = {RATE}\n");
+    let gateway = Process::start_with("rate", &text);
+
+    (0..REQUESTS).for_each(|_| gateway.request());
+    let (status, lines) = gateway.stop();
+
+    assert!(status.success());
+    let of = |event: &str| {
+        let event = event.to_owned();
+        lines.iter().filter(move |line| line["event"] == event)
+    };
+    let refused = of("request refused").count();
+    let left_out: u64 = of("lines left out")
+        .filter_map(|line| line["count"].as_u64())
+        .sum();
+    assert!(
+        left_out + refused as u64 >= REQUESTS,
+        "{refused} and {left_out}"
+    );
+    assert_eq!(of("stopped").count(), 1);
+    // A window of the bound may begin within any second, so a second has two windows' lines at most.
+    let mut seconds = BTreeMap::new();
+    for line in of("request refused") {
+        *seconds
+            .entry(line["at"].to_string().split('.').next().unwrap().to_owned())
+            .or_insert(0) += 1;
+    }
+    assert!(
+        seconds.values().all(|lines| *lines <= 2 * RATE),
+        "{seconds:?}"
+    );
 }
