--- a/crates/cumindoor/src/explain/summary.rs
+++ b/crates/cumindoor/src/explain/summary.rs
@@ -28,7 +28,10 @@
     /// Its stream was cut, for this reason.
     #[display("cut: {_0}")]
     Cut(String),
-    /// No line tells its end: its gateway died, or its caller left.
+    /// Its caller left before the answer was complete.
+    #[display("caller left")]
+    Left,
+    /// No line tells its end: its gateway died.
     #[display("no end logged")]
     Open,
 }
@@ -76,6 +79,7 @@
             "stream complete" => Outcome::Served,
             "request refused" => Outcome::Refused(line.text("reason").to_owned()),
             "stream cut" => Outcome::Cut(line.text("reason").to_owned()),
+            "caller left" => Outcome::Left,
             _ => Outcome::Open,
         };
         let known = self.requests.entry(id.to_owned());
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -45,6 +45,36 @@
 /// ... and this many of the longest pauses of their route.
 const PATIENCE_PAUSES: u32 = 8;
 
+/// Notes a caller that leaves before its answer is complete: the server then drops the request.
+struct CallerWatch {
+    id: Arc<str>,
+    started: Instant,
+    done: bool,
+}
+
+impl CallerWatch {
+    fn new(id: Arc<str>, started: Instant) -> Self {
+        Self {
+            id,
+            started,
+            done: false,
+        }
+    }
+
+    fn done(&mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for CallerWatch {
+    fn drop(&mut self) {
+        if !self.done {
+            let ms = millis(self.started.elapsed());
+            log::info!(id = &*self.id, ms; "caller left");
+        }
+    }
+}
+
 /// One request of a caller.
 pub(super) struct Job {
     gate: Arc<Gate>,
@@ -116,10 +146,15 @@
     gate.telemetry.count("request.received");
     let (parts, body) = request.into_parts();
     let ask = gate.dialect.ask(&parts.headers).ok();
+    let id = ask
+        .as_ref()
+        .map_or_else(Default::default, |ask| ask.id.clone());
+    let mut watch = CallerWatch::new(id, started);
     let answered = match accept(&gate, parts, body, (arrived, started)).await {
         Ok(job) => run(Arc::new(job)).await,
         Err(refusal) => Err(refusal),
     };
+    watch.done();
     let mut response = answered.unwrap_or_else(|refusal| {
         note_refusal(&gate, ask.as_ref(), refusal, started);
         refusal.response(&*gate.dialect, ask.as_ref())
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::send::{self, Answer};
-use super::{Job, millis, plain, wait};
+use super::{CallerWatch, Job, millis, plain, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::events::Events;
 use crate::gateway::gate::Hold;
@@ -71,6 +71,7 @@
         runs: 1,
         first: true,
         ended: false,
+        watch: CallerWatch::new(job.ask.id.clone(), job.started),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
@@ -107,6 +108,7 @@
     runs: u32,
     first: bool,
     ended: bool,
+    watch: CallerWatch,
 }
 
 /// What the engine's connection brought.
@@ -192,6 +194,7 @@
 
     fn complete(&mut self) {
         self.ended = true;
+        self.watch.done();
         let gate = &self.job.gate;
         if let Some((_, lease)) = self.source.take() {
             lease.release();
@@ -226,6 +229,7 @@
 
     fn cut(&mut self, reason: &str, text: &str) -> BodyError {
         self.ended = true;
+        self.watch.done();
         self.source = None;
         self.run = None;
         self.job.gate.telemetry.count(&format!("stream.{reason}"));
