--- a/crates/cumindoor/src/serve/cluster.rs
+++ b/crates/cumindoor/src/serve/cluster.rs
@@ -1,7 +1,7 @@
 //! The task that runs membership and the distribution of documents on real connections.
 //!
-//! It joins `coord::member` and `coord::config` with the peers ([`Peers`]) and the platform
-//! ([`Platform`]) and publishes the view, the documents and the list over
+//! It joins `coord::member` and `coord::config` with the peers ([`Peers`]) and the registry
+//! ([`Registry`]) and publishes the view, the documents and the list over
 //! [`tokio::sync::watch`]. The list of VMs and upstreams is distributed like the documents, one
 //! document for each entry, so that a few VMs read it from the platform and a change costs the
 //! bytes of the changed entry (`docs/decisions/configuration.md`).
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer::{Peers, Router};
-use super::platform::Platform;
+use super::registry::Registry;
 use part::Incoming;
 use published::Published;
 use task::Task;
@@ -70,7 +70,7 @@
 struct Shared {
     options: ClusterOptions,
     peers: Peers,
-    platform: Arc<Platform>,
+    registry: Arc<Registry>,
     published: Published,
     sender: mpsc::Sender<Incoming>,
     inbox: Mutex<mpsc::Receiver<Incoming>>,
@@ -81,12 +81,12 @@
 impl Cluster {
     /// Returns a cluster that does nothing until [`run`](Self::run) is called.
     #[must_use]
-    pub fn new(options: ClusterOptions, peers: Peers, platform: Platform) -> Self {
+    pub fn new(options: ClusterOptions, peers: Peers, registry: Registry) -> Self {
         let (sender, inbox) = mpsc::channel(INBOX);
         let shared = Shared {
             options,
             peers,
-            platform: Arc::new(platform),
+            registry: Arc::new(registry),
             published: Published::new(),
             sender,
             inbox: Mutex::new(inbox),
--- a/crates/cumindoor/src/serve/cluster/listing.rs
+++ b/crates/cumindoor/src/serve/cluster/listing.rs
@@ -10,7 +10,7 @@
 
 use super::LIST_PREFIX;
 use super::published::Listed;
-use crate::serve::platform::{ListedUpstream, ListedVm, Listing, Presence};
+use crate::serve::registry::{ListedUpstream, ListedVm, Listing, Presence};
 
 const VM_PREFIX: &str = "@vm/";
 const UPSTREAM_PREFIX: &str = "@up/";
--- a/crates/cumindoor/src/serve/cluster/published.rs
+++ b/crates/cumindoor/src/serve/cluster/published.rs
@@ -11,7 +11,7 @@
 use coord::name::{Upstream, VmName};
 use tokio::sync::watch;
 
-use crate::serve::platform::{ListedUpstream, ListedVm};
+use crate::serve::registry::{ListedUpstream, ListedVm};
 
 /// The number of parts of which only the changed ones are copied when a document changes.
 const BUCKETS: usize = 64;
--- a/crates/cumindoor/src/serve/cluster/task.rs
+++ b/crates/cumindoor/src/serve/cluster/task.rs
@@ -17,7 +17,7 @@
 use super::part::Incoming;
 use super::published::{Findings, Listed};
 use super::{ClusterCall, ClusterPart, LIST_PREFIX, Shared, listing};
-use crate::serve::platform::Listing;
+use crate::serve::registry::Listing;
 
 /// The time between two ticks; `coord::member` takes a much longer gap for a pause.
 const TICK: Duration = Duration::from_millis(50);
@@ -240,9 +240,9 @@
         if std::mem::replace(&mut self.reading, true) {
             return;
         }
-        let platform = Arc::clone(&self.shared.platform);
+        let registry = Arc::clone(&self.shared.registry);
         self.calls.spawn(async move {
-            let answer = platform.documents(since, wait).await;
+            let answer = registry.documents(since, wait).await;
             Event::Answer(answer.inspect_err(|error| log::debug!("{error:#}")).ok())
         });
     }
@@ -256,10 +256,10 @@
             return;
         }
         self.next_list = None;
-        let platform = Arc::clone(&self.shared.platform);
+        let registry = Arc::clone(&self.shared.registry);
         let since = self.read;
         self.calls.spawn(async move {
-            let listing = platform.vms(since, LIST_WAIT).await;
+            let listing = registry.vms(since, LIST_WAIT).await;
             Event::List(listing.inspect_err(|error| log::debug!("{error:#}")).ok())
         });
     }
--- a/crates/cumindoor/src/serve/node/join.rs
+++ b/crates/cumindoor/src/serve/node/join.rs
@@ -16,7 +16,7 @@
 use crate::serve::UpstreamSpec;
 use crate::serve::claim::FleetClaims;
 use crate::serve::cluster::{Cluster, ClusterOptions, Documents, Listed};
-use crate::serve::platform::{ListedUpstream, Platform, Presence, UpstreamRole};
+use crate::serve::registry::{ListedUpstream, Presence, Registry, UpstreamRole};
 use crate::serve::supervisor::{Restarts, Spec, Strategy, Supervisor};
 use crate::serve::telemetry::Telemetry;
 use crate::serve::view::{Member, View};
@@ -78,7 +78,7 @@
     /// Returns the error of a listening socket.
     pub async fn join(settings: &Settings, mut options: NodeOptions) -> eyre::Result<Self> {
         let addresses = settings.platform.addresses.iter();
-        let platform = Platform::any_of(addresses.map(|address| address.0).collect());
+        let registry = Registry::any_of(addresses.map(|address| address.0).collect());
         let cluster_options = ClusterOptions {
             name: settings.vm.name.clone(),
             zone: settings.vm.data_centre.clone(),
@@ -89,7 +89,7 @@
             config: config::Options::default(),
         };
         let peers = options.peers.clone();
-        let cluster = Cluster::new(cluster_options, peers, platform);
+        let cluster = Cluster::new(cluster_options, peers, registry);
         options.router = cluster.register(options.router);
         options.wire_claims(settings, &cluster);
         let (feed, follow) = feed(&cluster);
--- a/crates/cumindoor/src/serve/platform.rs
+++ b/crates/cumindoor/src/serve/registry.rs
@@ -1,7 +1,7 @@
-//! Client of the platform: the configuration service and the list of VMs and upstreams
+//! Client of the configuration service, with its list of VMs and upstreams
 //! (`docs/design.md`, section 4).
 //!
-//! A read that waits at the platform is a watch. Each read has a time limit; a connection whose
+//! A read that waits at the service is a watch. Each read has a time limit; a connection whose
 //! read failed or ran out of time is not used again, because it may be silent for ever.
 
 mod wire;
@@ -100,7 +100,7 @@
 
 /// A client with one connection for documents and one for the list.
 #[derive(Debug)]
-pub struct Platform {
+pub struct Registry {
     addrs: Vec<SocketAddr>,
     documents: Mutex<Lane>,
     list: Mutex<Lane>,
@@ -114,7 +114,7 @@
     failures: usize,
 }
 
-impl Platform {
+impl Registry {
     /// Returns a client that connects with the first read.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
--- a/crates/cumindoor/tests/cluster.rs
+++ b/crates/cumindoor/tests/cluster.rs
@@ -11,7 +11,7 @@
 use cumindoor::serve::peer::{
     Listener, ListenerOptions, NoHttp, Peers, PeersOptions, Router, Running,
 };
-use cumindoor::serve::platform::Platform;
+use cumindoor::serve::registry::Registry;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::service::service_fn;
@@ -127,7 +127,7 @@
             members: MemberOptions::default(),
             config: ConfigOptions::default(),
         };
-        let cluster = Cluster::new(options, peers, Platform::new(platform));
+        let cluster = Cluster::new(options, peers, Registry::new(platform));
         let router = cluster.register(Router::new());
         let running = listener.spawn(router, Arc::new(NoHttp)).unwrap();
         let vm = Self {
--- a/crates/cumindoor/tests/nodes.rs
+++ b/crates/cumindoor/tests/nodes.rs
@@ -6,7 +6,7 @@
 
 use common::nodes::{Nodes, document};
 use common::{patiently, until};
-use cumindoor::serve::platform::Platform;
+use cumindoor::serve::registry::Registry;
 use standin::PlatformOptions;
 
 /// Guards against a request that fails because its VM does not own the cell.
@@ -315,7 +315,7 @@
     let up = up.unwrap();
     up.put_document("celeste", &document(3)).unwrap();
     down.go_down().await;
-    let client = Platform::any_of(vec![down.addr(), up.addr()]);
+    let client = Registry::any_of(vec![down.addr(), up.addr()]);
 
     let first = client.documents(0, Duration::ZERO).await;
     let second = client.documents(0, Duration::ZERO).await;
