Log what ties the tries of one request together

Change: 'attempt failed' and 'request refused' have the fingerprint of the request's content, which is the same for each try of a caller, and the number of the attempt within the try. The new event 'retry denied' has the figures of the retry budget. coord::poison::fingerprint takes any parts.

--- a/crates/coord/src/poison.rs
+++ b/crates/coord/src/poison.rs
@@ -29,25 +29,24 @@
 use serde::{Deserialize, Serialize};
 
 use crate::hash::hash128;
-use crate::name::{Organisation, Service};
 use crate::time::Time;
 
 /// Number of crashes after which a request is refused.
 const MAX_CRASHES: u8 = 2;
 
-/// Computes the fingerprint of a request.
+/// Computes the fingerprint of a request from the parts that are the same each time that its caller
+/// sends it, such as the caller's name, the service and the body.
 ///
-/// The names are prefixed with their lengths, so that two different requests never hash the same
+/// The parts are prefixed with their lengths, so that two different requests never hash the same
 /// bytes.
 #[must_use]
-pub fn fingerprint(organisation: &Organisation, service: &Service, body: &[u8]) -> u128 {
-    let (organisation, service) = (organisation.as_str(), service.as_str());
-    let mut bytes = Vec::with_capacity(body.len() + organisation.len() + service.len() + 16);
-    for part in [organisation.as_bytes(), service.as_bytes()] {
+pub fn fingerprint(parts: &[&[u8]]) -> u128 {
+    let length: usize = parts.iter().map(|part| part.len() + 8).sum();
+    let mut bytes = Vec::with_capacity(length);
+    for part in parts {
         bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
         bytes.extend_from_slice(part);
     }
-    bytes.extend_from_slice(body);
     hash128(&bytes)
 }
 
--- a/crates/coord/tests/poison.rs
+++ b/crates/coord/tests/poison.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use coord::name::{Organisation, Service};
 use coord::poison::{PoisonOptions, Suspects, Verdict, fingerprint};
 use coord::time::Time;
 use proptest::prelude::*;
@@ -123,7 +122,8 @@
 /// without a separator.
 #[test]
 fn fingerprints_separate_their_parts() {
-    let of = |o: &str, s: &str| fingerprint(&Organisation::from(o), &Service::from(s), b"x");
+    let of = |parts: [&str; 3]| fingerprint(&parts.map(str::as_bytes));
 
-    assert_ne!(of("ab", "c"), of("a", "bc"));
+    assert_ne!(of(["ab", "c", "x"]), of(["a", "bc", "x"]));
+    assert_ne!(of(["a", "bc", "x"]), of(["a", "b", "cx"]));
 }
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -210,7 +210,12 @@
         let gateways = state.loads.sharing_gateways(now);
         let budget = state.retry_budgets.entry(service.clone()).or_default();
         let granted = budget.try_retry(now, &limit, gateways);
+        let (requests, retries) = budget.counted();
         drop(state);
+        if !granted {
+            let service = service.as_str();
+            log::info!(service, requests, retries, gateways; "retry denied");
+        }
         self.telemetry.count(if granted {
             "repeat.paid"
         } else {
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -6,13 +6,15 @@
 mod send;
 mod wait;
 
+use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use border::{RequestMeta, Route, RouteKind, Routing, ServiceDef};
 use bytes::Bytes;
 use coord::name::Service;
+use coord::poison::fingerprint;
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -88,6 +90,10 @@
     /// The head sent to upstreams, without the headers added for each attempt.
     parts: Parts,
     body: Bytes,
+    /// Fingerprint that is the same each time that the caller sends this request.
+    content: u128,
+    /// Number of attempts at upstreams so far.
+    attempts: AtomicU32,
     arrived: Time,
     started: Instant,
     /// Latest time of the final response.
@@ -147,7 +153,11 @@
 }
 
 /// Handles one request of a caller.
-pub(super) async fn handle(ctx: Arc<Context>, request: Request<Incoming>) -> Response<BoxedBody> {
+pub(super) async fn handle(
+    ctx: Arc<Context>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<BoxedBody> {
     let arrived = ctx.now();
     let started = Instant::now();
     ctx.telemetry.count("request.received");
@@ -157,13 +167,17 @@
         .as_ref()
         .map_or_else(Default::default, |meta| meta.id.clone());
     let mut caller_guard = CallerGuard::new(id, started);
-    let answered = match read_request(&ctx, parts, body, (arrived, started)).await {
-        Ok(req) => run(Arc::new(req)).await,
+    let mut content = None;
+    let answered = match read_request(&ctx, caller, (parts, body), (arrived, started)).await {
+        Ok(req) => {
+            content = Some(req.content);
+            run(Arc::new(req)).await
+        }
         Err(refusal) => Err(refusal),
     };
     caller_guard.disarm();
     let mut response = answered.unwrap_or_else(|refusal| {
-        log_refusal(&ctx, meta.as_ref(), refusal, started);
+        log_refusal(&ctx, (meta.as_ref(), content), refusal, started);
         refusal.response(&*ctx.dialect, meta.as_ref())
     });
     if ctx.stopping.is_cancelled() {
@@ -173,13 +187,40 @@
     response
 }
 
-fn log_refusal(ctx: &Context, meta: Option<&RequestMeta>, refusal: Refusal, started: Instant) {
+fn log_refusal(
+    ctx: &Context,
+    (meta, content): (Option<&RequestMeta>, Option<u128>),
+    refusal: Refusal,
+    started: Instant,
+) {
     let reason = refusal.reason.to_string();
     ctx.telemetry.count(&format!("refusal.{reason}"));
     let id = meta.map_or("", |meta| &*meta.id);
     let ms = millis(started.elapsed());
     let retry_ms = refusal.retry_after.map_or(0, millis);
-    log::info!(id, reason = reason.as_str(), retry_ms, ms; "request refused");
+    let content = content.map(content_text).unwrap_or_default();
+    log::info!(id, content = content.as_str(), reason = reason.as_str(), retry_ms, ms; "request refused");
+}
+
+/// Returns the form of a fingerprint in log fields.
+fn content_text(content: u128) -> String {
+    format!("{content:032x}")
+}
+
+/// Computes the fingerprint of a request. Each try of a caller has a new id, a new connection and
+/// often another gateway; only these parts stay the same.
+fn content_fingerprint(caller: IpAddr, parts: &Parts, body: &[u8]) -> u128 {
+    let caller = caller.to_string();
+    let host = host(&parts.headers).or_else(|| parts.uri.host());
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let texts = [
+        &*caller,
+        parts.method.as_str(),
+        host.unwrap_or_default(),
+        path,
+    ];
+    let [caller, method, host, path] = texts.map(str::as_bytes);
+    fingerprint(&[caller, method, host, path, body])
 }
 
 /// Converts to whole milliseconds for log fields.
@@ -190,8 +231,8 @@
 /// Finds the route of a request and reads its body.
 async fn read_request(
     ctx: &Arc<Context>,
-    mut parts: Parts,
-    body: Incoming,
+    caller: IpAddr,
+    (mut parts, body): (Parts, Incoming),
     (arrived, started): (Time, Instant),
 ) -> Result<CallerRequest, Refusal> {
     let routing = ctx.state().routing.clone();
@@ -209,6 +250,7 @@
     let def = routing.services.get(&service).cloned();
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
     ctx.count_request(&service);
+    let content = content_fingerprint(caller, &parts, &body);
     headers::strip(&mut parts.headers);
     ctx.dialect.remove_reserved_headers(&mut parts.headers);
     // The HTTP client sets the length of the request to the upstream.
@@ -221,6 +263,8 @@
         meta,
         parts,
         body,
+        content,
+        attempts: AtomicU32::new(0),
         arrived,
         started,
         deadline,
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -1,5 +1,6 @@
 //! A single attempt at one upstream, up to the head of its answer.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use border::{AttemptMeta, Reply, Step, Work};
@@ -78,6 +79,7 @@
 ) -> Result<Answer, Failure> {
     let prefill = step == Step::Prefill;
     let request = build_request(req, choice, step, last_event_id)?;
+    req.attempts.fetch_add(1, Ordering::Relaxed);
     let executed_before = req.may_have_executed();
     if !prefill {
         req.set_maybe_executed(true);
@@ -131,9 +133,13 @@
     let (id, upstream) = (&*req.meta.id, choice.name.as_str());
     let (failure, left_ms) = (failure.to_string(), super::millis(req.time_left()));
     let load = req.ctx.state().loads.load(choice.key);
+    let (content, attempt) = (
+        super::content_text(req.content),
+        req.attempts.load(Ordering::Relaxed),
+    );
     log::info!(
-        id, upstream, failure = failure.as_str(), left_ms, requests = load.requests,
-        memory = load.kv_tokens;
+        id, content = content.as_str(), attempt, upstream, failure = failure.as_str(), left_ms,
+        requests = load.requests, memory = load.kv_tokens;
         "attempt failed"
     );
 }
--- a/crates/cumindoor/src/gateway/listeners.rs
+++ b/crates/cumindoor/src/gateway/listeners.rs
@@ -122,13 +122,16 @@
     if configured.is_err() {
         return;
     }
+    let Ok(caller) = stream.peer_addr() else {
+        return;
+    };
     let limits = ctx.state().routing.as_ref().map(|routing| routing.limits);
     let idle = limits.map_or(MIN_IDLE_TIMEOUT, head_timeout);
     let head = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.head_bytes);
     let handler_ctx = Arc::clone(&ctx);
     let service = service_fn(move |request| {
         let ctx = Arc::clone(&handler_ctx);
-        async move { Ok::<_, Infallible>(exchange::handle(ctx, request).await) }
+        async move { Ok::<_, Infallible>(exchange::handle(ctx, caller.ip(), request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cumindoor/src/gateway/retry_budget.rs
+++ b/crates/cumindoor/src/gateway/retry_budget.rs
@@ -48,9 +48,8 @@
     /// Counts one retry if the share of this gateway, one of `gateways`, allows it.
     pub fn try_retry(&mut self, now: Time, limit: &RetryLimit, gateways: usize) -> bool {
         self.bucket(now, limit);
-        let sum = |of: fn(&Bucket) -> u32| self.buckets.iter().map(of).sum::<u32>();
-        let requests = f64::from(sum(|bucket| bucket.requests));
-        let retries = f64::from(sum(|bucket| bucket.retries));
+        let (requests, retries) = self.counted();
+        let (requests, retries) = (f64::from(requests), f64::from(retries));
         let gateways = u32::try_from(gateways.max(1)).unwrap_or(u32::MAX);
         let share = limit.slack / f64::from(gateways);
         // A share below one retry is rounded up; the unused part of the allowance covers the
@@ -63,6 +62,13 @@
         granted
     }
 
+    /// Returns the requests and retries that count at present, for log events.
+    #[must_use]
+    pub fn counted(&self) -> (u32, u32) {
+        let sum = |of: fn(&Bucket) -> u32| self.buckets.iter().map(of).sum();
+        (sum(|bucket| bucket.requests), sum(|bucket| bucket.retries))
+    }
+
     fn bucket(&mut self, now: Time, limit: &RetryLimit) -> &mut Bucket {
         let length = (limit.window / u32::try_from(WINDOW_BUCKETS).unwrap_or(1))
             .max(Duration::from_millis(1));
