Add up crashes that different VMs saw in coord::poison

Cause: crashes of one fingerprint were merged as the higher of two numbers. Change: a record names the upstreams that crashed, the VM that saw each and its age; records are united by upstream and start. A run without a crash clears the fingerprint at all VMs. Pages of the table make up for lost messages. A refusal has a length of its own, which grows with each crash beyond the limit. The table's clock is ahead by the retention time, so that a VM that started later knows the age of crashes. Tests: the size test used 64 records, the batch of before; a record is larger now, so the batch is 32 and the test takes it from the options, with the same bound of 4 KB. Five new tests for the points above. Conclusion: the gateway does not use the table yet.

--- a/crates/coord/src/poison.rs
+++ b/crates/coord/src/poison.rs
@@ -1,23 +1,27 @@
 //! Protection of upstreams against poison requests, which crash every upstream that runs them.
 //!
 //! When an upstream crashes, one crash is counted for each fingerprint (hash of a request) that
-//! ran on it. A request with one crash is a suspect: it runs alone on an engine, and each cell
-//! runs one suspect at a time. After the second crash the request is refused for 10 min. See
-//! `docs/design.md`, section 6.6.
+//! ran on it. Each VM sees only the crashes of its own requests, and a caller may send its request
+//! through any VM, so VMs exchange what they have seen, and crashes of different upstreams add up. A
+//! request that runs without a crash is cleared. See `docs/design.md`, section 6.6.
+//!
+//! In a cell, a request with one crash is a suspect: it runs alone on an engine, and each cell runs
+//! one suspect at a time. After the second crash the request is refused for 10 min.
 //!
 //! # Example
 //!
 //! ```
-//! use coord::poison::{Suspects, Verdict};
+//! use coord::poison::{Suspects, UpstreamStart, Verdict};
 //! use coord::time::Time;
 //!
 //! let (now, bad) = (Time::ZERO, 17);
-//! let mut suspects = Suspects::new(Default::default());
+//! let crashed = |upstream: &str| UpstreamStart::new(upstream.into(), 0);
+//! let mut suspects = Suspects::new("vm-1".into(), Default::default());
 //! assert_eq!(suspects.admit(now, bad), Verdict::Run);
 //!
-//! suspects.upstream_crashed(now, &[bad]);
+//! suspects.upstream_crashed(now, &crashed("engine-1"), &[bad]);
 //! assert_eq!(suspects.admit(now, bad), Verdict::Isolate);
-//! suspects.upstream_crashed(now, &[bad]);
+//! suspects.upstream_crashed(now, &crashed("engine-2"), &[bad]);
 //!
 //! assert!(matches!(suspects.admit(now, bad), Verdict::Refuse { .. }));
 //! ```
@@ -25,14 +29,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use derive_more::Display;
+use derive_more::{Constructor, Display};
 use serde::{Deserialize, Serialize};
 
 use crate::hash::hash128;
+use crate::name::{Upstream, VmName};
 use crate::time::Time;
 
-/// Number of crashes after which a request is refused.
-const MAX_CRASHES: u8 = 2;
+/// Factor by which each crash beyond the limit lengthens the refusal.
+const HOLD_FACTOR: u32 = 4;
+/// Maximum number of crashes that are stored for one fingerprint.
+const MAX_SIGHTINGS: usize = 6;
+/// Time for which a fingerprint that was cleared is remembered, so that records of its crashes that
+/// are still on their way between VMs do not accuse it again.
+const CLEARED_RETENTION: Duration = Duration::from_mins(1);
+/// Time by which a crash may seem to be later than it was, because it took that long to become known.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// Computes the fingerprint of a request from the parts that are the same each time that its caller
 /// sends it, such as the caller's name, the service and the body.
@@ -53,26 +65,35 @@
 /// Settings of the protection against poison requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoisonOptions {
+    /// Number of crashes after which a request is refused.
+    pub max_crashes: usize,
+    /// Time after its last crash for which such a request is refused. Each further crash multiplies
+    /// it by 4.
+    pub hold: Duration,
     /// Time after the last crash for which the crashes of a fingerprint count.
     pub retention: Duration,
-    /// Maximum number of fingerprints that one VM stores. Beyond it the oldest is dropped, so
-    /// that callers that crash many upstreams cannot exhaust the memory.
+    /// Maximum number of fingerprints that one VM stores. Beyond it the oldest of those with the
+    /// fewest crashes is dropped, so that callers that crash many upstreams cannot exhaust the
+    /// memory.
     pub max_entries: usize,
-    /// Maximum number of records in one message to a peer: 64 records take about 2 KB.
+    /// Maximum number of records in one message to a peer: 32 records of one crash each take less
+    /// than 4 KB.
     pub max_batch: usize,
 }
 
 impl Default for PoisonOptions {
     fn default() -> Self {
         Self {
+            max_crashes: 2,
+            hold: Duration::from_mins(10),
             retention: Duration::from_mins(10),
             max_entries: 4_096,
-            max_batch: 64,
+            max_batch: 32,
         }
     }
 }
 
-/// The decision on how a request may run.
+/// The decision on how a request may run in a cell.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Verdict {
     /// Runs like any other request.
@@ -87,61 +108,124 @@
     /// Is refused, because it has reached the maximum number of crashes.
     #[display("refuse")]
     Refuse {
-        /// Time until its crashes expire.
+        /// Time until it may run again.
         retry_after: Duration,
     },
 }
 
-/// The crashes of one fingerprint, as sent from one VM to another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// One start of an upstream. An upstream that crashed and started again under its name can crash
+/// once more.
+#[derive(
+    Clone, Constructor, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{upstream}")]
+pub struct UpstreamStart {
+    /// Name of the upstream.
+    pub upstream: Upstream,
+    /// Number that differs for each start of the upstream, such as its time; 0 if the upstream has
+    /// a new name after each start.
+    pub start: u64,
+}
+
+/// A crash of an upstream that was running a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The upstream that crashed.
+    pub crashed: UpstreamStart,
+    /// The VM that had sent the request there.
+    pub observer: VmName,
+    /// Time since the crash. It is a duration because the clocks of two VMs cannot be compared.
+    pub age: Duration,
+}
+
+/// What is known of one fingerprint, as sent from one VM to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// The fingerprint, as computed by [`fingerprint`].
     pub fingerprint: u128,
-    /// Number of upstreams that crashed while they ran the request, at most 2.
-    #[serde(rename = "charges")]
-    pub crashes: u8,
-    /// Time since the last crash. It is a duration because the clocks of two VMs cannot be
-    /// compared.
-    pub age: Duration,
+    /// Crashes of upstreams that ran the request.
+    pub sightings: Vec<Sighting>,
+    /// Time since the request last ran without a crash, if it did after an earlier crash.
+    pub cleared: Option<Duration>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
-    crashes: u8,
-    last_crash: Time,
+    crashes: BTreeMap<UpstreamStart, (Time, VmName)>,
+    cleared: Option<Time>,
+}
+
+impl Entry {
+    fn last_crash(&self) -> Option<Time> {
+        self.crashes.values().map(|(at, _)| *at).max()
+    }
+
+    /// Adds a crash unless it is known or the request ran without a crash later. Returns whether
+    /// it is new.
+    fn add(&mut self, crashed: &UpstreamStart, at: Time, observer: &VmName) -> bool {
+        let outdated = self
+            .cleared
+            .is_some_and(|cleared| at <= cleared + REPORT_DELAY);
+        if let Some(known) = self.crashes.get_mut(crashed) {
+            // Each hop makes a crash look younger than it is.
+            known.0 = known.0.min(at);
+            return false;
+        }
+        if outdated || self.crashes.len() >= MAX_SIGHTINGS {
+            return false;
+        }
+        let crash = (at, observer.clone());
+        self.crashes.insert(crashed.clone(), crash);
+        true
+    }
+
+    /// Removes the crashes before the request ran without one. Returns whether that is news.
+    fn clear(&mut self, at: Time) -> bool {
+        if self.cleared.is_some_and(|known| at <= known + REPORT_DELAY) {
+            return false;
+        }
+        self.cleared = Some(at);
+        self.crashes
+            .retain(|_, (crashed, _)| *crashed > at + REPORT_DELAY);
+        true
+    }
 }
 
 /// The fingerprints with crashes that one VM knows.
 #[derive(Clone, Debug)]
 pub struct Suspects {
+    vm: VmName,
     options: PoisonOptions,
     entries: BTreeMap<u128, Entry>,
     /// The fingerprint that is running alone.
     isolated: Option<u128>,
     /// Changed fingerprints that have not been sent to peers yet, oldest first.
     unsent: Vec<u128>,
+    /// The fingerprint after which the next [`Suspects::next_page`] begins.
+    page: Option<u128>,
 }
 
 impl Suspects {
-    /// Creates an empty table.
+    /// Creates an empty table of a VM.
     #[must_use]
-    pub const fn new(options: PoisonOptions) -> Self {
+    pub const fn new(vm: VmName, options: PoisonOptions) -> Self {
         Self {
+            vm,
             options,
             entries: BTreeMap::new(),
             isolated: None,
             unsent: Vec::new(),
+            page: None,
         }
     }
 
-    /// Decides how a request may run. Call it directly before each start, including retries.
+    /// Decides how a request may run in a cell. Call it directly before each start, including
+    /// retries.
     pub fn admit(&mut self, now: Time, fingerprint: u128) -> Verdict {
-        let entry = self.entries.get(&fingerprint).copied();
-        let Some(entry) = entry.filter(|entry| self.is_current(now, entry)) else {
+        if self.crash_count(now, &[fingerprint]) == 0 {
             return Verdict::Run;
-        };
-        if entry.crashes >= MAX_CRASHES {
-            let retry_after = (entry.last_crash + self.options.retention).since(now);
+        }
+        if let Some(retry_after) = self.refusal(now, &[fingerprint]) {
             return Verdict::Refuse { retry_after };
         }
         if self.isolated.is_some() {
@@ -151,15 +235,51 @@
         Verdict::Isolate
     }
 
-    /// Records that a request ended without a crash of its upstream.
-    ///
-    /// A suspect that ran alone was not the cause of the earlier crash: its record is removed
-    /// from this table, and expires at peers.
-    pub fn completed(&mut self, fingerprint: u128) {
-        if self.isolated == Some(fingerprint) {
-            self.isolated = None;
-            self.entries.remove(&fingerprint);
+    /// Returns the number of upstreams that crashed while they ran any of these fingerprints,
+    /// which belong to the steps of one request.
+    #[must_use]
+    pub fn crash_count(&self, now: Time, fingerprints: &[u128]) -> usize {
+        let now = self.shift(now);
+        let current = fingerprints.iter().filter_map(|f| self.current(now, *f));
+        current.map(|entry| entry.crashes.len()).sum()
+    }
+
+    /// Returns how long a request with these fingerprints is still refused, or `None` if it may
+    /// run.
+    #[must_use]
+    pub fn refusal(&self, now: Time, fingerprints: &[u128]) -> Option<Duration> {
+        let count = self.crash_count(now, fingerprints);
+        let beyond = count.checked_sub(self.options.max_crashes)?;
+        let beyond = u32::try_from(beyond).unwrap_or(u32::MAX);
+        let now = self.shift(now);
+        let hold = self.options.hold * HOLD_FACTOR.saturating_pow(beyond.min(8));
+        let current = fingerprints.iter().filter_map(|f| self.current(now, *f));
+        let last = current.filter_map(Entry::last_crash).max()?;
+        let left = (last + hold).since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the crashes that count against these fingerprints, for log events.
+    #[must_use]
+    pub fn sightings(&self, now: Time, fingerprints: &[u128]) -> Vec<Sighting> {
+        let now = self.shift(now);
+        let current = fingerprints.iter().filter_map(|f| self.current(now, *f));
+        current.flat_map(|entry| sightings(now, entry)).collect()
+    }
+
+    /// Records that a request ran to its end without a crash of its upstream, so it was not the
+    /// cause of earlier crashes. Returns whether it had any.
+    pub fn completed(&mut self, now: Time, fingerprint: u128) -> bool {
+        let now = self.shift(now);
+        self.aborted(fingerprint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return false;
+        };
+        let had_crashes = !entry.crashes.is_empty();
+        if had_crashes && entry.clear(now) {
+            self.announce(&[fingerprint]);
         }
+        had_crashes
     }
 
     /// Records that a request was cancelled or failed without a crash of its upstream.
@@ -176,56 +296,104 @@
     ///
     /// Returns these fingerprints. The caller must cancel requests with these fingerprints that run
     /// on other upstreams.
-    pub fn upstream_crashed(&mut self, now: Time, running: &[u128]) -> BTreeSet<u128> {
+    pub fn upstream_crashed(
+        &mut self,
+        now: Time,
+        crashed: &UpstreamStart,
+        running: &[u128],
+    ) -> BTreeSet<u128> {
+        let now = self.shift(now);
         let suspects: BTreeSet<u128> = running.iter().copied().collect();
+        let mut changed = Vec::new();
         for fingerprint in &suspects {
             self.aborted(*fingerprint);
-            let earlier = self.entries.get(fingerprint);
-            let earlier = earlier.filter(|entry| self.is_current(now, entry));
-            let crashes = earlier.map_or(0, |entry| entry.crashes) + 1;
-            self.put(now, *fingerprint, crashes.min(MAX_CRASHES));
-            self.unsent.push(*fingerprint);
+            self.drop_expired(now, *fingerprint);
+            let entry = self.entries.entry(*fingerprint).or_default();
+            if entry.add(crashed, now, &self.vm) {
+                changed.push(*fingerprint);
+            }
         }
+        self.evict();
+        self.announce(&changed);
         suspects
     }
 
     /// Returns the next message for peers, which is empty if nothing has changed.
     ///
-    /// Send it to the VMs that are next in order of ownership before the request is retried.
+    /// Send it to the VMs that may receive the request next before it is retried.
     pub fn next_update(&mut self, now: Time) -> Vec<CrashRecord> {
+        let now = self.shift(now);
         let count = self.unsent.len().min(self.options.max_batch);
         let next: BTreeSet<u128> = self.unsent.drain(..count).collect();
-        let known = next.iter().filter_map(|f| Some((f, self.entries.get(f)?)));
-        let record = |(fingerprint, entry): (&u128, &Entry)| CrashRecord {
-            fingerprint: *fingerprint,
-            crashes: entry.crashes,
-            age: now.since(entry.last_crash),
+        let known = next.iter().filter_map(|f| Some((*f, self.entries.get(f)?)));
+        known.map(|(f, entry)| record(now, f, entry)).collect()
+    }
+
+    /// Returns the next part of the table, in turn, for peers that missed an update or started
+    /// later. Fingerprints that are refused come first in each part.
+    pub fn next_page(&mut self, now: Time) -> Vec<CrashRecord> {
+        let now = self.shift(now);
+        let batch = self.options.max_batch;
+        let refused = |entry: &Entry| entry.crashes.len() >= self.options.max_crashes;
+        let after = self.page.map_or(0, |page| page.wrapping_add(1));
+        let in_turn = || {
+            self.entries
+                .range(after..)
+                .chain(self.entries.range(..after))
         };
-        known.map(record).collect()
+        let first = in_turn()
+            .filter(|(_, entry)| refused(entry))
+            .take(batch / 2);
+        let first: BTreeSet<u128> = first.map(|(f, _)| *f).collect();
+        let others = in_turn().filter(|(f, _)| !first.contains(f));
+        let others: Vec<u128> = others.take(batch - first.len()).map(|(f, _)| *f).collect();
+        self.page = others.last().copied();
+        let all = first.iter().chain(&others);
+        let known = all.filter_map(|f| Some((*f, self.entries.get(f)?)));
+        known.map(|(f, entry)| record(now, f, entry)).collect()
     }
 
-    /// Merges the records of a peer.
+    /// Returns whether [`Suspects::next_update`] has something to send.
+    #[must_use]
+    pub fn has_updates(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Merges the records of a peer. Crashes of different upstreams add up, whichever VM saw them.
     ///
-    /// The higher number of crashes is kept. The numbers are not added, because both may count
-    /// the same crashes.
-    pub fn merge(&mut self, now: Time, records: &[CrashRecord]) {
+    /// Returns the fingerprints of which something new became known. They are passed on with the
+    /// next update.
+    pub fn merge(&mut self, now: Time, records: &[CrashRecord]) -> Vec<u128> {
+        let now = self.shift(now);
+        let mut changed = Vec::new();
         for record in records.iter().take(self.options.max_batch) {
-            let own = self.entries.get(&record.fingerprint).copied();
-            let own = own.filter(|entry| self.is_current(now, entry));
-            let higher = own.is_none_or(|entry| entry.crashes < record.crashes);
-            if higher && record.age < self.options.retention {
-                let crashes = record.crashes.min(MAX_CRASHES);
-                self.put(now - record.age, record.fingerprint, crashes);
-                self.unsent.push(record.fingerprint);
+            self.drop_expired(now, record.fingerprint);
+            let entry = self.entries.entry(record.fingerprint).or_default();
+            let cleared = record.cleared.filter(|age| *age < CLEARED_RETENTION);
+            let mut news = cleared.is_some_and(|age| entry.clear(now - age));
+            for sighting in record.sightings.iter().take(MAX_SIGHTINGS) {
+                if sighting.age < self.options.retention {
+                    let at = now - sighting.age;
+                    news |= entry.add(&sighting.crashed, at, &sighting.observer);
+                }
+            }
+            if news {
+                changed.push(record.fingerprint);
+            } else if entry.crashes.is_empty() && entry.cleared.is_none() {
+                self.entries.remove(&record.fingerprint);
             }
         }
+        self.evict();
+        self.announce(&changed);
+        changed
     }
 
     /// Removes expired records.
     pub fn tick(&mut self, now: Time) {
+        let now = self.shift(now);
         let retention = self.options.retention;
         self.entries
-            .retain(|_, entry| now.since(entry.last_crash) < retention);
+            .retain(|_, entry| !is_expired(now, retention, entry));
     }
 
     /// Returns the number of stored fingerprints, expired ones included until the next
@@ -241,24 +409,65 @@
         self.entries.is_empty()
     }
 
-    fn is_current(&self, now: Time, entry: &Entry) -> bool {
-        now.since(entry.last_crash) < self.options.retention
+    /// Returns the instant on the table's own clock, which is ahead by the retention time, so that
+    /// crashes before the start of this process have an instant on it.
+    fn shift(&self, now: Time) -> Time {
+        now + self.options.retention
     }
 
-    fn put(&mut self, at: Time, fingerprint: u128, crashes: u8) {
-        let entry = Entry {
-            crashes,
-            last_crash: at,
-        };
-        self.entries.insert(fingerprint, entry);
-        if self.entries.len() > self.options.max_entries {
-            let oldest = self
-                .entries
-                .iter()
-                .min_by_key(|(_, entry)| entry.last_crash);
-            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.entries.remove(&oldest);
-            }
+    fn current(&self, now: Time, fingerprint: u128) -> Option<&Entry> {
+        let entry = self.entries.get(&fingerprint)?;
+        (!is_expired(now, self.options.retention, entry)).then_some(entry)
+    }
+
+    fn drop_expired(&mut self, now: Time, fingerprint: u128) {
+        let retention = self.options.retention;
+        let entry = self.entries.get(&fingerprint);
+        if entry.is_some_and(|entry| is_expired(now, retention, entry)) {
+            self.entries.remove(&fingerprint);
+        }
+    }
+
+    /// Adds fingerprints to the next updates. Those beyond the limit are left to the pages.
+    fn announce(&mut self, changed: &[u128]) {
+        let room = self.options.max_entries.saturating_sub(self.unsent.len());
+        self.unsent.extend(changed.iter().take(room));
+    }
+
+    fn evict(&mut self) {
+        while self.entries.len() > self.options.max_entries {
+            let rank = |entry: &Entry| (entry.crashes.len(), entry.last_crash());
+            let least = self.entries.iter().min_by_key(|(_, entry)| rank(entry));
+            let Some(least) = least.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.entries.remove(&least);
         }
     }
 }
+
+fn is_expired(now: Time, retention: Duration, entry: &Entry) -> bool {
+    let crashed = entry.last_crash();
+    let crash_counts = crashed.is_some_and(|at| now.since(at) < retention);
+    let cleared = entry.cleared;
+    !crash_counts && cleared.is_none_or(|at| now.since(at) >= CLEARED_RETENTION)
+}
+
+fn record(now: Time, fingerprint: u128, entry: &Entry) -> CrashRecord {
+    CrashRecord {
+        fingerprint,
+        sightings: sightings(now, entry).collect(),
+        cleared: entry.cleared.map(|at| now.since(at)),
+    }
+}
+
+fn sightings(now: Time, entry: &Entry) -> impl Iterator<Item = Sighting> {
+    entry
+        .crashes
+        .iter()
+        .map(move |(crashed, (at, observer))| Sighting {
+            crashed: crashed.clone(),
+            observer: observer.clone(),
+            age: now.since(*at),
+        })
+}
