--- a/crates/coord/src/poison.rs
+++ b/crates/coord/src/poison.rs
@@ -11,6 +11,8 @@
 //! # Example
 //!
 //! ```
+//! use std::time::Duration;
+//!
 //! use coord::poison::{Suspects, UpstreamStart, Verdict};
 //! use coord::time::Time;
 //!
@@ -19,9 +21,9 @@
 //! let mut suspects = Suspects::new("vm-1".into(), Default::default());
 //! assert_eq!(suspects.admit(now, bad), Verdict::Run);
 //!
-//! suspects.upstream_crashed(now, &crashed("engine-1"), &[bad]);
+//! suspects.upstream_crashed(now, &crashed("engine-1"), Duration::ZERO, &[bad]);
 //! assert_eq!(suspects.admit(now, bad), Verdict::Isolate);
-//! suspects.upstream_crashed(now, &crashed("engine-2"), &[bad]);
+//! suspects.upstream_crashed(now, &crashed("engine-2"), Duration::ZERO, &[bad]);
 //!
 //! assert!(matches!(suspects.admit(now, bad), Verdict::Refuse { .. }));
 //! ```
@@ -73,7 +75,7 @@
     /// Time after the last crash for which the crashes of a fingerprint count.
     pub retention: Duration,
     /// Maximum number of fingerprints that one VM stores. Beyond it the oldest of those with the
-    /// fewest crashes is dropped, so that callers that crash many upstreams cannot exhaust the
+    /// fewest crashes are dropped, so that callers that crash many upstreams cannot exhaust the
     /// memory.
     pub max_entries: usize,
     /// Maximum number of records in one message to a peer: 32 records of one crash each take less
@@ -134,6 +136,8 @@
     pub crashed: UpstreamStart,
     /// The VM that had sent the request there.
     pub observer: VmName,
+    /// Time for which the upstream had the request when it crashed.
+    pub ran: Duration,
     /// Time since the crash. It is a duration because the clocks of two VMs cannot be compared.
     pub age: Duration,
 }
@@ -149,34 +153,70 @@
     pub cleared: Option<Duration>,
 }
 
+/// A crash on the table's own clock.
+#[derive(Clone, Debug)]
+struct Crash {
+    at: Time,
+    /// Time for which the upstream had the request.
+    ran: Duration,
+    observer: VmName,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Entry {
-    crashes: BTreeMap<UpstreamStart, (Time, VmName)>,
+    crashes: BTreeMap<UpstreamStart, Crash>,
     cleared: Option<Time>,
 }
 
 impl Entry {
     fn last_crash(&self) -> Option<Time> {
-        self.crashes.values().map(|(at, _)| *at).max()
+        self.crashes.values().map(|crash| crash.at).max()
+    }
+
+    /// Returns the crashes that count: of runs that overlapped, only the one that ended first.
+    ///
+    /// Copies of one request that run at the same time may all be lost for another reason, such as a
+    /// failed data centre. Only a run that began after a crash shows more than that crash did.
+    fn counted(&self) -> Vec<&UpstreamStart> {
+        let mut in_order: Vec<_> = self.crashes.iter().collect();
+        in_order.sort_by_key(|(_, crash)| crash.at);
+        let mut counted = Vec::new();
+        let mut last: Option<Time> = None;
+        for (crashed, crash) in in_order {
+            let began = crash.at - crash.ran;
+            if last.is_none_or(|last| began >= last) {
+                counted.push(crashed);
+                last = Some(crash.at);
+            }
+        }
+        counted
     }
 
     /// Adds a crash unless it is known or the request ran without a crash later. Returns whether
     /// it is new.
-    fn add(&mut self, crashed: &UpstreamStart, at: Time, observer: &VmName) -> bool {
+    fn add(&mut self, crashed: &UpstreamStart, crash: Crash) -> bool {
+        let at = crash.at;
         let outdated = self
             .cleared
             .is_some_and(|cleared| at <= cleared + REPORT_DELAY);
         if let Some(known) = self.crashes.get_mut(crashed) {
             // Each hop makes a crash look younger than it is.
-            known.0 = known.0.min(at);
+            known.at = known.at.min(at);
             return false;
         }
-        if outdated || self.crashes.len() >= MAX_SIGHTINGS {
+        if outdated {
             return false;
         }
-        let crash = (at, observer.clone());
         self.crashes.insert(crashed.clone(), crash);
-        true
+        if self.crashes.len() <= MAX_SIGHTINGS {
+            return true;
+        }
+        // One that does not count makes room, or else the new one.
+        let counted: Vec<UpstreamStart> = self.counted().into_iter().cloned().collect();
+        let mut spare = self.crashes.keys().filter(|known| !counted.contains(known));
+        let dropped = spare.next().cloned().unwrap_or_else(|| crashed.clone());
+        self.crashes.remove(&dropped);
+        dropped != *crashed
     }
 
     /// Removes the crashes before the request ran without one. Returns whether that is news.
@@ -185,8 +225,7 @@
             return false;
         }
         self.cleared = Some(at);
-        self.crashes
-            .retain(|_, (crashed, _)| *crashed > at + REPORT_DELAY);
+        self.crashes.retain(|_, crash| crash.at > at + REPORT_DELAY);
         true
     }
 }
@@ -241,7 +280,7 @@
     pub fn crash_count(&self, now: Time, fingerprints: &[u128]) -> usize {
         let now = self.shift(now);
         let current = fingerprints.iter().filter_map(|f| self.current(now, *f));
-        current.map(|entry| entry.crashes.len()).sum()
+        current.map(|entry| entry.counted().len()).sum()
     }
 
     /// Returns how long a request with these fingerprints is still refused, or `None` if it may
@@ -294,12 +333,16 @@
     /// Counts one crash for each fingerprint that ran on a crashed upstream, however many
     /// requests had the fingerprint.
     ///
+    /// `ran` is the time for which the upstream had the requests, or zero if copies of one request
+    /// never run at the same time.
+    ///
     /// Returns these fingerprints. The caller must cancel requests with these fingerprints that run
     /// on other upstreams.
     pub fn upstream_crashed(
         &mut self,
         now: Time,
         crashed: &UpstreamStart,
+        ran: Duration,
         running: &[u128],
     ) -> BTreeSet<u128> {
         let now = self.shift(now);
@@ -309,7 +352,12 @@
             self.aborted(*fingerprint);
             self.drop_expired(now, *fingerprint);
             let entry = self.entries.entry(*fingerprint).or_default();
-            if entry.add(crashed, now, &self.vm) {
+            let crash = Crash {
+                at: now,
+                ran,
+                observer: self.vm.clone(),
+            };
+            if entry.add(crashed, crash) {
                 changed.push(*fingerprint);
             }
         }
@@ -334,7 +382,7 @@
     pub fn next_page(&mut self, now: Time) -> Vec<CrashRecord> {
         let now = self.shift(now);
         let batch = self.options.max_batch;
-        let refused = |entry: &Entry| entry.crashes.len() >= self.options.max_crashes;
+        let refused = |entry: &Entry| entry.counted().len() >= self.options.max_crashes;
         let after = self.page.map_or(0, |page| page.wrapping_add(1));
         let in_turn = || {
             self.entries
@@ -361,8 +409,8 @@
 
     /// Merges the records of a peer. Crashes of different upstreams add up, whichever VM saw them.
     ///
-    /// Returns the fingerprints of which something new became known. They are passed on with the
-    /// next update.
+    /// Returns the fingerprints of which something new became known. Where updates do not go to all
+    /// VMs, pass them to [`Suspects::announce`].
     pub fn merge(&mut self, now: Time, records: &[CrashRecord]) -> Vec<u128> {
         let now = self.shift(now);
         let mut changed = Vec::new();
@@ -373,8 +421,12 @@
             let mut news = cleared.is_some_and(|age| entry.clear(now - age));
             for sighting in record.sightings.iter().take(MAX_SIGHTINGS) {
                 if sighting.age < self.options.retention {
-                    let at = now - sighting.age;
-                    news |= entry.add(&sighting.crashed, at, &sighting.observer);
+                    let crash = Crash {
+                        at: now - sighting.age,
+                        ran: sighting.ran,
+                        observer: sighting.observer.clone(),
+                    };
+                    news |= entry.add(&sighting.crashed, crash);
                 }
             }
             if news {
@@ -384,7 +436,6 @@
             }
         }
         self.evict();
-        self.announce(&changed);
         changed
     }
 
@@ -429,19 +480,21 @@
     }
 
     /// Adds fingerprints to the next updates. Those beyond the limit are left to the pages.
-    fn announce(&mut self, changed: &[u128]) {
+    pub fn announce(&mut self, changed: &[u128]) {
         let room = self.options.max_entries.saturating_sub(self.unsent.len());
         self.unsent.extend(changed.iter().take(room));
     }
 
     fn evict(&mut self) {
-        while self.entries.len() > self.options.max_entries {
-            let rank = |entry: &Entry| (entry.crashes.len(), entry.last_crash());
-            let least = self.entries.iter().min_by_key(|(_, entry)| rank(entry));
-            let Some(least) = least.map(|(fingerprint, _)| *fingerprint) else {
-                return;
-            };
-            self.entries.remove(&least);
+        if self.entries.len() <= self.options.max_entries {
+            return;
+        }
+        let kept = self.options.max_entries;
+        let rank = |entry: &Entry| (entry.counted().len(), entry.last_crash());
+        let mut ranked: Vec<_> = self.entries.iter().map(|(f, e)| (rank(e), *f)).collect();
+        ranked.sort_unstable();
+        for (_, fingerprint) in &ranked[..ranked.len() - kept] {
+            self.entries.remove(fingerprint);
         }
     }
 }
@@ -462,12 +515,10 @@
 }
 
 fn sightings(now: Time, entry: &Entry) -> impl Iterator<Item = Sighting> {
-    entry
-        .crashes
-        .iter()
-        .map(move |(crashed, (at, observer))| Sighting {
-            crashed: crashed.clone(),
-            observer: observer.clone(),
-            age: now.since(*at),
-        })
+    entry.crashes.iter().map(move |(crashed, crash)| Sighting {
+        crashed: crashed.clone(),
+        observer: crash.observer.clone(),
+        ran: crash.ran,
+        age: now.since(crash.at),
+    })
 }
--- a/crates/coord/tests/messages.rs
+++ b/crates/coord/tests/messages.rs
@@ -97,6 +97,7 @@
         sightings: vec![Sighting {
             crashed: UpstreamStart::new(Upstream::from("logreader-3"), u64::MAX),
             observer: vm(),
+            ran: Duration::from_millis(250),
             age: Duration::from_secs(1),
         }],
         cleared: Some(Duration::from_secs(2)),
--- a/crates/coord/tests/poison.rs
+++ b/crates/coord/tests/poison.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 
 const BAD: u128 = 17;
+const AT_ONCE: Duration = Duration::ZERO;
 
 fn suspects() -> Suspects {
     suspects_of("vm-1", PoisonOptions::default())
@@ -25,7 +26,7 @@
     let runs = matches!(owner.admit(now, BAD), Verdict::Run | Verdict::Isolate);
     if runs {
         let start = UpstreamStart::new("e".into(), now.as_micros());
-        owner.upstream_crashed(now, &start, &[BAD]);
+        owner.upstream_crashed(now, &start, AT_ONCE, &[BAD]);
     }
     runs
 }
@@ -83,7 +84,7 @@
 #[test]
 fn a_harmless_request_is_cleared_by_an_isolated_run() {
     let mut owner = suspects();
-    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), &[BAD, 1, 1]);
+    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), AT_ONCE, &[BAD, 1, 1]);
 
     let first = owner.admit(Time::ZERO, 1);
     let other = owner.admit(Time::ZERO, BAD);
@@ -101,8 +102,8 @@
 fn a_refusal_expires() {
     let mut owner = suspects();
     let early = Time::from_millis(60_000);
-    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), &[BAD]);
-    owner.upstream_crashed(Time::ZERO, &crashed("e-2"), &[BAD]);
+    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), AT_ONCE, &[BAD]);
+    owner.upstream_crashed(Time::ZERO, &crashed("e-2"), AT_ONCE, &[BAD]);
 
     let refused = owner.admit(early, BAD);
     let late = owner.admit(early + Duration::from_mins(9), BAD);
@@ -122,7 +123,7 @@
     let mut owner = suspects_of("vm-1", options);
     let many: Vec<u128> = (0..1_000).collect();
 
-    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), &many);
+    owner.upstream_crashed(Time::ZERO, &crashed("e-1"), AT_ONCE, &many);
 
     assert_eq!(owner.len(), 100);
     assert!(owner.next_update(Time::ZERO).len() <= 32);
@@ -144,9 +145,9 @@
 fn crashes_that_different_vms_saw_add_up_once() {
     let mut vms = ["vm-1", "vm-2", "vm-3"].map(|vm| suspects_of(vm, PoisonOptions::default()));
     let now = Time::from_millis(5_000);
-    vms[0].upstream_crashed(now, &crashed("e-1"), &[BAD]);
-    vms[1].upstream_crashed(now, &crashed("e-1"), &[BAD]);
-    vms[1].upstream_crashed(now, &crashed("e-2"), &[BAD]);
+    vms[0].upstream_crashed(now, &crashed("e-1"), AT_ONCE, &[BAD]);
+    vms[1].upstream_crashed(now, &crashed("e-1"), AT_ONCE, &[BAD]);
+    vms[1].upstream_crashed(now, &crashed("e-2"), AT_ONCE, &[BAD]);
 
     let updates: Vec<Vec<CrashRecord>> = vms.iter_mut().map(|vm| vm.next_update(now)).collect();
     for update in updates.iter().chain(&updates) {
@@ -166,8 +167,8 @@
     let mut old = suspects_of("vm-1", PoisonOptions::default());
     let mut new = suspects_of("vm-2", PoisonOptions::default());
     let minute = Time::from_millis(60_000);
-    old.upstream_crashed(minute, &crashed("e-1"), &[BAD]);
-    old.upstream_crashed(minute, &crashed("e-2"), &[BAD]);
+    old.upstream_crashed(minute, &crashed("e-1"), AT_ONCE, &[BAD]);
+    old.upstream_crashed(minute, &crashed("e-2"), AT_ONCE, &[BAD]);
     let later = minute + Duration::from_secs(30);
 
     new.merge(Time::from_millis(10), &old.next_update(later));
@@ -190,7 +191,7 @@
 fn a_completed_run_clears_a_request_at_all_vms() {
     let mut vms = ["vm-1", "vm-2"].map(|vm| suspects_of(vm, PoisonOptions::default()));
     let now = Time::from_millis(5_000);
-    vms[0].upstream_crashed(now, &crashed("e-1"), &[1]);
+    vms[0].upstream_crashed(now, &crashed("e-1"), AT_ONCE, &[1]);
     let accusation = vms[0].next_update(now);
     vms[1].merge(now, &accusation);
     let ran = now + Duration::from_millis(300);
@@ -223,7 +224,7 @@
         now = Time::from_millis(second * 1_000);
         if vm.refusal(now, &[BAD]).is_none() {
             let start = UpstreamStart::new("e".into(), second);
-            vm.upstream_crashed(now, &start, &[BAD]);
+            vm.upstream_crashed(now, &start, AT_ONCE, &[BAD]);
             crashes += 1;
         }
     }
@@ -242,9 +243,9 @@
     };
     let mut vms = ["vm-1", "vm-2"].map(|vm| suspects_of(vm, options.clone()));
     let innocent: Vec<u128> = (100..140).collect();
-    vms[0].upstream_crashed(Time::ZERO, &crashed("e-1"), &innocent);
-    vms[0].upstream_crashed(Time::ZERO, &crashed("e-2"), &[BAD]);
-    vms[0].upstream_crashed(Time::ZERO, &crashed("e-3"), &[BAD]);
+    vms[0].upstream_crashed(Time::ZERO, &crashed("e-1"), AT_ONCE, &innocent);
+    vms[0].upstream_crashed(Time::ZERO, &crashed("e-2"), AT_ONCE, &[BAD]);
+    vms[0].upstream_crashed(Time::ZERO, &crashed("e-3"), AT_ONCE, &[BAD]);
     while vms[0].has_updates() {
         vms[0].next_update(Time::ZERO);
     }
@@ -260,3 +261,24 @@
 
     assert_eq!(vms[1].len(), 41);
 }
+
+/// Guards against a harmless request that is refused because its caller had sent three copies of it
+/// when a data centre failed, and against a table that has no room for later crashes after that.
+#[test]
+fn copies_that_are_lost_at_the_same_time_count_once() {
+    let mut vm = suspects();
+    let ran = Duration::from_millis(200);
+    for number in 0..10 {
+        let now = Time::from_millis(1_000 + number);
+        vm.upstream_crashed(now, &crashed(&format!("e-{number}")), ran, &[BAD]);
+    }
+    let now = Time::from_millis(1_100);
+    assert_eq!(vm.crash_count(now, &[BAD]), 1);
+
+    for number in 10..13 {
+        let now = Time::from_millis(number * 1_000);
+        vm.upstream_crashed(now, &crashed(&format!("e-{number}")), ran, &[BAD]);
+    }
+
+    assert_eq!(vm.crash_count(Time::from_millis(13_000), &[BAD]), 4);
+}
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -10,7 +10,9 @@
 
 pub mod answer;
 pub mod balance;
+pub mod content;
 mod context;
+pub mod crash_watch;
 pub mod directory;
 pub mod events;
 mod exchange;
@@ -27,6 +29,7 @@
 pub mod service_times;
 mod settings;
 mod store_watch;
+pub mod trials;
 pub mod wakeups;
 
 use std::net::SocketAddr;
--- a/crates/cumindoor/src/gateway/answer.rs
+++ b/crates/cumindoor/src/gateway/answer.rs
@@ -44,6 +44,9 @@
     /// The upstreams refused the request.
     #[display("refused")]
     Refused,
+    /// Upstreams crashed while they ran this request, so it is not sent to others.
+    #[display("poison")]
+    Poison,
     /// The deadline passed before the request was executed.
     #[display("late")]
     Late,
@@ -71,6 +74,7 @@
             | Self::NoUpstream
             | Self::Overloaded
             | Self::Refused
+            | Self::Poison
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -105,6 +109,15 @@
         }
     }
 
+    /// Returns a refusal with a time to retry that is known, however long it is.
+    #[must_use]
+    pub fn until(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// Builds the response.
     pub fn response(
         self,
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -7,24 +7,37 @@
 
 use border::{Catalogue, Dialect, Routing};
 use coord::name::{DataCentre, Service, Upstream};
+use coord::poison::Suspects;
 use coord::time::Time;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{Notify, Semaphore};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::content::Content;
+use super::crash_watch::{LostAttempts, new_suspects};
 use super::directory::Directory;
 use super::health::Outcome;
 use super::load_table::{Key, Load, LoadTable, Seen};
+use super::peers::DIGEST_INTERVAL_PER_PEER;
 use super::queue::Queue;
 use super::retry_budget::{RetryBudget, RetryLimit};
 use super::service_times::ServiceTimes;
 use super::settings::Settings;
+use super::trials::{Start, Trials};
 use crate::serve::cell::Clock;
 use crate::serve::engine::Pool;
 use crate::serve::telemetry::Telemetry;
 
+/// Time from the announcement of a trial to its start, in addition to the time between two digests,
+/// in which announcements of other gateways arrive.
+const TRIAL_NOTICE: Duration = Duration::from_millis(15);
+
+/// Number of such times for which a trial waits until other suspects have left the upstream.
+const MAX_TRIAL_WAITS: u32 = 20;
+
 /// Time limit for opening a connection to an upstream. A message within a region takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -40,6 +53,12 @@
     pub queues: BTreeMap<Service, Queue>,
     /// Retry budgets, by service.
     pub retry_budgets: BTreeMap<Service, RetryBudget>,
+    /// Requests that may have crashed upstreams.
+    pub suspects: Suspects,
+    /// Attempts that ended without an answer for a reason that is not known yet.
+    pub lost_attempts: LostAttempts,
+    /// Runs of requests that may have crashed upstreams.
+    pub trials: Trials,
     /// Observed service times of model services.
     pub service_times: BTreeMap<Service, ServiceTimes>,
     /// When the store last answered.
@@ -66,6 +85,8 @@
     pub capacity_freed: Notify,
     /// Notified when a change has to be sent to other gateways.
     pub digest_due: Notify,
+    /// Notified when a probe of an upstream has ended.
+    pub probe_ended: Notify,
     /// Cancelled when a planned stop begins.
     pub stopping: CancellationToken,
     /// Cancelled when the listener for callers and their idle connections have to be closed.
@@ -95,6 +116,9 @@
             loads: LoadTable::default(),
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
+            suspects: new_suspects(settings.gateway.name.clone()),
+            lost_attempts: LostAttempts::default(),
+            trials: Trials::default(),
             service_times: BTreeMap::new(),
             store_contact: Time::ZERO,
             seen: Seen::default(),
@@ -110,6 +134,7 @@
             telemetry: Telemetry::in_memory(),
             capacity_freed: Notify::new(),
             digest_due: Notify::new(),
+            probe_ended: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -172,6 +197,7 @@
             ctx: Arc::clone(self),
             key,
             load,
+            trial: None,
         }
     }
 
@@ -254,9 +280,62 @@
     ctx: Arc<Context>,
     key: Key,
     load: Load,
+    /// The trial of the request on the upstream, if it is a suspect.
+    trial: Option<u64>,
 }
 
 impl Reservation {
+    /// Begins the trial of a suspect on the upstream. Returns false, and begins none, if another one
+    /// must end first.
+    pub async fn begin_trial(&mut self, content: Content, exclusive: bool) -> bool {
+        let now = self.ctx.now();
+        let announced = {
+            let mut state = self.ctx.state();
+            state
+                .trials
+                .announce(now, (self.key, content.run), exclusive)
+        };
+        let Some(number) = announced else {
+            return false;
+        };
+        self.trial = Some(number);
+        self.ctx.digest_due.notify_one();
+        let started = !exclusive || self.start_trial(number).await;
+        if !started {
+            self.end_trial();
+        }
+        started
+    }
+
+    /// Waits until the announcements of other gateways have arrived and until no other suspect runs on
+    /// the upstream. Returns whether the trial has started.
+    async fn start_trial(&self, number: u64) -> bool {
+        for _ in 0..MAX_TRIAL_WAITS {
+            let gateways = self.ctx.state().loads.gateway_count();
+            sleep(trial_delay(gateways)).await;
+            let (now, own) = (self.ctx.now(), self.ctx.own_address());
+            let start = self.ctx.state().trials.start(now, own, number);
+            match start {
+                Start::Started => {
+                    self.ctx.digest_due.notify_one();
+                    return true;
+                }
+                Start::Blocked => {}
+                Start::Lost => return false,
+            }
+        }
+        false
+    }
+
+    /// Ends the trial, if there is one, because the upstream ran the request without a crash.
+    pub fn end_trial(&mut self) {
+        if let Some(number) = self.trial.take() {
+            self.ctx.state().trials.end(number);
+            self.ctx.capacity_freed.notify_waiters();
+            self.ctx.digest_due.notify_one();
+        }
+    }
+
     /// Replaces the reserved load.
     pub fn change(&mut self, load: Load) {
         let mut state = self.ctx.state();
@@ -270,8 +349,15 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        self.end_trial();
         self.ctx.state().loads.release(self.key, self.load);
         self.ctx.capacity_freed.notify_waiters();
         self.ctx.digest_due.notify_one();
     }
 }
+
+/// Returns the time that a gateway waits between the announcement and the start of a trial.
+fn trial_delay(gateways: usize) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    TRIAL_NOTICE + 2 * DIGEST_INTERVAL_PER_PEER * gateways
+}
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -14,7 +14,6 @@
 use border::{RequestMeta, Route, RouteKind, Routing, ServiceDef};
 use bytes::Bytes;
 use coord::name::Service;
-use coord::poison::fingerprint;
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -26,7 +25,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{Reason, Refusal};
+use super::content::Content;
 use super::context::Context;
+use super::crash_watch::{self, Standing};
 use crate::serve::engine::BoxedBody;
 use crate::serve::headers;
 
@@ -90,8 +91,7 @@
     /// The head sent to upstreams, without the headers added for each attempt.
     parts: Parts,
     body: Bytes,
-    /// Fingerprint that is the same each time that the caller sends this request.
-    content: u128,
+    content: Content,
     /// Number of attempts at upstreams so far.
     attempts: AtomicU32,
     arrived: Time,
@@ -128,6 +128,21 @@
         self.maybe_executed.store(maybe_executed, Ordering::Relaxed);
     }
 
+    /// Refuses a request while it is known to crash upstreams. Call it before each attempt, because
+    /// other gateways or the previous attempt may have seen another crash.
+    fn refuse_poison(&self) -> Result<(), Refusal> {
+        let Some(retry_after) = crash_watch::refusal(&self.ctx, self.content) else {
+            return Ok(());
+        };
+        crash_watch::log_refusal(&self.ctx, &self.meta.id, self.content, retry_after);
+        Err(self.broken_if_executed(Refusal::until(Reason::Poison, retry_after)))
+    }
+
+    /// Returns how the request is treated because of upstreams that crashed while they ran it.
+    fn standing(&self) -> Standing {
+        crash_watch::standing(&self.ctx, self.content)
+    }
+
     fn kind(&self) -> RouteKind {
         self.route.kind
     }
@@ -189,7 +204,7 @@
 
 fn log_refusal(
     ctx: &Context,
-    (meta, content): (Option<&RequestMeta>, Option<u128>),
+    (meta, content): (Option<&RequestMeta>, Option<Content>),
     refusal: Refusal,
     started: Instant,
 ) {
@@ -198,31 +213,10 @@
     let id = meta.map_or("", |meta| &*meta.id);
     let ms = millis(started.elapsed());
     let retry_ms = refusal.retry_after.map_or(0, millis);
-    let content = content.map(content_text).unwrap_or_default();
+    let content = content.map_or_else(String::new, |content| content.to_string());
     log::info!(id, content = content.as_str(), reason = reason.as_str(), retry_ms, ms; "request refused");
 }
 
-/// Returns the form of a fingerprint in log fields.
-fn content_text(content: u128) -> String {
-    format!("{content:032x}")
-}
-
-/// Computes the fingerprint of a request. Each try of a caller has a new id, a new connection and
-/// often another gateway; only these parts stay the same.
-fn content_fingerprint(caller: IpAddr, parts: &Parts, body: &[u8]) -> u128 {
-    let caller = caller.to_string();
-    let host = host(&parts.headers).or_else(|| parts.uri.host());
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let texts = [
-        &*caller,
-        parts.method.as_str(),
-        host.unwrap_or_default(),
-        path,
-    ];
-    let [caller, method, host, path] = texts.map(str::as_bytes);
-    fingerprint(&[caller, method, host, path, body])
-}
-
 /// Converts to whole milliseconds for log fields.
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
@@ -250,7 +244,8 @@
     let def = routing.services.get(&service).cloned();
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
     ctx.count_request(&service);
-    let content = content_fingerprint(caller, &parts, &body);
+    let host = host(&parts.headers).or_else(|| parts.uri.host());
+    let content = Content::new(caller, host.unwrap_or_default(), &parts, &body);
     headers::strip(&mut parts.headers);
     ctx.dialect.remove_reserved_headers(&mut parts.headers);
     // The HTTP client sets the length of the request to the upstream.
@@ -341,6 +336,7 @@
 /// Sends a request to its upstreams, until the deadline.
 async fn run(req: Arc<CallerRequest>) -> Result<Response<BoxedBody>, Refusal> {
     let running = async {
+        req.refuse_poison()?;
         if req.def.model.is_some() && req.meta.prompt.is_some() {
             model::run(&req).await
         } else {
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -19,9 +19,9 @@
 use super::{CallerRequest, millis, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::Context;
+use crate::gateway::crash_watch;
 use crate::gateway::fetch::fetch;
 use crate::gateway::health::Outcome;
-use crate::gateway::load_table::Load;
 use crate::gateway::placement::{Choice, Demand};
 use crate::serve::engine::BoxedBody;
 
@@ -76,6 +76,7 @@
         if let Some(other) = wait::rereserve_if_overloaded(req, &model, demand, (&decode, &tried)) {
             (decode, reservation) = other;
         }
+        req.refuse_poison()?;
         if req.is_abandoned() {
             return Err(req.refusal(Reason::Late, Reason::TimedOut, REFUSED_RETRY_AFTER));
         }
@@ -92,7 +93,7 @@
                 let run = DecodeRun {
                     choice: decode,
                     placed,
-                    _reservation: reservation,
+                    reservation,
                     demand,
                 };
                 return relay::respond(req, run, answer).await;
@@ -114,6 +115,7 @@
                 if !req.kind().is_retryable() || req.route.max_attempts <= 1 {
                     return Err(Refusal::new(Reason::Broken));
                 }
+                crash_watch::settle(&req.ctx, req.content, &decode.name).await;
             }
         }
         let unreached = !failure.reached_upstream();
@@ -205,14 +207,21 @@
         if let Some(held) = self.held.take() {
             return Some(held);
         }
-        while self.attempts < MAX_PREFILL_ATTEMPTS {
+        let (ctx, content) = (&self.req.ctx, self.req.content);
+        let may_run = || crash_watch::refusal(ctx, content).is_none();
+        while self.attempts < MAX_PREFILL_ATTEMPTS && may_run() {
             if self.attempts > 0 && !self.req.ctx.try_retry(&self.req.service) {
                 return None;
             }
             self.attempts += 1;
             match self.attempt(preferred).await? {
                 Ok(held) => return Some(held),
-                Err(failure) if failure.reached_upstream() => {}
+                Err(failure) if failure.reached_upstream() => {
+                    let last = self.tried.last();
+                    if let Some(last) = last.filter(|_| !failure.not_executed()) {
+                        crash_watch::settle(&self.req.ctx, self.req.content, last).await;
+                    }
+                }
                 Err(_) => self.attempts -= 1,
             }
         }
@@ -222,20 +231,8 @@
     /// Tries one engine; returns `None` if there is none left.
     async fn attempt(&mut self, preferred: &DataCentre) -> Option<Result<HeldPrefill, Failure>> {
         let ctx = &self.req.ctx;
-        let service = &self.req.service;
-        let chosen = {
-            let mut state = ctx.state();
-            let mut placer = wait::placer(ctx, &mut state);
-            placer.preferred = preferred;
-            placer.choose_prefill(service, &self.tried)
-        };
-        let choice = chosen?;
-        let load = Load {
-            requests: 1,
-            unprefilled_tokens: self.demand.prompt_tokens,
-            kv_tokens: 0,
-        };
-        let reservation = ctx.reserve(choice.key, load);
+        let placed = wait::for_prefill(self.req, self.demand, preferred, &self.tried).await;
+        let (choice, reservation) = placed.ok()?;
         let queued_tokens = ctx.state().loads.load(choice.key).unprefilled_tokens;
         let estimate = f64::from(queued_tokens) / MIN_PREFILL_TOKENS_PER_MS;
         let estimate = Duration::from_secs_f64(estimate / 1_000.0);
@@ -261,6 +258,7 @@
             .await;
         let whole = whole.map_err(|error| lost(error.to_string()))?;
         answer.lease.release();
+        answer.guard.completed();
         let prefilled = ctx.dialect.parse_prefill(&whole.to_bytes());
         let prefilled = prefilled.map_err(|error| lost(error.to_string()))?;
         let spent = ctx.now().since(started);
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -12,6 +12,7 @@
 use super::send::{self, Answer, Failure};
 use super::{CallerRequest, millis, relay, wait};
 use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::crash_watch;
 use crate::gateway::health::Outcome;
 use crate::gateway::load_table::Load;
 use crate::gateway::placement::Choice;
@@ -75,6 +76,9 @@
                 may_retry
             }
             Err(failure) => {
+                if may_retry && !failure.not_executed() {
+                    crash_watch::settle(&req.ctx, req.content, &choice.name).await;
+                }
                 if failure.not_executed() {
                     attempts -= 1;
                     refusals += 1;
@@ -120,17 +124,19 @@
         mut head,
         body,
         lease,
+        guard,
         ..
     } = answer;
     let announced = hyper::body::Body::size_hint(&body).lower();
     headers::strip(&mut head.headers);
     if announced > MAX_BUFFERED_BYTES as u64 {
-        let body = relay::pass_through(body, lease, req.deadline);
+        let body = relay::pass_through(body, (lease, guard), req.deadline);
         return Ok(Response::from_parts(head, body));
     }
     match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
         Ok(collected) => {
             lease.release();
+            guard.completed();
             let body: Bytes = collected.to_bytes();
             Ok(Response::from_parts(head, full_body(body)))
         }
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -20,6 +20,7 @@
 use super::{CallerGuard, CallerRequest, millis, plain, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
+use crate::gateway::crash_watch::{self, AttemptGuard};
 use crate::gateway::events::EventBuffer;
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::{Choice, Demand};
@@ -37,7 +38,7 @@
     pub(super) choice: Choice,
     /// When the request was first placed or, after a resume, when the engine accepted it.
     pub(super) placed: Time,
-    pub(super) _reservation: Reservation,
+    pub(super) reservation: Reservation,
     pub(super) demand: Demand,
 }
 
@@ -58,6 +59,7 @@
         mut head,
         body,
         lease,
+        guard,
         ..
     } = answer;
     headers::strip(&mut head.headers);
@@ -67,7 +69,7 @@
         req: Arc::clone(req),
         engine_started: req.ctx.now(),
         run: Some(run),
-        source: Some((body, lease)),
+        source: Some((body, lease, guard)),
         events: EventBuffer::after(req.meta.last_event_id),
         attempts: 1,
         awaiting_first: true,
@@ -83,14 +85,22 @@
 }
 
 /// Returns a body that relays bytes as they arrive, until `deadline`.
-pub(super) fn pass_through(body: Incoming, lease: Lease, deadline: Instant) -> BoxedBody {
-    let frames = stream::unfold(Some((body, lease)), move |source| async move {
-        let (mut body, lease) = source?;
+pub(super) fn pass_through(
+    body: Incoming,
+    (lease, guard): (Lease, AttemptGuard),
+    deadline: Instant,
+) -> BoxedBody {
+    let frames = stream::unfold(Some((body, lease, guard)), move |source| async move {
+        let (mut body, lease, mut guard) = source?;
         match timeout_at(deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => Some((Ok(frame), Some((body, lease)))),
+            Ok(Some(Ok(frame))) => {
+                guard.record_output();
+                Some((Ok(frame), Some((body, lease, guard))))
+            }
             Ok(Some(Err(error))) => Some((Err(error.into()), None)),
             Ok(None) => {
                 lease.release();
+                guard.completed();
                 None
             }
             Err(_) => Some((Err("the request's deadline has passed".into()), None)),
@@ -104,7 +114,7 @@
     /// When the current engine accepted the request.
     engine_started: Time,
     run: Option<DecodeRun>,
-    source: Option<(Incoming, Lease)>,
+    source: Option<(Incoming, Lease, AttemptGuard)>,
     events: EventBuffer,
     attempts: u32,
     awaiting_first: bool,
@@ -135,7 +145,7 @@
                     return None;
                 }
                 Received::Broken(text) => {
-                    self.disconnect_engine(&text);
+                    self.disconnect_engine(&text).await;
                     if !self.resume().await {
                         return Some(Err(self.abort("broken", &text)));
                     }
@@ -151,7 +161,7 @@
     }
 
     async fn receive(&mut self) -> Received {
-        let Some((body, _)) = &mut self.source else {
+        let Some((body, _, guard)) = &mut self.source else {
             return Received::Broken("no engine is connected".to_owned());
         };
         let deadline = self.req.deadline;
@@ -165,10 +175,13 @@
         };
         match timeout_at(until, body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => match self.events.push(&data) {
-                    Some(ready) => Received::Events(ready),
-                    None => Received::Broken("an event exceeds the size limit".to_owned()),
-                },
+                Ok(data) => {
+                    guard.record_output();
+                    match self.events.push(&data) {
+                        Some(ready) => Received::Events(ready),
+                        None => Received::Broken("an event exceeds the size limit".to_owned()),
+                    }
+                }
                 Err(_) => Received::Events(Bytes::new()),
             },
             Ok(Some(Err(error))) => Received::Broken(error.to_string()),
@@ -184,7 +197,8 @@
             return;
         }
         let ctx = &self.req.ctx;
-        if let Some(run) = &self.run {
+        if let Some(run) = &mut self.run {
+            run.reservation.end_trial();
             let took = ctx.now().since(run.placed);
             ctx.update_times(&self.req.service, |times| times.record_lead_time(took));
         }
@@ -200,8 +214,9 @@
         self.ended = true;
         self.caller_guard.disarm();
         let ctx = &self.req.ctx;
-        if let Some((_, lease)) = self.source.take() {
+        if let Some((_, lease, guard)) = self.source.take() {
             lease.release();
+            guard.completed();
         }
         if let Some(run) = self.run.take() {
             ctx.record_outcome(&run.choice.name, Outcome::Answered);
@@ -224,11 +239,12 @@
 
     /// Closes the connection to the current engine, which makes it stop generating, and records the
     /// request as lost there.
-    fn disconnect_engine(&mut self, text: &str) {
+    async fn disconnect_engine(&mut self, text: &str) {
         self.source = None;
         self.events.discard_partial();
         if let Some(run) = self.run.take() {
             send::record_lost(&self.req, &run.choice, text);
+            crash_watch::settle(&self.req.ctx, self.req.content, &run.choice.name).await;
         }
     }
 
@@ -252,7 +268,7 @@
         let (Some(model), Some(prompt)) = (req.def.model.clone(), req.meta.prompt) else {
             return false;
         };
-        if !allowed || !req.ctx.try_retry(&req.service) {
+        if !allowed || req.refuse_poison().is_err() || !req.ctx.try_retry(&req.service) {
             return false;
         }
         self.attempts += 1;
@@ -265,7 +281,7 @@
             let run = DecodeRun {
                 choice,
                 placed: req.ctx.now(),
-                _reservation: reservation,
+                reservation,
                 demand,
             };
             Some((run, answer))
@@ -279,7 +295,7 @@
         req.ctx.telemetry.count("stream.resumed");
         self.engine_started = req.ctx.now();
         self.run = Some(run);
-        self.source = Some((answer.body, answer.lease));
+        self.source = Some((answer.body, answer.lease, answer.guard));
         true
     }
 }
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, StatusCode};
 
 use super::CallerRequest;
+use crate::gateway::crash_watch::{AttemptGuard, Standing};
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::Choice;
 use crate::serve::engine::{Lease, SendError, full_body};
@@ -28,6 +29,7 @@
     pub(super) reply: Reply,
     pub(super) body: Incoming,
     pub(super) lease: Lease,
+    pub(super) guard: AttemptGuard,
 }
 
 /// Why an attempt failed.
@@ -80,6 +82,13 @@
     let prefill = step == Step::Prefill;
     let request = build_request(req, choice, step, last_event_id)?;
     req.attempts.fetch_add(1, Ordering::Relaxed);
+    let content = req.content;
+    let fingerprint = if prefill {
+        content.prefill
+    } else {
+        content.run
+    };
+    let guard = AttemptGuard::new(&req.ctx, (&req.meta.id, content), fingerprint, choice);
     let executed_before = req.may_have_executed();
     if !prefill {
         req.set_maybe_executed(true);
@@ -89,11 +98,14 @@
     } else {
         MAX_IDLE_AT_MOST_ONCE
     };
-    let sent = req
-        .ctx
-        .pool
-        .send_with_max_idle(choice.address, request, idle)
-        .await;
+    let pool = &req.ctx.pool;
+    // An upstream may have crashed unnoticed while its connection was idle. A new connection shows
+    // that it runs when a suspect is sent, so that its crash can be told from an earlier one.
+    let sent = if req.standing() > Standing::Clear {
+        pool.send_fresh(choice.address, request).await
+    } else {
+        pool.send_with_max_idle(choice.address, request, idle).await
+    };
     let answered = match sent {
         Ok(connected) => {
             let (head, body) = connected.response.into_parts();
@@ -103,11 +115,18 @@
                 reply,
                 body,
                 lease: connected.lease,
+                guard,
             };
             validate(req, answer, prefill)
         }
-        Err(SendError::Unsent(text)) => Err(Failure::Unsent(text)),
-        Err(SendError::Refused(text)) => Err(Failure::ConnectionRefused(text)),
+        Err(SendError::Unsent(text)) => {
+            guard.not_executed();
+            Err(Failure::Unsent(text))
+        }
+        Err(SendError::Refused(text)) => {
+            guard.not_executed();
+            Err(Failure::ConnectionRefused(text))
+        }
         Err(SendError::Sent(text)) => Err(Failure::Lost(text)),
     };
     if let Err(failure) = &answered {
@@ -134,7 +153,7 @@
     let (failure, left_ms) = (failure.to_string(), super::millis(req.time_left()));
     let load = req.ctx.state().loads.load(choice.key);
     let (content, attempt) = (
-        super::content_text(req.content),
+        req.content.to_string(),
         req.attempts.load(Ordering::Relaxed),
     );
     log::info!(
@@ -182,10 +201,13 @@
         ));
     }
     if reply.misdirected {
+        answer.guard.not_executed();
         return Err(Failure::Misdirected);
     }
     if reply.not_executed {
-        return Err(Failure::Refused(status, reply.work));
+        let work = reply.work;
+        answer.guard.not_executed();
+        return Err(Failure::Refused(status, work));
     }
     if prefill {
         return match status {
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use border::{Model, Stage};
-use coord::name::{Service, Upstream};
+use coord::name::{DataCentre, Service, Upstream};
 use coord::time::Time;
 use tokio::time::{Instant, sleep_until};
 
 use super::{CallerRequest, millis};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation, State};
-use crate::gateway::directory::Directory;
+use crate::gateway::crash_watch::Standing;
+use crate::gateway::directory::{Directory, Endpoint};
 use crate::gateway::load_table::{Load, service_key};
 use crate::gateway::peers::DIGEST_INTERVAL_PER_PEER;
 use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens};
@@ -34,10 +35,173 @@
 /// Retry time sent to callers if a service has no upstream left to try.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Where a request needs a place.
+#[derive(Clone, Copy)]
+enum Place<'a> {
+    Plain,
+    Prefill {
+        demand: Demand,
+        preferred: &'a DataCentre,
+    },
+    /// KV cache at a decode engine, to be had by `until`.
+    Decode {
+        model: &'a Model,
+        demand: Demand,
+        until: Instant,
+        /// Whether the prompt is prefilled, so that the request goes ahead of the queue.
+        prefilled: bool,
+    },
+}
+
+impl Place<'_> {
+    fn stage(self) -> Option<Stage> {
+        match self {
+            Self::Plain => None,
+            Self::Prefill { .. } => Some(Stage::Prefill),
+            Self::Decode { .. } => Some(Stage::Decode),
+        }
+    }
+
+    /// Takes a place at an upstream that was not tried, and waits for it if need be.
+    async fn take(
+        self,
+        req: &CallerRequest,
+        tried: &[Upstream],
+    ) -> Result<(Choice, Reservation), Refusal> {
+        match self {
+            Self::Plain => wait_for_plain(req, tried).await,
+            Self::Prefill { demand, preferred } => take_prefill(req, demand, preferred, tried),
+            Self::Decode {
+                model,
+                demand,
+                until,
+                prefilled,
+            } => {
+                if prefilled && let Some(taken) = take_prefilled(req, model, demand, tried) {
+                    return Ok(taken);
+                }
+                wait_for_decode_until(req, model, demand, tried, until).await
+            }
+        }
+    }
+}
+
+/// Takes a place for a request, on trial if it is a suspect. Refuses the request while it is known to
+/// crash upstreams.
+async fn take_place(
+    req: &CallerRequest,
+    place: Place<'_>,
+    tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    let until = wait_limit(req);
+    loop {
+        let freed = req.ctx.capacity_freed.notified();
+        let mut freed = std::pin::pin!(freed);
+        freed.as_mut().enable();
+        req.refuse_poison()?;
+        let standing = req.standing();
+        if standing == Standing::Clear {
+            return place.take(req, tried).await;
+        }
+        if let Some(avoided) = avoided(req, standing, place.stage(), tried) {
+            let (choice, mut reservation) = place.take(req, &avoided).await?;
+            let exclusive = standing == Standing::OnTrial;
+            if reservation.begin_trial(req.content, exclusive).await {
+                // Another gateway may have seen a crash meanwhile.
+                req.refuse_poison()?;
+                return Ok((choice, reservation));
+            }
+        }
+        if Instant::now() >= until {
+            return Err(Refusal::with_retry(
+                Reason::Overloaded,
+                req.route.target_latency,
+            ));
+        }
+        tokio::select! {
+            () = freed => {}
+            () = sleep_until((Instant::now() + RECHECK_INTERVAL).min(until)) => {}
+        }
+    }
+}
+
+/// Returns the upstreams that a suspect must not run on: those that it was sent to already, and those
+/// on which another suspect is on trial. Returns `None` if it has to wait for the end of a trial.
+fn avoided(
+    req: &CallerRequest,
+    standing: Standing,
+    stage: Option<Stage>,
+    tried: &[Upstream],
+) -> Option<Vec<Upstream>> {
+    let now = req.ctx.now();
+    let known = req.ctx.state();
+    if known.trials.is_on_trial(now, req.content.run) {
+        return None;
+    }
+    let untried = known.directory.usable(&req.service, stage);
+    let untried: Vec<_> = untried.filter(|e| !tried.contains(&e.name)).collect();
+    let is_taken = |endpoint: &&&Endpoint| known.trials.is_taken(now, endpoint.key);
+    let is_used = |endpoint: &&&Endpoint| known.trials.is_used(now, endpoint.key);
+    let mut avoided: Vec<_> = untried.iter().filter(is_taken).collect();
+    if !avoided.is_empty() && avoided.len() == untried.len() {
+        return None;
+    }
+    let used: Vec<_> = untried.iter().filter(is_used).collect();
+    if standing == Standing::OnTrial && used.len() < untried.len() {
+        avoided = used;
+    }
+    let avoided = avoided.into_iter().map(|endpoint| endpoint.name.clone());
+    Some(tried.iter().cloned().chain(avoided).collect())
+}
+
 /// Waits for capacity at a plain upstream.
 pub(super) async fn for_plain(
     req: &CallerRequest,
     tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    take_place(req, Place::Plain, tried).await
+}
+
+/// Takes a place at a prefill engine. There is no queue: the engine does the prefills one after the
+/// other.
+pub(super) async fn for_prefill(
+    req: &CallerRequest,
+    demand: Demand,
+    preferred: &DataCentre,
+    tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    take_place(req, Place::Prefill { demand, preferred }, tried).await
+}
+
+fn take_prefill(
+    req: &CallerRequest,
+    demand: Demand,
+    preferred: &DataCentre,
+    tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    let ctx = &req.ctx;
+    let choice = {
+        let mut state = ctx.state();
+        let mut placer = placer(ctx, &mut state);
+        placer.preferred = preferred;
+        placer.choose_prefill(&req.service, tried)
+    };
+    let choice = choice.ok_or(Refusal::with_retry(
+        Reason::NoUpstream,
+        NO_UPSTREAM_RETRY_AFTER,
+    ))?;
+    let load = Load {
+        requests: 1,
+        unprefilled_tokens: demand.prompt_tokens,
+        kv_tokens: 0,
+    };
+    let reservation = ctx.reserve(choice.key, load);
+    Ok((choice, reservation))
+}
+
+async fn wait_for_plain(
+    req: &CallerRequest,
+    tried: &[Upstream],
 ) -> Result<(Choice, Reservation), Refusal> {
     let until = wait_limit(req);
     loop {
@@ -78,7 +242,13 @@
     demand: Demand,
     tried: &[Upstream],
 ) -> Result<(Choice, Reservation), Refusal> {
-    wait_for_decode_until(req, model, demand, tried, wait_limit(req)).await
+    let place = Place::Decode {
+        model,
+        demand,
+        until: wait_limit(req),
+        prefilled: false,
+    };
+    take_place(req, place, tried).await
 }
 
 /// Returns a reservation at a decode engine for a request whose prompt is prefilled. The request
@@ -89,18 +259,28 @@
     demand: Demand,
     tried: &[Upstream],
 ) -> Result<(Choice, Reservation), Refusal> {
+    let place = Place::Decode {
+        model,
+        demand,
+        until: wait_limit(req),
+        prefilled: true,
+    };
+    take_place(req, place, tried).await
+}
+
+fn take_prefilled(
+    req: &CallerRequest,
+    model: &Model,
+    demand: Demand,
+    tried: &[Upstream],
+) -> Option<(Choice, Reservation)> {
     let ctx = &req.ctx;
     let choice = {
         let mut state = ctx.state();
-        placer(ctx, &mut state).choose_decode_prefilled(&req.service, model, demand, tried)
+        placer(ctx, &mut state).choose_decode_prefilled(&req.service, model, demand, tried)?
     };
-    match choice {
-        Some(choice) => {
-            let reservation = reserve(ctx, &choice, demand);
-            Ok((choice, reservation))
-        }
-        None => for_decode(req, model, demand, tried).await,
-    }
+    let reservation = reserve(ctx, &choice, demand);
+    Some((choice, reservation))
 }
 
 /// Reserves KV cache at another decode engine if the load on the current one exceeds the share of
@@ -116,6 +296,10 @@
     (current, tried): (&Choice, &[Upstream]),
 ) -> Option<(Choice, Reservation)> {
     let ctx = &req.ctx;
+    // A suspect stays where it is on trial.
+    if req.standing() > Standing::Clear {
+        return None;
+    }
     let choice = {
         let mut state = ctx.state();
         if state.loads.load(current.key).kv_tokens <= usable_tokens(model) {
@@ -146,7 +330,13 @@
     demand: Demand,
 ) -> Result<(Choice, Reservation), Refusal> {
     let limit = Instant::now() + req.route.target_latency;
-    wait_for_decode_until(req, model, demand, &[], limit.min(req.deadline)).await
+    let place = Place::Decode {
+        model,
+        demand,
+        until: limit.min(req.deadline),
+        prefilled: false,
+    };
+    take_place(req, place, &[]).await
 }
 
 async fn wait_for_decode_until(
@@ -204,10 +394,7 @@
 }
 
 /// Returns a placer that prefers this gateway's data centre.
-pub(super) fn placer<'a>(
-    ctx: &'a Context,
-    state: &'a mut State,
-) -> Placer<'a, rand_chacha::ChaCha8Rng> {
+fn placer<'a>(ctx: &'a Context, state: &'a mut State) -> Placer<'a, rand_chacha::ChaCha8Rng> {
     Placer {
         directory: &state.directory,
         loads: &state.loads,
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -13,9 +13,12 @@
 
 use coord::hash::hash64;
 use coord::name::{Service, Upstream};
+use coord::poison::CrashRecord;
 use coord::time::Time;
 use serde::{Deserialize, Serialize};
 
+use super::trials::Trial;
+
 /// Time without a digest after which a peer is removed.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -131,6 +134,20 @@
     pub stopping: bool,
 }
 
+/// The crashes of upstreams that a gateway knows of, in a datagram of their own: most of the time
+/// there are none.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Unix milliseconds of the sender's start.
+    pub start: u64,
+    /// Sequence number, counted with those of the digests.
+    pub sequence: u64,
+    /// Runs of suspects at the sender.
+    pub trials: Vec<Trial>,
+    /// What is known of some requests.
+    pub records: Vec<CrashRecord>,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     last_heard: Time,
--- a/crates/cumindoor/src/gateway/peer_list.rs
+++ b/crates/cumindoor/src/gateway/peer_list.rs
@@ -17,6 +17,9 @@
 /// Addresses listed in one digest.
 const MAX_LISTED_PEERS: usize = 12;
 
+/// Peers that receive a page of the crashes in one heartbeat.
+const PAGE_TARGETS: usize = 3;
+
 /// A known address of another gateway.
 #[derive(Clone, Copy)]
 struct Contact {
@@ -86,17 +89,34 @@
         targets.map(|(addr, _)| *addr).collect()
     }
 
+    /// Returns the addresses that receive a page of the crashes in this heartbeat: a few of the live
+    /// peers in turn, so that the cost does not grow with the fleet.
+    #[must_use]
+    pub fn page_targets(&self, now: Time) -> Vec<SocketAddr> {
+        let live =
+            |contact: &Contact| contact.confirmed && now.since(contact.seen_at) < SILENT_AFTER;
+        let live = self.known.iter().filter(|(_, contact)| live(contact));
+        let live: Vec<SocketAddr> = live.map(|(addr, _)| *addr).collect();
+        self.in_turn(&live, PAGE_TARGETS)
+    }
+
+    /// Returns the next `count` addresses of a list, continuing after those of the previous
+    /// heartbeat.
+    fn in_turn(&self, all: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let count = count.min(all.len());
+        let heartbeats = usize::try_from(self.heartbeats).unwrap_or(0);
+        let offset = (heartbeats * count) % all.len().max(1);
+        let twice = all.iter().chain(all);
+        twice.skip(offset).take(count).copied().collect()
+    }
+
     /// Returns the addresses that the next digest lists. Each heartbeat continues after the
     /// addresses of the previous one, so that a few heartbeats list all of them.
     #[must_use]
     pub fn listed(&self) -> Vec<SocketAddr> {
         let heard = self.known.iter().filter(|(_, contact)| contact.confirmed);
         let heard: Vec<SocketAddr> = heard.map(|(addr, _)| *addr).collect();
-        let count = MAX_LISTED_PEERS.min(heard.len());
-        let heartbeats = usize::try_from(self.heartbeats).unwrap_or(0);
-        let offset = (heartbeats * count) % heard.len().max(1);
-        let all = heard.iter().chain(&heard);
-        all.skip(offset).take(count).copied().collect()
+        self.in_turn(&heard, MAX_LISTED_PEERS)
     }
 }
 
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::context::Context;
-use super::load_table::Digest;
+use super::crash_watch;
+use super::load_table::{CrashReport, Digest};
 use super::peer_list::PeerList;
 use super::wakeups::WakeupThrottle;
 
@@ -26,6 +27,15 @@
 /// Largest datagram. The largest expected digest, with 500 loads, takes 8 KB.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
+/// The effect of a datagram.
+#[derive(Default)]
+struct Effect {
+    /// Whether it changed the known load or waiting requests of other gateways.
+    changed: bool,
+    /// The sender, if it was not known before.
+    newcomer: Option<SocketAddr>,
+}
+
 /// Sends and receives digests on a UDP socket.
 pub struct PeerExchange {
     ctx: Arc<Context>,
@@ -65,6 +75,7 @@
         let mut next_heartbeat = Instant::now();
         let mut earliest = Instant::now();
         let mut pending = false;
+        let mut newcomers = Vec::new();
         let mut wakeups = WakeupThrottle::default();
         loop {
             let due = if pending {
@@ -75,10 +86,13 @@
             let wake = wakeups.due();
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
-                    if let Ok((length, from)) = received
-                        && self.receive(&mut peer_list, from, &buffer[..length])
-                    {
-                        wakeups.request();
+                    if let Ok((length, from)) = received {
+                        let effect = self.receive(&mut peer_list, from, &buffer[..length]);
+                        if effect.changed {
+                            wakeups.request();
+                        }
+                        pending |= effect.newcomer.is_some();
+                        newcomers.extend(effect.newcomer);
                     }
                 }
                 () = sleep_until(wake.unwrap_or(next_heartbeat)), if wake.is_some() => {
@@ -91,8 +105,11 @@
                     let heartbeat = due >= next_heartbeat;
                     let targets = peer_list.targets(self.ctx.now(), heartbeat);
                     self.send(&peer_list, &targets, heartbeat).await;
+                    if heartbeat {
+                        newcomers.extend(peer_list.page_targets(self.ctx.now()));
+                    }
+                    pending = self.send_crashes(&targets, &std::mem::take(&mut newcomers)).await;
                     self.expire();
-                    pending = false;
                     let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
                     earliest = Instant::now() + DIGEST_INTERVAL_PER_PEER * count;
                     if heartbeat {
@@ -109,12 +126,11 @@
         peer_list.set_seeds(self.ctx.now(), seeds);
     }
 
-    /// Handles a datagram. Returns whether it changed the known load or waiting requests of other
-    /// gateways.
-    fn receive(&self, peer_list: &mut PeerList, from: SocketAddr, bytes: &[u8]) -> bool {
+    /// Handles a datagram.
+    fn receive(&self, peer_list: &mut PeerList, from: SocketAddr, bytes: &[u8]) -> Effect {
         let Ok(digest) = rmp_serde::from_slice::<Digest>(bytes) else {
-            self.ctx.telemetry.count("peer.malformed");
-            return false;
+            self.receive_crashes(from, bytes);
+            return Effect::default();
         };
         let now = self.ctx.now();
         peer_list.record_digest(now, from, &digest);
@@ -132,7 +148,21 @@
             let peer = from.to_string();
             log::info!(peer = peer.as_str(); "peer heard");
         }
-        changed
+        let newcomer = (!known && !leaving).then_some(from);
+        Effect { changed, newcomer }
+    }
+
+    fn receive_crashes(&self, from: SocketAddr, bytes: &[u8]) {
+        match rmp_serde::from_slice::<CrashReport>(bytes) {
+            Ok(report) => {
+                let now = self.ctx.now();
+                let version = (report.start, report.sequence);
+                let trials = &report.trials;
+                self.ctx.state().trials.apply(now, from, version, trials);
+                crash_watch::merge_reports(&self.ctx, &report.records);
+            }
+            Err(_) => self.ctx.telemetry.count("peer.malformed"),
+        }
     }
 
     async fn send(&self, peer_list: &PeerList, targets: &[SocketAddr], heartbeat: bool) {
@@ -159,8 +189,52 @@
                 return;
             }
         };
+        self.send_to_all(&bytes, targets).await;
+    }
+
+    /// Sends the trials and what became known of crashes to all peers, and a page of all that is known
+    /// to some. Returns whether there is more to send.
+    async fn send_crashes(&self, all: &[SocketAddr], some: &[SocketAddr]) -> bool {
+        let now = self.ctx.now();
+        let (updates, page, trials, changed, more) = {
+            let mut state = self.ctx.state();
+            state.suspects.tick(now);
+            let updates = state.suspects.next_update(now);
+            let page = match some {
+                [] => Vec::new(),
+                _ => state.suspects.next_page(now),
+            };
+            let more = state.suspects.has_updates();
+            let changed = state.trials.take_changed();
+            (updates, page, state.trials.own(), changed, more)
+        };
+        // Trials go on being announced, in case a datagram is lost.
+        let to_all = changed || !updates.is_empty() || !trials.is_empty();
+        let to_some = !page.is_empty();
+        for (send, records, targets) in [(to_all, updates, all), (to_some, page, some)] {
+            if !send {
+                continue;
+            }
+            let report = CrashReport {
+                start: self.start,
+                sequence: self.number.fetch_add(1, Ordering::Relaxed),
+                trials: trials.clone(),
+                records,
+            };
+            match rmp_serde::to_vec(&report) {
+                Ok(bytes) => self.send_to_all(&bytes, targets).await,
+                Err(error) => {
+                    let error = error.to_string();
+                    log::error!(error = error.as_str(); "digest not encoded");
+                }
+            }
+        }
+        more
+    }
+
+    async fn send_to_all(&self, bytes: &[u8], targets: &[SocketAddr]) {
         for target in targets {
-            if self.socket.send_to(&bytes, target).await.is_err() {
+            if self.socket.send_to(bytes, target).await.is_err() {
                 self.ctx.telemetry.count("peer.unsent");
             }
         }
@@ -170,6 +244,7 @@
         let now = self.ctx.now();
         let gone = self.ctx.state().loads.expire(now);
         for peer in gone {
+            self.ctx.state().trials.forget(peer);
             let peer = peer.to_string();
             log::warn!(peer = peer.as_str(); "peer silent");
             self.ctx.capacity_freed.notify_waiters();
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store_watch.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, StatusCode};
 
 use super::context::Context;
+use super::crash_watch;
 use super::directory::UpstreamChange;
 use super::fetch::fetch;
 
@@ -216,7 +217,7 @@
                 let now = self.ctx.now();
                 let applied = self.ctx.state().directory.replace(now, changes);
                 for (name, change) in applied {
-                    log_change(&name, &change);
+                    self.record_change(&name, &change);
                 }
             }
         }
@@ -242,10 +243,15 @@
         let now = self.ctx.now();
         let applied = self.ctx.state().directory.apply(now, change);
         if let Some((name, change)) = applied {
-            log_change(&name, &change);
+            self.record_change(&name, &change);
         }
     }
 
+    fn record_change(&self, name: &Upstream, change: &UpstreamChange) {
+        log_change(name, change);
+        crash_watch::record_change(&self.ctx, name, change);
+    }
+
     /// Puts a version in force unless a newer one is, because a store may return outdated data.
     fn apply_routing(&self, routing: Arc<Routing>) {
         let (version, routes) = (routing.version, routing.routes.len());
@@ -307,6 +313,7 @@
         let lost = ctx.state().directory.expire(now);
         for name in lost {
             log_change(&name, &UpstreamChange::Removed);
+            crash_watch::record_change(&ctx, &name, &UpstreamChange::Removed);
         }
     }
 }
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -101,6 +101,12 @@
 }
 
 impl Connection {
+    /// Leaves the unused connection to the pool.
+    pub fn release(self) {
+        let Self { pool, addr, sender } = self;
+        pool.checkin(addr, sender, MAX_IDLE_TIME);
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
--- a/crates/cumindoor/tests/gateway_crashes.rs
+++ b/crates/cumindoor/tests/gateway_crashes.rs
@@ -16,8 +16,10 @@
 use std::time::Duration;
 
 use fleet::{Crash, CrashingEngine, EngineOptions, Fleet, arrivals_by_engine};
+use hyper::body::Bytes;
 use rstest::rstest;
 use support::wait_until;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -52,6 +54,12 @@
     ..PREFILL
 };
 
+/// Requests run long enough to be lost in crashes for which they are not to blame.
+const SLOW: EngineOptions = EngineOptions {
+    work: Duration::from_millis(100),
+    ..PLAIN
+};
+
 async fn start_fleet(count: u8) -> Fleet {
     let program = Path::new(env!("CARGO_BIN_EXE_cumindoor"));
     let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
@@ -82,8 +90,10 @@
     }
 }
 
-fn crashes(engines: &[CrashingEngine]) -> Vec<Instant> {
-    let mut all: Vec<Instant> = engines.iter().flat_map(CrashingEngine::crashes).collect();
+/// Returns when requests with this body crashed engines, in order.
+fn crashes(engines: &[CrashingEngine], body: &str) -> Vec<Instant> {
+    let all = engines.iter().flat_map(CrashingEngine::crashes);
+    let mut all: Vec<Instant> = all.filter(|c| c.body == body).map(|c| c.at).collect();
     all.sort();
     all
 }
@@ -95,15 +105,15 @@
     .await;
 }
 
-/// Returns the arrivals of the poison request that the rule on crashing requests counts.
-fn counted_retries(engines: &[CrashingEngine]) -> usize {
-    let crashes = crashes(engines);
+/// Returns the arrivals of a request that the rule on crashing requests counts.
+fn counted_retries(engines: &[CrashingEngine], body: &str) -> usize {
+    let crashes = crashes(engines, body);
     let Some(third) = crashes.get(CRASHES - 1) else {
         return 0;
     };
     let arrivals = engines.iter().flat_map(CrashingEngine::arrivals);
-    let poison = arrivals.filter(|arrival| arrival.body == POISON.0);
-    poison.filter(|a| a.at > *third + STABLE_WINDOW).count()
+    let of_body = arrivals.filter(|arrival| arrival.body == body);
+    of_body.filter(|a| a.at > *third + STABLE_WINDOW).count()
 }
 
 /// Returns the number of tries of the caller of the poison request and of failed attempts at engines
@@ -124,7 +134,7 @@
 /// Sends the poison request through the gateways in turn until it has crashed three engines.
 async fn send_until_third_crash(fleet: &Fleet, engines: &[CrashingEngine], path: &str) {
     for number in 0..TRIES {
-        if crashes(engines).len() >= CRASHES {
+        if crashes(engines, POISON.0).len() >= CRASHES {
             break;
         }
         let gateway = number % fleet.gateways.len();
@@ -144,11 +154,11 @@
 /// Checks that no more retries than allowed reached the engines.
 fn assert_retries_allowed(fleet: &Fleet, engines: &[CrashingEngine]) {
     let sent = arrivals_by_engine(engines, POISON.0);
-    let ended = crashes(engines).len();
+    let ended = crashes(engines, POISON.0).len();
     let (tries, attempts) = logged_tries(fleet);
     println!("arrivals {sent:?}, {ended} crashes, {tries} tries, {attempts} failed attempts");
     assert!(ended >= CRASHES, "{ended} crashes show nothing");
-    let retries = counted_retries(engines);
+    let retries = counted_retries(engines, POISON.0);
     assert!(retries <= ALLOWED_RETRIES, "{retries} retries, {sent:?}");
 }
 
@@ -255,3 +265,144 @@
 
     assert_retries_allowed(&fleet, &engines);
 }
+
+/// Sends a crashing request on and on, each time at once after the response.
+async fn retry_at_once(fleet: Arc<Fleet>, (body, caller): (String, u8), end: CancellationToken) {
+    let mut number = usize::from(caller);
+    while !end.is_cancelled() {
+        let gateway = number % fleet.gateways.len();
+        number += 3;
+        fleet.call(gateway, caller, ("/safe/x", &body)).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Sends innocent requests of several kinds from many callers until `end`.
+fn spawn_bystanders(fleet: &Arc<Fleet>, end: &CancellationToken) -> Vec<JoinHandle<u32>> {
+    let paths = ["/safe/a", "/safe/b", "/once/c"];
+    let four_of_each = paths.into_iter().cycle().take(12);
+    let send = |path| send_bystanders(Arc::clone(fleet), path, end.clone());
+    four_of_each.map(|path| tokio::spawn(send(path))).collect()
+}
+
+async fn count_refused(bystanders: Vec<JoinHandle<u32>>) -> u32 {
+    let mut refused = 0;
+    for task in bystanders {
+        refused += task.await.unwrap();
+    }
+    refused
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_crashing_requests_at_once_do_not_accuse_innocent_ones() {
+    const POISONS: u8 = 10;
+    let fleet = Arc::new(start_fleet(GATEWAYS).await);
+    let engines = start_engines(&fleet, &[(SLOW, 6)]).await;
+    wait_until_ready(&fleet).await;
+    let end = CancellationToken::new();
+    let bystanders = spawn_bystanders(&fleet, &end);
+    let bodies: Vec<String> = (0..POISONS).map(|n| format!("poison {n}")).collect();
+    for (number, body) in (0..).zip(&bodies) {
+        let sender = retry_at_once(Arc::clone(&fleet), (body.clone(), number + 1), end.clone());
+        tokio::spawn(sender);
+    }
+
+    sleep(3 * STABLE_WINDOW).await;
+    end.cancel();
+    let refused = count_refused(bystanders).await;
+
+    let ended = bodies.iter().map(|body| crashes(&engines, body).len());
+    let retries: Vec<usize> = bodies
+        .iter()
+        .map(|body| counted_retries(&engines, body))
+        .collect();
+    println!(
+        "crashes {:?}, retries {retries:?}",
+        ended.collect::<Vec<_>>()
+    );
+    assert!(retries.iter().all(|count| *count <= ALLOWED_RETRIES));
+    assert_eq!(refused, 0, "innocent requests were refused");
+}
+
+#[rstest]
+#[case::reset(Crash::Reset)]
+#[case::dark(Crash::Dark)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_of_other_causes_refuse_no_request(#[case] crash: Crash) {
+    const WAVES: usize = 5;
+    let fleet = Arc::new(start_fleet(GATEWAYS).await);
+    let engines = start_engines(&fleet, &[(EngineOptions { crash, ..SLOW }, 6)]).await;
+    wait_until_ready(&fleet).await;
+    let end = CancellationToken::new();
+    let bystanders = spawn_bystanders(&fleet, &end);
+
+    for wave in 0..WAVES {
+        wait_until_up(&engines).await;
+        sleep(SLOW.work).await;
+        for engine in engines.iter().skip(wave % 2).step_by(2) {
+            engine.crash(Bytes::new());
+        }
+        // A second group follows while requests of the first one are sent again.
+        sleep(SLOW.work / 2).await;
+        engines[(wave + 1) % 2].crash(Bytes::new());
+    }
+    wait_until_up(&engines).await;
+    end.cancel();
+    let refused = count_refused(bystanders).await;
+
+    let suspected = fleet.events("request suspected").len();
+    println!(
+        "{suspected} suspicions, {} crashes",
+        crashes(&engines, "").len()
+    );
+    assert!(suspected > 0, "no request was lost in a crash");
+    assert_eq!(refused, 0, "innocent requests were refused");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_names_what_is_believed_and_when_to_return() {
+    let fleet = start_fleet(3).await;
+    let engines = start_engines(&fleet, &[(PLAIN, 4)]).await;
+    wait_until_ready(&fleet).await;
+    send_until_third_crash(&fleet, &engines, "/safe/x").await;
+    sleep(STABLE_WINDOW).await;
+    let before = engines
+        .iter()
+        .map(|engine| engine.arrivals().len())
+        .sum::<usize>();
+
+    let replies = [0, 1, 2].map(|gateway| fleet.call(gateway, POISON.1, ("/safe/x", POISON.0)));
+    let replies = futures::future::join_all(replies).await;
+
+    let after = engines
+        .iter()
+        .map(|engine| engine.arrivals().len())
+        .sum::<usize>();
+    assert_eq!(before, after, "a refused request was sent");
+    let refused = Some((503, "poison\n".to_owned()));
+    assert_eq!(replies, vec![refused; 3]);
+    wait_until("the refusals are logged", || {
+        fleet.events("poison refused").len() >= 3
+    })
+    .await;
+    for line in fleet.events("poison refused") {
+        let believed = line["believed"].as_str().unwrap();
+        let seen = believed.matches(" seen by vm-").count();
+        assert_eq!(line["crashes"].as_u64(), Some(seen as u64), "{line}");
+        assert!(seen >= CRASHES && believed.contains(" ms ago"), "{line}");
+        assert!(line["retry_ms"].as_u64().unwrap() > 60_000, "{line}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sixty_gateways_do_not_send_a_crashing_request_on_and_on() {
+    let fleet = start_fleet(60).await;
+    let engines = start_engines(&fleet, &[(PLAIN, 6)]).await;
+    wait_until_ready(&fleet).await;
+
+    send_until_third_crash(&fleet, &engines, "/safe/x").await;
+    sleep(STABLE_WINDOW).await;
+    send_through_all(&fleet, &engines, "/safe/x").await;
+
+    assert_retries_allowed(&fleet, &engines);
+}
--- a/crates/scenario/src/suspects.rs
+++ b/crates/scenario/src/suspects.rs
@@ -3,6 +3,8 @@
 //! When an engine crashes, one crash is counted for each request that ran on it, which is called a
 //! charge. Requests with charges are isolated or refused, and the charges are copied to other VMs.
 
+use std::time::Duration;
+
 use coord::name::{Service, Upstream, VmName};
 use coord::poison::{CrashRecord, Suspects, UpstreamStart, Verdict};
 use coord::sched::{Action, JobId, Reason};
@@ -39,7 +41,7 @@
         let Some(suspects) = self.suspects(vm, service) else {
             return;
         };
-        let fingerprints = suspects.upstream_crashed(clock, &crashed, &running);
+        let fingerprints = suspects.upstream_crashed(clock, &crashed, Duration::ZERO, &running);
         for fingerprint in fingerprints {
             self.isolate(vm, service, fingerprint);
         }
@@ -116,7 +118,8 @@
     pub fn receive_charges(&mut self, vm: usize, service: &Service, charges: &[CrashRecord]) {
         let clock = self.vms[vm].clock(self.now);
         if let Some(suspects) = self.suspects(vm, service) {
-            suspects.merge(clock, charges);
+            let changed = suspects.merge(clock, charges);
+            suspects.announce(&changed);
         }
         let peers = self.next_peers(vm);
         self.send_charges(vm, service, &peers);
