Let a suspect's prefill run beside its own place at a decode engine

Seen by callers: a stream that was lost in a crash waited 1.65 s and was then prefilled by its decode engine. Cause: the trial of the request at its decode engine also kept its own prefill from starting, because both were announced under one fingerprint. Change: each step is announced under its own fingerprint.

--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -16,7 +16,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::content::Content;
 use super::crash_watch::{LostAttempts, new_suspects};
 use super::directory::Directory;
 use super::health::Outcome;
@@ -287,13 +286,13 @@
 impl Reservation {
     /// Begins the trial of a suspect on the upstream. Returns false, and begins none, if another one
     /// must end first.
-    pub async fn begin_trial(&mut self, content: Content, exclusive: bool) -> bool {
+    pub async fn begin_trial(&mut self, fingerprint: u128, exclusive: bool) -> bool {
         let now = self.ctx.now();
         let announced = {
             let mut state = self.ctx.state();
             state
                 .trials
-                .announce(now, (self.key, content.run), exclusive)
+                .announce(now, (self.key, fingerprint), exclusive)
         };
         let Some(number) = announced else {
             return false;
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Returns the fingerprint of the step. A request keeps its place at a decode engine during its
+    /// prefill, so the two steps are not in each other's way.
+    fn fingerprint(self, req: &CallerRequest) -> u128 {
+        match self {
+            Self::Prefill { .. } => req.content.prefill,
+            Self::Plain | Self::Decode { .. } => req.content.run,
+        }
+    }
+
     /// Takes a place at an upstream that was not tried, and waits for it if need be.
     async fn take(
         self,
@@ -103,10 +112,13 @@
         if standing == Standing::Clear {
             return place.take(req, tried).await;
         }
-        if let Some(avoided) = avoided(req, standing, place.stage(), tried) {
+        if let Some(avoided) = avoided(req, standing, place, tried) {
             let (choice, mut reservation) = place.take(req, &avoided).await?;
             let exclusive = standing == Standing::OnTrial;
-            if reservation.begin_trial(req.content, exclusive).await {
+            if reservation
+                .begin_trial(place.fingerprint(req), exclusive)
+                .await
+            {
                 // Another gateway may have seen a crash meanwhile.
                 req.refuse_poison()?;
                 return Ok((choice, reservation));
@@ -130,15 +142,15 @@
 fn avoided(
     req: &CallerRequest,
     standing: Standing,
-    stage: Option<Stage>,
+    place: Place<'_>,
     tried: &[Upstream],
 ) -> Option<Vec<Upstream>> {
     let now = req.ctx.now();
     let known = req.ctx.state();
-    if known.trials.is_on_trial(now, req.content.run) {
+    if known.trials.is_on_trial(now, place.fingerprint(req)) {
         return None;
     }
-    let untried = known.directory.usable(&req.service, stage);
+    let untried = known.directory.usable(&req.service, place.stage());
     let untried: Vec<_> = untried.filter(|e| !tried.contains(&e.name)).collect();
     let is_taken = |endpoint: &&&Endpoint| known.trials.is_taken(now, endpoint.key);
     let is_used = |endpoint: &&&Endpoint| known.trials.is_used(now, endpoint.key);
--- a/crates/cumindoor/src/gateway/trials.rs
+++ b/crates/cumindoor/src/gateway/trials.rs
@@ -26,7 +26,7 @@
 pub struct Trial {
     /// The upstream on which the suspect runs.
     pub upstream: Key,
-    /// Fingerprint of the suspect.
+    /// Fingerprint of the suspect's step.
     pub content: u128,
     /// Whether no other suspect may run on the upstream.
     pub exclusive: bool,
