Give no orders after a start while cut off from all other gateways

Cause: only gateways heard in the last minute counted for the majority. Change: a gateway that was told of others and has heard none gives no orders in its first minute. Leadership is a module of its own, without network, for the test. Conclusion: if all other gateways stay away, stages move a minute after a start instead of 3 s.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -18,6 +18,7 @@
 mod exchange;
 mod fetch;
 pub mod health;
+pub mod leadership;
 mod listeners;
 pub mod load_table;
 mod orders;
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -19,6 +19,7 @@
 use super::balance::{StageBalancer, StageCounts, StageUsage};
 use super::context::{Context, State};
 use super::directory::Endpoint;
+use super::leadership::{FleetView, Leadership};
 use super::load_table::service_key;
 use crate::serve::engine::full_body;
 
@@ -28,9 +29,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time that an engine takes to switch its stage; after that it may be ordered again.
 const MAX_SWITCH_TIME: Duration = Duration::from_secs(7);
-/// Time for which gateways that have gone silent still count when a gateway determines whether it
-/// is cut off.
-const PEER_MEMORY_TIME: Duration = Duration::from_mins(1);
 
 /// Balances the stages of engines for as long as the process runs.
 ///
@@ -47,7 +45,13 @@
             continue;
         }
         let now = ctx.now();
-        let is_leader = leadership.observe(now, &ctx, keys.lease.0);
+        let peers: BTreeSet<SocketAddr> = ctx.state().loads.peers().collect();
+        let fleet = FleetView {
+            own: ctx.own_address(),
+            peers,
+            expects_peers: ctx.expects_peers(),
+        };
+        let is_leader = leadership.observe(now, fleet, keys.lease.0);
         let wanted = {
             let state = ctx.state();
             decide(&mut balancers, &state, now)
@@ -189,39 +193,3 @@
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     since.map_or(0, |since| since.as_secs())
 }
-
-/// Whether this gateway is the one that gives orders.
-struct Leadership {
-    peers: BTreeSet<SocketAddr>,
-    /// When the set of live gateways last changed.
-    changed_at: Time,
-    /// When each gateway was last live.
-    last_heard: BTreeMap<SocketAddr, Time>,
-}
-
-impl Leadership {
-    fn new(now: Time) -> Self {
-        Self {
-            peers: BTreeSet::new(),
-            changed_at: now,
-            last_heard: BTreeMap::new(),
-        }
-    }
-
-    fn observe(&mut self, now: Time, ctx: &Context, lease: Duration) -> bool {
-        let peers: BTreeSet<SocketAddr> = ctx.state().loads.peers().collect();
-        for peer in &peers {
-            self.last_heard.insert(*peer, now);
-        }
-        self.last_heard
-            .retain(|_, heard| now.since(*heard) < PEER_MEMORY_TIME);
-        if peers != self.peers {
-            self.peers = peers;
-            self.changed_at = now;
-        }
-        let own = ctx.own_address();
-        let has_lowest_address = self.peers.iter().all(|peer| own < *peer);
-        let majority = (self.peers.len() + 1) * 2 > self.last_heard.len() + 1;
-        has_lowest_address && majority && now.since(self.changed_at) > lease
-    }
-}
--- a/crates/cumindoor/tests/gateway_rules.rs
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -8,6 +8,7 @@
 use cumindoor::gateway::balance::{StageBalancer, StageCounts, StageUsage};
 use cumindoor::gateway::events::EventBuffer;
 use cumindoor::gateway::health::{Health, Outcome};
+use cumindoor::gateway::leadership::{FleetView, Leadership};
 use cumindoor::gateway::load_table::Digest;
 use cumindoor::gateway::peer_list::PeerList;
 use cumindoor::gateway::retry_budget::{RetryBudget, RetryLimit};
@@ -329,3 +330,23 @@
     let all = usize::from(GATEWAYS) - 1;
     assert!(known.iter().all(|known| *known == all), "{known:?}");
 }
+
+/// Guards against two gateways that give orders because one of them started while it was cut off from
+/// all others.
+#[test]
+fn a_gateway_that_started_cut_off_gives_no_orders() {
+    let lease = Duration::from_secs(3);
+    let view = |peers: &[SocketAddr]| FleetView {
+        own: SocketAddr::from(([10, 0, 0, 1], 7000)),
+        peers: peers.iter().copied().collect(),
+        expects_peers: true,
+    };
+    let other = SocketAddr::from(([10, 0, 0, 2], 7000));
+    let mut leadership = Leadership::new(Time::ZERO);
+
+    let cut_off = (0..50).any(|s| leadership.observe(ms(s * 1_000), view(&[]), lease));
+    let healed = leadership.observe(ms(51_000), view(&[other]), lease);
+    let later = leadership.observe(ms(55_000), view(&[other]), lease);
+
+    assert_eq!((cut_off, healed, later), (false, false, true));
+}
