Move places of suspects to a module of their own, and hash bodies in place

Change: exchange/place.rs has the places and what suspects avoid; hash128_of hashes parts one after the other. Conclusion: no change of behaviour.

--- a/crates/coord/src/poison.rs
+++ b/crates/coord/src/poison.rs
@@ -34,7 +34,7 @@
 use derive_more::{Constructor, Display};
 use serde::{Deserialize, Serialize};
 
-use crate::hash::hash128;
+use crate::hash::hash128_of;
 use crate::name::{Upstream, VmName};
 use crate::time::Time;
 
@@ -55,13 +55,12 @@
 /// bytes.
 #[must_use]
 pub fn fingerprint(parts: &[&[u8]]) -> u128 {
-    let length: usize = parts.iter().map(|part| part.len() + 8).sum();
-    let mut bytes = Vec::with_capacity(length);
-    for part in parts {
-        bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
-        bytes.extend_from_slice(part);
-    }
-    hash128(&bytes)
+    let lengths: Vec<[u8; 8]> = parts
+        .iter()
+        .map(|part| (part.len() as u64).to_be_bytes())
+        .collect();
+    let prefixed = lengths.iter().zip(parts);
+    hash128_of(prefixed.flat_map(|(length, part)| [length.as_slice(), part]))
 }
 
 /// Settings of the protection against poison requests.
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Handling of one request, from its head to its final response.
 
 mod model;
+mod place;
 mod plain;
 mod relay;
 mod send;
--- /dev/null
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -0,0 +1,145 @@
+//! Places for requests at upstreams, with suspects kept apart from each other.
+
+use border::{Model, Stage};
+use coord::name::{DataCentre, Upstream};
+use tokio::time::{Instant, sleep_until};
+
+use super::{CallerRequest, wait};
+use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::context::Reservation;
+use crate::gateway::crash_watch::Standing;
+use crate::gateway::directory::Endpoint;
+use crate::gateway::placement::{Choice, Demand};
+
+/// Where a request needs a place.
+#[derive(Clone, Copy)]
+pub(super) enum Place<'a> {
+    Plain,
+    Prefill {
+        demand: Demand,
+        preferred: &'a DataCentre,
+    },
+    /// KV cache at a decode engine, to be had by `until`.
+    Decode {
+        model: &'a Model,
+        demand: Demand,
+        until: Instant,
+        /// Whether the prompt is prefilled, so that the request goes ahead of the queue.
+        prefilled: bool,
+    },
+}
+
+impl Place<'_> {
+    fn stage(self) -> Option<Stage> {
+        match self {
+            Self::Plain => None,
+            Self::Prefill { .. } => Some(Stage::Prefill),
+            Self::Decode { .. } => Some(Stage::Decode),
+        }
+    }
+
+    /// Returns the fingerprint of the step. A request keeps its place at a decode engine during its
+    /// prefill, so the two steps are not in each other's way.
+    fn fingerprint(self, req: &CallerRequest) -> u128 {
+        match self {
+            Self::Prefill { .. } => req.content.prefill,
+            Self::Plain | Self::Decode { .. } => req.content.run,
+        }
+    }
+
+    /// Takes a place at an upstream that was not tried, and waits for it if need be.
+    async fn take(
+        self,
+        req: &CallerRequest,
+        tried: &[Upstream],
+    ) -> Result<(Choice, Reservation), Refusal> {
+        match self {
+            Self::Plain => wait::wait_for_plain(req, tried).await,
+            Self::Prefill { demand, preferred } => {
+                wait::take_prefill(req, demand, preferred, tried)
+            }
+            Self::Decode {
+                model,
+                demand,
+                until,
+                prefilled,
+            } => {
+                if prefilled && let Some(taken) = wait::take_prefilled(req, model, demand, tried) {
+                    return Ok(taken);
+                }
+                wait::wait_for_decode_until(req, model, demand, tried, until).await
+            }
+        }
+    }
+}
+
+/// Takes a place for a request, on trial if it is a suspect. Refuses the request while it is known to
+/// crash upstreams.
+pub(super) async fn take_place(
+    req: &CallerRequest,
+    place: Place<'_>,
+    tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    let until = wait::wait_limit(req);
+    loop {
+        let freed = req.ctx.capacity_freed.notified();
+        let mut freed = std::pin::pin!(freed);
+        freed.as_mut().enable();
+        req.refuse_poison()?;
+        let standing = req.standing();
+        if standing == Standing::Clear {
+            return place.take(req, tried).await;
+        }
+        if let Some(avoided) = avoided(req, standing, place, tried) {
+            let (choice, mut reservation) = place.take(req, &avoided).await?;
+            let exclusive = standing == Standing::OnTrial;
+            if reservation
+                .begin_trial(place.fingerprint(req), exclusive)
+                .await
+            {
+                // Another gateway may have seen a crash meanwhile.
+                req.refuse_poison()?;
+                return Ok((choice, reservation));
+            }
+        }
+        if Instant::now() >= until {
+            return Err(Refusal::with_retry(
+                Reason::Overloaded,
+                req.route.target_latency,
+            ));
+        }
+        tokio::select! {
+            () = freed => {}
+            () = sleep_until((Instant::now() + wait::RECHECK_INTERVAL).min(until)) => {}
+        }
+    }
+}
+
+/// Returns the upstreams that a suspect must not run on: those that it was sent to already, and those
+/// on which another suspect is on trial. Returns `None` if it has to wait for the end of a trial.
+fn avoided(
+    req: &CallerRequest,
+    standing: Standing,
+    place: Place<'_>,
+    tried: &[Upstream],
+) -> Option<Vec<Upstream>> {
+    let now = req.ctx.now();
+    let known = req.ctx.state();
+    if known.trials.is_on_trial(now, place.fingerprint(req)) {
+        return None;
+    }
+    let untried = known.directory.usable(&req.service, place.stage());
+    let untried: Vec<_> = untried.filter(|e| !tried.contains(&e.name)).collect();
+    let is_taken = |endpoint: &&&Endpoint| known.trials.is_taken(now, endpoint.key);
+    let is_used = |endpoint: &&&Endpoint| known.trials.is_used(now, endpoint.key);
+    let mut avoided: Vec<_> = untried.iter().filter(is_taken).collect();
+    if !avoided.is_empty() && avoided.len() == untried.len() {
+        return None;
+    }
+    let used: Vec<_> = untried.iter().filter(is_used).collect();
+    if standing == Standing::OnTrial && used.len() < untried.len() {
+        avoided = used;
+    }
+    let avoided = avoided.into_iter().map(|endpoint| endpoint.name.clone());
+    Some(tried.iter().cloned().chain(avoided).collect())
+}
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -9,11 +9,12 @@
 use coord::time::Time;
 use tokio::time::{Instant, sleep_until};
 
+use super::place::{Place, take_place};
 use super::{CallerRequest, millis};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation, State};
 use crate::gateway::crash_watch::Standing;
-use crate::gateway::directory::{Directory, Endpoint};
+use crate::gateway::directory::Directory;
 use crate::gateway::load_table::{Load, service_key};
 use crate::gateway::peers::DIGEST_INTERVAL_PER_PEER;
 use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens};
@@ -22,7 +23,7 @@
 use super::plain::PLAIN_LOAD;
 
 /// Interval at which a waiting request looks for capacity without being notified.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a gateway leaves capacity to each gateway whose request takes precedence, in
 /// addition to the time between two of its digests. That gateway needs it to learn of the capacity
 /// and to announce that it was taken.
@@ -35,137 +36,6 @@
 /// Retry time sent to callers if a service has no upstream left to try.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Where a request needs a place.
-#[derive(Clone, Copy)]
-enum Place<'a> {
-    Plain,
-    Prefill {
-        demand: Demand,
-        preferred: &'a DataCentre,
-    },
-    /// KV cache at a decode engine, to be had by `until`.
-    Decode {
-        model: &'a Model,
-        demand: Demand,
-        until: Instant,
-        /// Whether the prompt is prefilled, so that the request goes ahead of the queue.
-        prefilled: bool,
-    },
-}
-
-impl Place<'_> {
-    fn stage(self) -> Option<Stage> {
-        match self {
-            Self::Plain => None,
-            Self::Prefill { .. } => Some(Stage::Prefill),
-            Self::Decode { .. } => Some(Stage::Decode),
-        }
-    }
-
-    /// Returns the fingerprint of the step. A request keeps its place at a decode engine during its
-    /// prefill, so the two steps are not in each other's way.
-    fn fingerprint(self, req: &CallerRequest) -> u128 {
-        match self {
-            Self::Prefill { .. } => req.content.prefill,
-            Self::Plain | Self::Decode { .. } => req.content.run,
-        }
-    }
-
-    /// Takes a place at an upstream that was not tried, and waits for it if need be.
-    async fn take(
-        self,
-        req: &CallerRequest,
-        tried: &[Upstream],
-    ) -> Result<(Choice, Reservation), Refusal> {
-        match self {
-            Self::Plain => wait_for_plain(req, tried).await,
-            Self::Prefill { demand, preferred } => take_prefill(req, demand, preferred, tried),
-            Self::Decode {
-                model,
-                demand,
-                until,
-                prefilled,
-            } => {
-                if prefilled && let Some(taken) = take_prefilled(req, model, demand, tried) {
-                    return Ok(taken);
-                }
-                wait_for_decode_until(req, model, demand, tried, until).await
-            }
-        }
-    }
-}
-
-/// Takes a place for a request, on trial if it is a suspect. Refuses the request while it is known to
-/// crash upstreams.
-async fn take_place(
-    req: &CallerRequest,
-    place: Place<'_>,
-    tried: &[Upstream],
-) -> Result<(Choice, Reservation), Refusal> {
-    let until = wait_limit(req);
-    loop {
-        let freed = req.ctx.capacity_freed.notified();
-        let mut freed = std::pin::pin!(freed);
-        freed.as_mut().enable();
-        req.refuse_poison()?;
-        let standing = req.standing();
-        if standing == Standing::Clear {
-            return place.take(req, tried).await;
-        }
-        if let Some(avoided) = avoided(req, standing, place, tried) {
-            let (choice, mut reservation) = place.take(req, &avoided).await?;
-            let exclusive = standing == Standing::OnTrial;
-            if reservation
-                .begin_trial(place.fingerprint(req), exclusive)
-                .await
-            {
-                // Another gateway may have seen a crash meanwhile.
-                req.refuse_poison()?;
-                return Ok((choice, reservation));
-            }
-        }
-        if Instant::now() >= until {
-            return Err(Refusal::with_retry(
-                Reason::Overloaded,
-                req.route.target_latency,
-            ));
-        }
-        tokio::select! {
-            () = freed => {}
-            () = sleep_until((Instant::now() + RECHECK_INTERVAL).min(until)) => {}
-        }
-    }
-}
-
-/// Returns the upstreams that a suspect must not run on: those that it was sent to already, and those
-/// on which another suspect is on trial. Returns `None` if it has to wait for the end of a trial.
-fn avoided(
-    req: &CallerRequest,
-    standing: Standing,
-    place: Place<'_>,
-    tried: &[Upstream],
-) -> Option<Vec<Upstream>> {
-    let now = req.ctx.now();
-    let known = req.ctx.state();
-    if known.trials.is_on_trial(now, place.fingerprint(req)) {
-        return None;
-    }
-    let untried = known.directory.usable(&req.service, place.stage());
-    let untried: Vec<_> = untried.filter(|e| !tried.contains(&e.name)).collect();
-    let is_taken = |endpoint: &&&Endpoint| known.trials.is_taken(now, endpoint.key);
-    let is_used = |endpoint: &&&Endpoint| known.trials.is_used(now, endpoint.key);
-    let mut avoided: Vec<_> = untried.iter().filter(is_taken).collect();
-    if !avoided.is_empty() && avoided.len() == untried.len() {
-        return None;
-    }
-    let used: Vec<_> = untried.iter().filter(is_used).collect();
-    if standing == Standing::OnTrial && used.len() < untried.len() {
-        avoided = used;
-    }
-    let avoided = avoided.into_iter().map(|endpoint| endpoint.name.clone());
-    Some(tried.iter().cloned().chain(avoided).collect())
-}
-
 /// Waits for capacity at a plain upstream.
 pub(super) async fn for_plain(
     req: &CallerRequest,
@@ -185,7 +55,7 @@
     take_place(req, Place::Prefill { demand, preferred }, tried).await
 }
 
-fn take_prefill(
+pub(super) fn take_prefill(
     req: &CallerRequest,
     demand: Demand,
     preferred: &DataCentre,
@@ -211,7 +81,7 @@
     Ok((choice, reservation))
 }
 
-async fn wait_for_plain(
+pub(super) async fn wait_for_plain(
     req: &CallerRequest,
     tried: &[Upstream],
 ) -> Result<(Choice, Reservation), Refusal> {
@@ -280,7 +150,7 @@
     take_place(req, place, tried).await
 }
 
-fn take_prefilled(
+pub(super) fn take_prefilled(
     req: &CallerRequest,
     model: &Model,
     demand: Demand,
@@ -351,7 +221,7 @@
     take_place(req, place, &[]).await
 }
 
-async fn wait_for_decode_until(
+pub(super) async fn wait_for_decode_until(
     req: &CallerRequest,
     model: &Model,
     demand: Demand,
@@ -400,7 +270,7 @@
     upstreams.all(|endpoint| tried.contains(&endpoint.name))
 }
 
-fn wait_limit(req: &CallerRequest) -> Instant {
+pub(super) fn wait_limit(req: &CallerRequest) -> Instant {
     let limit = req.started + req.route.target_latency.mul_f64(MAX_WAIT_TARGETS);
     limit.min(req.deadline)
 }
