--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -91,8 +91,10 @@
                         if effect.changed {
                             wakeups.request();
                         }
-                        pending |= effect.newcomer.is_some();
-                        newcomers.extend(effect.newcomer);
+                        if effect.newcomer.is_some() && !self.ctx.state().suspects.is_empty() {
+                            pending = true;
+                            newcomers.extend(effect.newcomer);
+                        }
                     }
                 }
                 () = sleep_until(wake.unwrap_or(next_heartbeat)), if wake.is_some() => {
