--- a/crates/cumindoor/tests/gateway_crashes.rs
+++ b/crates/cumindoor/tests/gateway_crashes.rs
@@ -325,18 +325,19 @@
 }
 
 #[rstest]
-#[case::reset(Crash::Reset)]
-#[case::dark(Crash::Dark)]
+#[case::reset_once(Crash::Reset, 1)]
+#[case::dark_once(Crash::Dark, 1)]
+#[case::reset_repeated(Crash::Reset, 5)]
+#[case::dark_repeated(Crash::Dark, 5)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn crashes_of_other_causes_refuse_no_request(#[case] crash: Crash) {
-    const WAVES: usize = 5;
+async fn crashes_of_other_causes_refuse_no_request(#[case] crash: Crash, #[case] waves: usize) {
     let fleet = Arc::new(start_fleet(GATEWAYS).await);
     let engines = start_engines(&fleet, &[(EngineOptions { crash, ..SLOW }, 6)]).await;
     wait_until_ready(&fleet).await;
     let end = CancellationToken::new();
     let bystanders = spawn_bystanders(&fleet, &end);
 
-    for wave in 0..WAVES {
+    for wave in 0..waves {
         wait_until_up(&engines).await;
         sleep(SLOW.work).await;
         for engine in engines.iter().skip(wave % 2).step_by(2) {
@@ -350,11 +351,14 @@
     end.cancel();
     let refused = count_refused(bystanders).await;
 
-    let suspected = fleet.events("request suspected").len();
-    println!(
-        "{suspected} suspicions, {} crashes",
-        crashes(&engines, "").len()
-    );
+    let suspected = fleet.events("request suspected");
+    for line in &suspected {
+        println!(
+            "{} {} at {} with {} crashes",
+            line["at"], line["content"], line["upstream"], line["crashes"]
+        );
+    }
+    let suspected = suspected.len();
     assert!(suspected > 0, "no request was lost in a crash");
     assert_eq!(refused, 0, "innocent requests were refused");
 }
