Log why a stream is not resumed

Cause: A stream that is cut logs `broken` and the failure of its engine. Change: `stream not resumed` names the failure (`cause`), `why` no engine goes on, the attempts and the time since the last event.

--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -73,6 +73,7 @@
         events: EventBuffer::after(req.meta.last_event_id),
         attempts: 1,
         awaiting_first: true,
+        last_event: Instant::now(),
         ended: false,
         caller_guard: CallerGuard::new(req.meta.id.clone(), req.started),
     };
@@ -118,6 +119,8 @@
     events: EventBuffer,
     attempts: u32,
     awaiting_first: bool,
+    /// When the last event was sent to the caller, or when the relay began.
+    last_event: Instant,
     ended: bool,
     caller_guard: CallerGuard,
 }
@@ -138,6 +141,7 @@
                 Received::Events(bytes) if bytes.is_empty() => {}
                 Received::Events(bytes) => {
                     self.record_first_event();
+                    self.last_event = Instant::now();
                     return Some(Ok(Frame::data(bytes)));
                 }
                 Received::End => {
@@ -146,7 +150,8 @@
                 }
                 Received::Broken(text) => {
                     self.disconnect_engine(&text).await;
-                    if !self.resume().await {
+                    if let Err(why) = self.resume().await {
+                        self.log_not_resumed(&text, why);
                         return Some(Err(self.abort("broken", &text)));
                     }
                 }
@@ -260,16 +265,28 @@
         text.to_owned().into()
     }
 
+    fn log_not_resumed(&self, cause: &str, why: &str) {
+        let (id, silent_ms) = (&*self.req.meta.id, millis(self.last_event.elapsed()));
+        log::info!(id, cause, why, attempts = self.attempts, silent_ms; "stream not resumed");
+    }
+
     /// Resumes the stream at another engine after the last event that was sent to the caller.
-    /// Returns false if the route or the retry budget does not allow that, or if the attempt fails.
-    async fn resume(&mut self) -> bool {
+    /// Returns why it is not resumed if the route or the retry budget does not allow that, or if the
+    /// attempt fails.
+    async fn resume(&mut self) -> Result<(), &'static str> {
         let req = Arc::clone(&self.req);
         let allowed = req.kind().is_retryable() && self.attempts < req.route.max_attempts;
         let (Some(model), Some(prompt)) = (req.def.model.clone(), req.meta.prompt) else {
-            return false;
+            return Err("the request states no prompt");
         };
-        if !allowed || req.refuse_poison().is_err() || !req.ctx.try_retry(&req.service) {
-            return false;
+        if !allowed {
+            return Err("the route allows no further attempt");
+        }
+        if req.refuse_poison().is_err() {
+            return Err("the request crashes upstreams");
+        }
+        if !req.ctx.try_retry(&req.service) {
+            return Err("the retry budget is used up");
         }
         self.attempts += 1;
         let demand = Demand::new(&prompt, &model);
@@ -294,7 +311,7 @@
             }
         };
         let Ok(Some((run, answer))) = timeout_at(req.deadline, resuming).await else {
-            return false;
+            return Err("no other engine took it");
         };
         let upstream = run.choice.name.as_str();
         let last = self.events.last_id().unwrap_or_default();
@@ -303,7 +320,7 @@
         self.engine_started = req.ctx.now();
         self.run = Some(run);
         self.source = Some((answer.body, answer.lease, answer.guard));
-        true
+        Ok(())
     }
 }
 
