Keep a moved plain request from ending at a refusal

Cause: A plain request that left a silent upstream for another one got `broken` if that one refused it, although the request had not run there and the first upstream might have answered. Change: Such a request waits for a place and a retry until its deadline, and the upstream that refused stays eligible.

--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -44,6 +44,8 @@
     let mut refusals = 0;
     let mut fallback = None;
     let mut next = None;
+    // Whether an upstream that may have answered was given up. What others lack is then waited for.
+    let mut moved = false;
     loop {
         let waited = match next.take() {
             Some(place) => Ok(place),
@@ -68,6 +70,7 @@
             Watched::Gone => Err(send::record_lost(req, &choice, silence::GONE)),
             Watched::Replaced(place) => {
                 next = Some(place);
+                moved = true;
                 Err(send::record_lost(req, &choice, silence::REPLACED))
             }
         };
@@ -95,12 +98,19 @@
                 if failure.not_executed() {
                     attempts -= 1;
                     refusals += 1;
-                    refusals <= MAX_REFUSALS
+                    if moved {
+                        tried.pop();
+                    }
+                    moved || refusals <= MAX_REFUSALS
                 } else {
                     may_retry
                 }
             }
         };
+        if retry && moved && next.is_none() && fallback.is_none() {
+            let successor = Successor::Plain(&tried);
+            next = Some(silence::next_place(req, successor, false).await?);
+        }
         if next.is_some() {
             // The retry is paid. The upstream may have crashed.
             req.refuse_poison()?;
--- a/crates/cumindoor/tests/gateway_silence.rs
+++ b/crates/cumindoor/tests/gateway_silence.rs
@@ -281,14 +281,17 @@
 #[case::stop("-TERM")]
 #[case::reload("-HUP")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_signal_ends_no_answer(#[case] signal: &'static str) {
+async fn a_signal_ends_no_answer(
+    #[case] signal: &'static str,
+    #[values("/resume/", "/stream/")] path: &'static str,
+) {
     let (fleet, engines) = start().await;
     for engine in engines.iter().filter(|engine| !engine.is_prefill()) {
         engine.answer_with(Answering::Paused(Pause::BetweenEvents, SILENCE));
     }
     let decoding = || -> usize { engines.iter().map(|engine| engine.arrivals().len()).sum() };
     let before = decoding();
-    let calls = send_all(&fleet, "/stream/", CALLERS / 2);
+    let calls = send_all(&fleet, path, CALLERS / 2);
     wait_until("all requests run", || decoding() >= before + CALLERS).await;
 
     fleet.signal(0, signal);
