Read the parts of prompts, and name them in "request suspected"

A list that cannot be read is counted (`parts.unreadable`) and logged, and the request is handled as if it had no parts.
`request suspected` names the first eight.
- **Conclusion:** nothing is decided by parts yet.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -35,6 +35,9 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may have as well, in order, if the request
+    /// names its parts.
+    pub shared_parts: Option<Result<Vec<Arc<str>>, Malformed>>,
 }
 
 /// Location of a prefill result.
--- a/crates/cumindoor/src/gateway/content.rs
+++ b/crates/cumindoor/src/gateway/content.rs
@@ -1,40 +1,65 @@
 //! What identifies a request each time that its caller sends it.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 
 use coord::poison::fingerprint;
 use derive_more::Display;
 use hyper::http::request::Parts;
 
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+/// Maximum number of digits of a part's id in a log line.
+const MAX_LOGGED_DIGITS: usize = 16;
+
 /// Fingerprints of the content of a request.
 ///
 /// Each try of a caller has a new id, a new connection and often another gateway. Only the caller's
 /// address, the method, host and path, and the body stay the same. Crashes are counted for each
 /// step, because a decode engine may well run what crashes a prefill engine, and the reverse.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display("{run:032x}")]
 pub struct Content {
     /// Fingerprint of a run that answers the request.
     pub run: u128,
     /// Fingerprint of its prefill.
     pub prefill: u128,
+    /// Ids of the parts of its prompt that other requests may have as well.
+    pub parts: Arc<[Arc<str>]>,
 }
 
 impl Content {
     /// Computes the fingerprints of a request.
     #[must_use]
-    pub fn new(caller: IpAddr, host: &str, parts: &Parts, body: &[u8]) -> Self {
+    pub fn new(
+        (caller, host): (IpAddr, &str),
+        head: &Parts,
+        body: &[u8],
+        parts: &[Arc<str>],
+    ) -> Self {
         let caller = caller.to_string();
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let texts = [&*caller, parts.method.as_str(), host, path];
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let texts = [&*caller, head.method.as_str(), host, path];
         let [caller, method, host, path] = texts.map(str::as_bytes);
         let run = fingerprint(&[caller, method, host, path, body]);
-        Self { run, prefill: !run }
+        Self {
+            run,
+            prefill: !run,
+            parts: parts.into(),
+        }
     }
 
     /// Returns the fingerprints of all steps.
     #[must_use]
-    pub fn steps(self) -> [u128; 2] {
+    pub fn steps(&self) -> [u128; 2] {
         [self.run, self.prefill]
     }
+    /// Returns the ids of the first shared parts for log events.
+    #[must_use]
+    pub fn logged_parts(&self) -> String {
+        let shown = self.parts.iter().take(MAX_LOGGED_PARTS);
+        // An id has ASCII digits only.
+        let shown = shown.map(|id| id.get(..MAX_LOGGED_DIGITS).unwrap_or(id));
+        shown.collect::<Vec<_>>().join(",")
+    }
 }
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -224,7 +224,7 @@
 
 /// Returns how long a request is still refused because upstreams crashed while they ran it.
 #[must_use]
-pub fn refusal(ctx: &Context, content: Content) -> Option<Duration> {
+pub fn refusal(ctx: &Context, content: &Content) -> Option<Duration> {
     let now = ctx.now();
     ctx.state().suspects.refusal(now, &content.steps())
 }
@@ -242,7 +242,7 @@
 
 /// Returns how a request is treated at present.
 #[must_use]
-pub fn standing(ctx: &Context, content: Content) -> Standing {
+pub fn standing(ctx: &Context, content: &Content) -> Standing {
     let now = ctx.now();
     match ctx.state().suspects.crash_count(now, &content.steps()) {
         0 => Standing::Clear,
@@ -254,7 +254,7 @@
 /// Waits until it is known whether an upstream crashed at which an attempt was just lost, so that the
 /// next attempt takes it into account. A request that no upstream crashed under before waits only
 /// as long as an upstream needs to refuse a connection.
-pub async fn settle(ctx: &Context, content: Content, upstream: &Upstream) {
+pub async fn settle(ctx: &Context, content: &Content, upstream: &Upstream) {
     let limit = match standing(ctx, content) {
         Standing::Clear => REFUSAL_TIME,
         Standing::Suspect | Standing::OnTrial => PROBE_TIME,
@@ -276,7 +276,7 @@
 
 /// Logs what is believed of a request that is refused: the upstreams that crashed, and which gateway
 /// saw it how long ago.
-pub fn log_refusal(ctx: &Context, id: &str, content: Content, retry_after: Duration) {
+pub fn log_refusal(ctx: &Context, id: &str, content: &Content, retry_after: Duration) {
     let now = ctx.now();
     let sightings = ctx.state().suspects.sightings(now, &content.steps());
     let told = sightings.iter().map(|seen| {
@@ -379,9 +379,11 @@
         };
         ctx.telemetry.count("crash.seen");
         let (id, content) = (&*lost.id, lost.content.to_string());
+        let parts = lost.content.logged_parts();
         let upstream = lost.upstream.upstream.as_str();
         log::info!(
-            id, content = content.as_str(), upstream, evidence = evidence.as_str(), crashes;
+            id, content = content.as_str(), parts = parts.as_str(), upstream,
+            evidence = evidence.as_str(), crashes;
             "request suspected"
         );
     }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -132,16 +132,16 @@
     /// Refuses a request while it is known to crash upstreams. Call it before each attempt, because
     /// other gateways or the previous attempt may have seen another crash.
     fn refuse_poison(&self) -> Result<(), Refusal> {
-        let Some(retry_after) = crash_watch::refusal(&self.ctx, self.content) else {
+        let Some(retry_after) = crash_watch::refusal(&self.ctx, &self.content) else {
             return Ok(());
         };
-        crash_watch::log_refusal(&self.ctx, &self.meta.id, self.content, retry_after);
+        crash_watch::log_refusal(&self.ctx, &self.meta.id, &self.content, retry_after);
         Err(self.broken_if_executed(Refusal::until(Reason::Poison, retry_after)))
     }
 
     /// Returns how the request is treated because of upstreams that crashed while they ran it.
     fn standing(&self) -> Standing {
-        crash_watch::standing(&self.ctx, self.content)
+        crash_watch::standing(&self.ctx, &self.content)
     }
 
     fn kind(&self) -> RouteKind {
@@ -186,7 +186,7 @@
     let mut content = None;
     let answered = match read_request(&ctx, caller, (parts, body), (arrived, started)).await {
         Ok(req) => {
-            content = Some(req.content);
+            content = Some(req.content.clone());
             run(Arc::new(req)).await
         }
         Err(refusal) => Err(refusal),
@@ -246,7 +246,9 @@
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
     ctx.count_request(&service);
     let host = host(&parts.headers).or_else(|| parts.uri.host());
-    let content = Content::new(caller, host.unwrap_or_default(), &parts, &body);
+    let shared = shared_parts(ctx, &meta);
+    let caller = (caller, host.unwrap_or_default());
+    let content = Content::new(caller, &parts, &body, shared);
     headers::strip(&mut parts.headers);
     ctx.dialect.remove_reserved_headers(&mut parts.headers);
     // The HTTP client sets the length of the request to the upstream.
@@ -269,6 +271,21 @@
     })
 }
 
+/// Returns the ids of the shared parts of a prompt. A request whose parts cannot be read is handled as
+/// one without parts.
+fn shared_parts<'a>(ctx: &Context, meta: &'a RequestMeta) -> &'a [Arc<str>] {
+    match &meta.shared_parts {
+        None => &[],
+        Some(Ok(parts)) => parts,
+        Some(Err(error)) => {
+            ctx.telemetry.count("parts.unreadable");
+            let (id, error) = (&*meta.id, error.to_string());
+            log::info!(id, error = error.as_str(); "parts unreadable");
+            &[]
+        }
+    }
+}
+
 fn find_route(ctx: &Context, routing: &Routing, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = host(&parts.headers).or_else(|| parts.uri.host());
     let found = host.and_then(|host| routing.route(host, parts.uri.path()));
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -125,7 +125,7 @@
                 if !req.kind().is_retryable() || req.route.max_attempts <= 1 {
                     return Err(Refusal::new(Reason::Broken));
                 }
-                crash_watch::settle(&req.ctx, req.content, &decode.name).await;
+                crash_watch::settle(&req.ctx, &req.content, &decode.name).await;
             }
         }
         let unreached = !failure.reached_upstream();
@@ -217,7 +217,7 @@
         if let Some(held) = self.held.take() {
             return Some(held);
         }
-        let (ctx, content) = (&self.req.ctx, self.req.content);
+        let (ctx, content) = (&self.req.ctx, &self.req.content);
         let may_run = || crash_watch::refusal(ctx, content).is_none();
         while self.attempts < MAX_PREFILL_ATTEMPTS && may_run() {
             if self.attempts > 0 && !self.req.ctx.try_retry(&self.req.service) {
@@ -229,7 +229,7 @@
                 Err(failure) if failure.reached_upstream() => {
                     let last = self.tried.last();
                     if let Some(last) = last.filter(|_| !failure.not_executed()) {
-                        crash_watch::settle(&self.req.ctx, self.req.content, last).await;
+                        crash_watch::settle(&self.req.ctx, &self.req.content, last).await;
                     }
                 }
                 Err(_) => self.attempts -= 1,
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -88,7 +88,7 @@
             }
             Err(failure) => {
                 if may_retry && !failure.not_executed() {
-                    crash_watch::settle(&req.ctx, req.content, &choice.name).await;
+                    crash_watch::settle(&req.ctx, &req.content, &choice.name).await;
                 }
                 if failure.not_executed() {
                     attempts -= 1;
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -244,7 +244,7 @@
         self.events.discard_partial();
         if let Some(run) = self.run.take() {
             send::record_lost(&self.req, &run.choice, text);
-            crash_watch::settle(&self.req.ctx, self.req.content, &run.choice.name).await;
+            crash_watch::settle(&self.req.ctx, &self.req.content, &run.choice.name).await;
         }
     }
 
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -96,7 +96,7 @@
     let request = build_request(req, choice, step, last_event_id)?;
     let mut permit = recheck(req, choice, reservation)
         .inspect_err(|failure| record_failure(req, choice, failure))?;
-    let content = req.content;
+    let content = req.content.clone();
     let fingerprint = if prefill {
         content.prefill
     } else {
