Count crashes by the parts of prompts in coord::poison

- **Cause:** a part of a prompt may crash each engine that begins to write an answer on it, whatever else the request holds.
Crashes were counted by requests, of which no two are alike.
- **Change:** `PartSuspects` keeps the crashes of parts, the parts that ran to an answer, and which parts explain the crashes.
- **Conclusion:** the gateway does not use it yet.

--- a/crates/coord/src/poison.rs
+++ b/crates/coord/src/poison.rs
@@ -29,12 +29,16 @@
 //! ```
 
 mod crash_log;
+mod entry;
+mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crash_log::CrashLog;
 use derive_more::{Constructor, Display};
+use entry::{CLEARED_RETENTION, Crash, Entry, MAX_SIGHTINGS, is_expired, record, sightings};
+pub use parts::{PartOptions, PartStanding, PartSuspects, is_part, part_fingerprint};
 use serde::{Deserialize, Serialize};
 
 use crate::hash::hash128_of;
@@ -43,13 +47,6 @@
 
 /// Factor by which each crash beyond the limit lengthens the refusal.
 const HOLD_FACTOR: u32 = 4;
-/// Maximum number of crashes that are stored for one fingerprint.
-const MAX_SIGHTINGS: usize = 6;
-/// Time for which a fingerprint that was cleared is remembered, so that records of its crashes that
-/// are still on their way between VMs do not accuse it again.
-const CLEARED_RETENTION: Duration = Duration::from_mins(1);
-/// Time by which a crash may seem to be later than it was, because it took that long to become known.
-const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// Computes the fingerprint of a request from the parts that are the same each time that its caller
 /// sends it, such as the caller's name, the service and the body.
@@ -162,83 +159,6 @@
     pub cleared: Option<Duration>,
 }
 
-/// A crash on the table's own clock.
-#[derive(Clone, Debug)]
-struct Crash {
-    at: Time,
-    /// Time for which the upstream had the request.
-    ran: Duration,
-    observer: VmName,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Entry {
-    crashes: BTreeMap<UpstreamStart, Crash>,
-    cleared: Option<Time>,
-}
-
-impl Entry {
-    fn last_crash(&self) -> Option<Time> {
-        self.crashes.values().map(|crash| crash.at).max()
-    }
-
-    /// Returns the crashes that count: of runs that overlapped, only the one that ended first.
-    ///
-    /// Copies of one request that run at the same time may all be lost for another reason, such as a
-    /// failed data centre. Only a run that began after a crash shows more than that crash did.
-    fn counted(&self) -> Vec<&UpstreamStart> {
-        let mut in_order: Vec<_> = self.crashes.iter().collect();
-        in_order.sort_by_key(|(_, crash)| crash.at);
-        let mut counted = Vec::new();
-        let mut last: Option<Time> = None;
-        for (crashed, crash) in in_order {
-            let began = crash.at - crash.ran;
-            if last.is_none_or(|last| began >= last) {
-                counted.push(crashed);
-                last = Some(crash.at);
-            }
-        }
-        counted
-    }
-
-    /// Adds a crash unless it is known or the request ran without a crash later. Returns whether
-    /// it is new.
-    fn add(&mut self, crashed: &UpstreamStart, crash: Crash) -> bool {
-        let at = crash.at;
-        let outdated = self
-            .cleared
-            .is_some_and(|cleared| at <= cleared + REPORT_DELAY);
-        if let Some(known) = self.crashes.get_mut(crashed) {
-            // Each hop makes a crash look younger than it is.
-            known.at = known.at.min(at);
-            return false;
-        }
-        if outdated {
-            return false;
-        }
-        self.crashes.insert(crashed.clone(), crash);
-        if self.crashes.len() <= MAX_SIGHTINGS {
-            return true;
-        }
-        // One that does not count makes room, or else the new one.
-        let counted: Vec<UpstreamStart> = self.counted().into_iter().cloned().collect();
-        let mut spare = self.crashes.keys().filter(|known| !counted.contains(known));
-        let dropped = spare.next().cloned().unwrap_or_else(|| crashed.clone());
-        self.crashes.remove(&dropped);
-        dropped != *crashed
-    }
-
-    /// Removes the crashes before the request ran without one. Returns whether that is news.
-    fn clear(&mut self, at: Time) -> bool {
-        if self.cleared.is_some_and(|known| at <= known + REPORT_DELAY) {
-            return false;
-        }
-        self.cleared = Some(at);
-        self.crashes.retain(|_, crash| crash.at > at + REPORT_DELAY);
-        true
-    }
-}
-
 /// The fingerprints with crashes that one VM knows.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -529,27 +449,3 @@
         }
     }
 }
-
-fn is_expired(now: Time, retention: Duration, entry: &Entry) -> bool {
-    let crashed = entry.last_crash();
-    let crash_counts = crashed.is_some_and(|at| now.since(at) < retention);
-    let cleared = entry.cleared;
-    !crash_counts && cleared.is_none_or(|at| now.since(at) >= CLEARED_RETENTION)
-}
-
-fn record(now: Time, fingerprint: u128, entry: &Entry) -> CrashRecord {
-    CrashRecord {
-        fingerprint,
-        sightings: sightings(now, entry).collect(),
-        cleared: entry.cleared.map(|at| now.since(at)),
-    }
-}
-
-fn sightings(now: Time, entry: &Entry) -> impl Iterator<Item = Sighting> {
-    entry.crashes.iter().map(move |(crashed, crash)| Sighting {
-        crashed: crashed.clone(),
-        observer: crash.observer.clone(),
-        ran: crash.ran,
-        age: now.since(crash.at),
-    })
-}
