--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -257,7 +257,7 @@
         self.events.discard_partial();
         if let Some(run) = self.run.take() {
             send::record_lost(&self.req, &run.choice, text);
-            crash_watch::settle(&self.req.ctx, self.req.content, &run.choice.name).await;
+            crash_watch::settle(&self.req.ctx, &self.req.content, &run.choice.name).await;
         }
     }
 
@@ -350,7 +350,7 @@
             }
             Err(failure) => {
                 if !failure.not_executed() {
-                    crash_watch::settle(&req.ctx, req.content, &choice.name).await;
+                    crash_watch::settle(&req.ctx, &req.content, &choice.name).await;
                 }
                 return Err(failure);
             }
