--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -266,7 +266,6 @@
         let now = self.now();
         let limit = self.retry_limit();
         let division = self.division(now);
-        let gateways = division.gateways;
         let mut state = self.state();
         let budget = state.retry_budget(service_key(service));
         let granted = budget.try_retry(now, &limit, division);
@@ -276,7 +275,7 @@
             self.digest_due.notify_one();
         } else {
             let service = service.as_str();
-            let share = division.share;
+            let Division { gateways, share } = division;
             log::info!(service, requests, retries, gateways, share; "retry denied");
         }
         self.telemetry.count(if granted {
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -109,14 +109,14 @@
         };
         if retry && moved && next.is_none() && fallback.is_none() {
             let successor = Successor::Plain(&tried);
-            next = Some(silence::next_place(req, successor, false).await?);
+            next = Some(silence::next_place(req, successor).await?);
         }
         if next.is_some() {
             // The retry is paid. The upstream may have crashed.
             req.refuse_poison()?;
             continue;
         }
-        if !retry || !req.ctx.try_retry(&req.service) {
+        if !retry || !req.may_send() {
             let refusal = req.refusal(Reason::Refused, Reason::Broken, REFUSED_RETRY_AFTER);
             return fallback.ok_or(refusal);
         }
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -301,11 +301,10 @@
         }
         let demand = Demand::new(&prompt, model);
         let successor = Successor::Decode(model, demand, &[]);
-        let mut paid = place.is_some();
         while self.attempts < req.route.max_attempts {
             let taken = match place.take() {
                 Some(taken) => taken,
-                None => silence::next_place(&req, successor, paid)
+                None => silence::next_place(&req, successor)
                     .await
                     .map_err(|_| "the request crashes upstreams")?,
             };
@@ -315,7 +314,6 @@
             match self.send(taken, demand).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => {
-                    paid = !failure.reached_upstream();
                     self.attempts += u32::from(!failure.not_executed());
                 }
             }
