Refuse requests with a part that crashes engines, and try suspected ones alone

- **Cause:** the gateway counted crashes by the content of a request.
Requests with one bad part are all new to it, so it sent each of them to an engine.
- **Change:** a crash accuses the parts of the runs that it ended.
A run with 1 s of output, or a whole answer, clears its parts everywhere.
Requests with an accused part run one at a time, after the other gateways have heard of it, without a prefill of their own; they are refused at once when a part is convicted.
A request that became a suspect after its place was chosen is not sent there (`Failure::Suspected`).

--- a/crates/coord/src/poison/parts/blame.rs
+++ b/crates/coord/src/poison/parts/blame.rs
@@ -10,13 +10,18 @@
 /// that a part shared with other causes does not convict it.
 const MIN_UNEXPLAINED: usize = 2;
 
+/// Number of crashes beside those that count, because runs overlapped, that count as one more. Many engines
+/// that crash at once under one part may have another cause, but one crash on trial after that is
+/// enough.
+const OVERLAPPING: usize = 4;
+
 /// The crashes at which a part ran.
 pub(super) type Crashes = BTreeMap<UpstreamStart, Crash>;
 
 /// What the crashes of a part show.
 #[derive(Clone, Debug)]
 pub(super) struct Blame {
-    /// Crashes one after the other.
+    /// Crashes one after the other, and one more if there were many at once.
     pub(super) crashes: usize,
     /// Whether requests with the part are refused.
     pub(super) convicted: bool,
@@ -35,7 +40,10 @@
     accused: &BTreeMap<u128, Crashes>,
     max_crashes: usize,
 ) -> BTreeMap<u128, Blame> {
-    let count = |crashes: &Crashes| counted(crashes.iter()).len();
+    let count = |crashes: &Crashes| {
+        let count = counted(crashes.iter()).len();
+        count + usize::from(crashes.len() - count >= OVERLAPPING)
+    };
     let counts: BTreeMap<u128, usize> = accused.iter().map(|(p, c)| (*p, count(c))).collect();
     let convictable = accused.iter().filter(|(p, _)| counts[*p] >= max_crashes);
     let convictable: Vec<(&u128, &Crashes)> = convictable.collect();
--- a/crates/cumindoor/src/gateway/content.rs
+++ b/crates/cumindoor/src/gateway/content.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use coord::poison::fingerprint;
+use coord::poison::{fingerprint, part_fingerprint};
 use derive_more::Display;
 use hyper::http::request::Parts;
 
@@ -26,6 +26,8 @@
     pub prefill: u128,
     /// Ids of the parts of its prompt that other requests may have as well.
     pub parts: Arc<[Arc<str>]>,
+    /// Fingerprints of these parts, in the same order.
+    pub part_prints: Arc<[u128]>,
 }
 
 impl Content {
@@ -46,6 +48,10 @@
             run,
             prefill: !run,
             parts: parts.into(),
+            part_prints: parts
+                .iter()
+                .map(|id| part_fingerprint(id.as_bytes()))
+                .collect(),
         }
     }
 
@@ -57,9 +63,17 @@
     /// Returns the ids of the first shared parts for log events.
     #[must_use]
     pub fn logged_parts(&self) -> String {
-        let shown = self.parts.iter().take(MAX_LOGGED_PARTS);
+        self.logged(|_| true)
+    }
+
+    /// Returns the ids of the first of these parts for log events.
+    #[must_use]
+    pub fn logged(&self, is_named: impl Fn(u128) -> bool) -> String {
+        let all = self.parts.iter().zip(self.part_prints.iter());
+        let named = all.filter(|(_, print)| is_named(**print));
         // An id has ASCII digits only.
-        let shown = shown.map(|id| id.get(..MAX_LOGGED_DIGITS).unwrap_or(id));
-        shown.collect::<Vec<_>>().join(",")
+        let shown = named.map(|(id, _)| id.get(..MAX_LOGGED_DIGITS).unwrap_or(id));
+        let shown: Vec<&str> = shown.take(MAX_LOGGED_PARTS).collect();
+        shown.join(",")
     }
 }
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -8,7 +8,7 @@
 use border::{Catalogue, Dialect, Routing};
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
-use coord::poison::Suspects;
+use coord::poison::{PartSuspects, Suspects};
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::crash_watch::{LostAttempts, new_suspects};
+use super::crash_watch::{LostAttempts, new_part_suspects, new_suspects};
 use super::directory::Directory;
 use super::health::Outcome;
 use super::load_table::{Key, Load, LoadTable, Seen, service_key};
@@ -27,7 +27,7 @@
 use super::rate_limits::Permit;
 use super::service_times::ServiceTimes;
 use super::settings::Settings;
-use super::trials::{Start, Trials};
+use super::trials::{Start, Terms, Trials};
 use crate::serve::cell::Clock;
 use crate::serve::engine::Pool;
 use crate::serve::telemetry::Telemetry;
@@ -56,6 +56,8 @@
     pub retry_budgets: BTreeMap<Key, RetryBudget<SocketAddr>>,
     /// Requests that may have crashed upstreams.
     pub suspects: Suspects,
+    /// Parts of prompts that may have crashed upstreams.
+    pub part_suspects: PartSuspects,
     /// Attempts that ended without an answer for a reason that is not known yet.
     pub lost_attempts: LostAttempts,
     /// Runs of requests that may have crashed upstreams.
@@ -144,6 +146,7 @@
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             suspects: new_suspects(settings.gateway.name.clone()),
+            part_suspects: new_part_suspects(settings.gateway.name.clone()),
             lost_attempts: LostAttempts::default(),
             trials: Trials::default(),
             limits: SharedLimits::new(settings.fleet.address.0),
@@ -337,26 +340,30 @@
 impl Reservation {
     /// Begins the trial of a suspect on the upstream. Returns false, and begins none, if another one
     /// must end first.
-    pub async fn begin_trial(&mut self, fingerprint: u128, exclusive: bool) -> bool {
+    pub async fn begin_trial(&mut self, fingerprints: &[u128], terms: Terms) -> bool {
         let now = self.ctx.now();
         let announced = {
             let mut state = self.ctx.state();
-            state
-                .trials
-                .announce(now, (self.key, fingerprint), exclusive)
+            state.trials.announce(now, (self.key, fingerprints), terms)
         };
         let Some(number) = announced else {
             return false;
         };
         self.trial = Some(number);
         self.ctx.digest_due.notify_one();
-        let started = !exclusive || self.start_trial(number).await;
+        let started = terms == Terms::AtOnce || self.start_trial(number).await;
         if !started {
             self.end_trial();
         }
         started
     }
 
+    /// Returns whether the request is on trial on the upstream.
+    #[must_use]
+    pub fn is_on_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     /// Waits until the announcements of other gateways have arrived and until no other suspect runs on
     /// the upstream. Returns whether the trial has started.
     async fn start_trial(&self, number: u64) -> bool {
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -15,7 +15,10 @@
 
 use coord::hash::hash64;
 use coord::name::{Upstream, VmName};
-use coord::poison::{CrashRecord, PoisonOptions, Suspects, UpstreamStart};
+use coord::poison::{
+    CrashRecord, PartOptions, PartStanding, PartSuspects, PoisonOptions, Suspects, UpstreamStart,
+    is_part,
+};
 use coord::time::Time;
 use derive_more::Display;
 use tokio::time::timeout;
@@ -37,6 +40,9 @@
 const COINCIDENCE: Duration = Duration::from_secs(1);
 /// Shortest time for which such a request is refused.
 const MIN_HOLD: Duration = Duration::from_mins(2);
+/// Shortest time for which requests with a part that crashes upstreams are refused. It is short because a
+/// sound part may be refused, if it ran each time that another one crashed upstreams.
+const MIN_PART_HOLD: Duration = Duration::from_secs(20);
 /// Time for which crashes count.
 const CRASH_RETENTION: Duration = Duration::from_hours(24);
 /// Maximum number of records in one datagram: 16 records with all their crashes take 5.1 KB.
@@ -54,13 +60,30 @@
 /// Maximum number of lost attempts that wait for that.
 const MAX_UNEXPLAINED: usize = 1_024;
 
+/// Lengthens the time of a refusal by up to as much again. Refusals end at a different time at each gateway,
+/// so that one of them tries the request and the others learn of the result.
+fn spread(hold: Duration, vm: &VmName) -> Duration {
+    let spread = f64::from(u32::try_from(hash64(vm.as_str().as_bytes()) >> 32).unwrap_or(0));
+    hold.mul_f64(1.0 + spread / f64::from(u32::MAX))
+}
+
+/// Returns the empty table of the crashes of parts of a gateway.
+#[must_use]
+pub fn new_part_suspects(vm: VmName) -> PartSuspects {
+    let options = PartOptions {
+        max_crashes: MAX_CRASHES,
+        hold: spread(MIN_PART_HOLD, &vm),
+        retention: CRASH_RETENTION,
+        max_batch: MAX_RECORDS,
+        ..PartOptions::default()
+    };
+    PartSuspects::new(vm, options)
+}
+
 /// Returns the empty table of crashes of a gateway.
 #[must_use]
 pub fn new_suspects(vm: VmName) -> Suspects {
-    // Refusals end at a different time at each gateway, so that one of them tries the request and
-    // the others learn of the result.
-    let spread = f64::from(u32::try_from(hash64(vm.as_str().as_bytes()) >> 32).unwrap_or(0));
-    let hold = MIN_HOLD.mul_f64(1.0 + spread / f64::from(u32::MAX));
+    let hold = spread(MIN_HOLD, &vm);
     let options = PoisonOptions {
         max_crashes: MAX_CRASHES,
         max_excused: MAX_EXCUSED,
@@ -99,6 +122,17 @@
     at: Time,
 }
 
+impl LostAttempt {
+    /// Returns the parts that a crash accuses: a prefill writes no answer, so it shows nothing of them.
+    fn parts(&self) -> &[u128] {
+        if self.fingerprint == self.content.run {
+            &self.content.part_prints
+        } else {
+            &[]
+        }
+    }
+}
+
 /// Lost attempts whose cause is not known yet.
 #[derive(Clone, Debug, Default)]
 pub struct LostAttempts {
@@ -157,6 +191,11 @@
     ctx: Arc<Context>,
     lost: Option<LostAttempt>,
     first_output: Option<Time>,
+    /// Whether the upstream answers with success, which shows that the parts of the prompt crash nothing if
+    /// the answer goes on.
+    succeeds: bool,
+    /// Whether the parts are vouched for already.
+    vouched: bool,
 }
 
 impl AttemptGuard {
@@ -182,12 +221,41 @@
             ctx: Arc::clone(ctx),
             lost: Some(lost),
             first_output: None,
+            succeeds: false,
+            vouched: false,
         }
     }
 
-    /// Records that output arrived.
+    /// Records that the upstream answers with success.
+    pub fn record_success(&mut self) {
+        self.succeeds = true;
+    }
+
+    /// Records that output arrived. After some time with output, the parts of the prompt are cleared: they
+    /// would have crashed the upstream when it began to write.
     pub fn record_output(&mut self) {
-        self.first_output.get_or_insert(self.ctx.now());
+        let now = self.ctx.now();
+        let first = *self.first_output.get_or_insert(now);
+        if now.since(first) >= PROBATION {
+            self.vouch();
+        }
+    }
+
+    fn vouch(&mut self) {
+        let Some(lost) = &self.lost else { return };
+        if !self.succeeds || lost.parts().is_empty() || std::mem::replace(&mut self.vouched, true) {
+            return;
+        }
+        let now = self.ctx.now();
+        let cleared = self.ctx.state().part_suspects.vouch(now, lost.parts());
+        if !cleared.is_empty() {
+            let parts = lost.content.logged(|part| cleared.contains(&part));
+            log::info!(id = &*lost.id, parts = parts.as_str(); "parts cleared");
+            let count = u64::try_from(cleared.len()).unwrap_or(u64::MAX);
+            self.ctx.telemetry.add("part.cleared", count);
+            self.ctx.digest_due.notify_one();
+            self.ctx.capacity_freed.notify_waiters();
+        }
     }
 
     /// Ends the watch because the upstream certainly did not run the request.
@@ -197,6 +265,7 @@
 
     /// Ends the watch because the request ran without a crash.
     pub fn completed(mut self) {
+        self.vouch();
         let Some(ran) = self.lost.take() else { return };
         let now = self.ctx.now();
         let cleared = self.ctx.state().suspects.completed(now, ran.fingerprint);
@@ -222,11 +291,18 @@
     }
 }
 
-/// Returns how long a request is still refused because upstreams crashed while they ran it.
+/// Returns how long a request is still refused because upstreams crashed while they ran it, or requests
+/// with the same part.
 #[must_use]
 pub fn refusal(ctx: &Context, content: &Content) -> Option<Duration> {
     let now = ctx.now();
-    ctx.state().suspects.refusal(now, &content.steps())
+    let state = ctx.state();
+    let alone = state.suspects.refusal(now, &content.steps());
+    let by_part = match state.part_suspects.standing(now, &content.part_prints) {
+        PartStanding::Refused { retry_after, .. } => Some(retry_after),
+        _ => None,
+    };
+    alone.max(by_part)
 }
 
 /// How a request is treated because of the upstreams that crashed while they ran it.
@@ -240,9 +316,9 @@
     OnTrial,
 }
 
-/// Returns how a request is treated at present.
+/// Returns how a request is treated at present, whatever the parts of its prompt.
 #[must_use]
-pub fn standing(ctx: &Context, content: &Content) -> Standing {
+pub fn standing_alone(ctx: &Context, content: &Content) -> Standing {
     let now = ctx.now();
     match ctx.state().suspects.crash_count(now, &content.steps()) {
         0 => Standing::Clear,
@@ -251,6 +327,33 @@
     }
 }
 
+/// Returns how a request is treated because of the parts of its prompt.
+#[must_use]
+pub fn standing_by_parts(ctx: &Context, content: &Content) -> Standing {
+    let now = ctx.now();
+    let state = ctx.state();
+    match state.part_suspects.standing(now, &content.part_prints) {
+        PartStanding::Clear => Standing::Clear,
+        PartStanding::Suspect => Standing::Suspect,
+        PartStanding::OnTrial | PartStanding::Refused { .. } => Standing::OnTrial,
+    }
+}
+
+/// Returns how a request is treated at present.
+#[must_use]
+pub fn standing(ctx: &Context, content: &Content) -> Standing {
+    standing_alone(ctx, content).max(standing_by_parts(ctx, content))
+}
+
+/// Returns the fingerprints that are on trial while a request runs: its own, and those of its suspected
+/// parts.
+#[must_use]
+pub fn tried_prints(ctx: &Context, content: &Content) -> Vec<u128> {
+    let mut tried = ctx.state().part_suspects.accused(&content.part_prints);
+    tried.push(content.run);
+    tried
+}
+
 /// Waits until it is known whether an upstream crashed at which an attempt was just lost, so that the
 /// next attempt takes it into account. A request that no upstream crashed under before waits only
 /// as long as an upstream needs to refuse a connection.
@@ -274,21 +377,37 @@
     let _ = timeout(limit, settled).await;
 }
 
-/// Logs what is believed of a request that is refused: the upstreams that crashed, and which gateway
-/// saw it how long ago.
+/// Maximum number of crashes that are told in a log line.
+const MAX_LOGGED_CRASHES: usize = 6;
+
+/// Logs what is believed of a request that is refused: the part of its prompt at fault, if it is one, the
+/// upstreams that crashed, and which gateway saw it how long ago.
 pub fn log_refusal(ctx: &Context, id: &str, content: &Content, retry_after: Duration) {
     let now = ctx.now();
-    let sightings = ctx.state().suspects.sightings(now, &content.steps());
-    let told = sightings.iter().map(|seen| {
+    let (part, sightings) = {
+        let state = ctx.state();
+        match state.part_suspects.standing(now, &content.part_prints) {
+            PartStanding::Refused { part, .. } => {
+                let sightings = state.part_suspects.sightings(now, part);
+                (content.logged(|other| other == part), sightings)
+            }
+            _ => (
+                String::new(),
+                state.suspects.sightings(now, &content.steps()),
+            ),
+        }
+    };
+    let crashes = sightings.len();
+    let told = sightings.iter().take(MAX_LOGGED_CRASHES).map(|seen| {
         let ms = seen.age.as_millis();
         format!("{} seen by {} {ms} ms ago", seen.crashed, seen.observer)
     });
     let told: Vec<String> = told.collect();
-    let (crashes, told) = (told.len(), told.join(", "));
+    let told = told.join(", ");
     let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
     let content = content.to_string();
     log::info!(
-        id, content = content.as_str(), crashes, believed = told.as_str(), retry_ms;
+        id, content = content.as_str(), part = part.as_str(), crashes, believed = told.as_str(), retry_ms;
         "poison refused"
     );
 }
@@ -296,7 +415,23 @@
 /// Merges the records of another gateway, which has sent them to all.
 pub fn merge_reports(ctx: &Context, records: &[CrashRecord]) {
     let now = ctx.now();
-    let changed = ctx.state().suspects.merge(now, records);
+    let (parts, requests): (Vec<_>, Vec<_>) = records
+        .iter()
+        .cloned()
+        .partition(|record| is_part(record.fingerprint));
+    let (changed, answers) = {
+        let mut state = ctx.state();
+        let mut changed = state.suspects.merge(now, &requests);
+        changed.extend(state.part_suspects.merge(now, &parts));
+        (changed, state.part_suspects.has_updates())
+    };
+    if answers {
+        ctx.digest_due.notify_one();
+    }
+    if !changed.is_empty() {
+        // Requests that wait for a trial may be refused or cleared by now.
+        ctx.capacity_freed.notify_waiters();
+    }
     let count = u64::try_from(changed.len()).unwrap_or(u64::MAX);
     ctx.telemetry.add("crash.reported", count);
 }
@@ -371,23 +506,31 @@
     let evidence = evidence.to_string();
     for lost in lost {
         let now = ctx.now();
-        let crashes = {
-            let suspects = &mut ctx.state().suspects;
+        let (crashes, accused) = {
+            let mut state = ctx.state();
             let ran = lost.at.since(lost.began);
+            let suspects = &mut state.suspects;
             suspects.upstream_crashed(lost.at, &lost.upstream, ran, &[lost.fingerprint]);
-            suspects.crash_count(now, &lost.content.steps())
+            let crashes = suspects.crash_count(now, &lost.content.steps());
+            let parts = &mut state.part_suspects;
+            parts.upstream_crashed(lost.at, &lost.upstream, ran, lost.parts());
+            (crashes, parts.accused(lost.parts()))
         };
         ctx.telemetry.count("crash.seen");
+        let count = u64::try_from(accused.len()).unwrap_or(u64::MAX);
+        ctx.telemetry.add("part.accused", count);
+        let accused = lost.content.logged(|part| accused.contains(&part));
         let (id, content) = (&*lost.id, lost.content.to_string());
         let parts = lost.content.logged_parts();
         let upstream = lost.upstream.upstream.as_str();
         log::info!(
-            id, content = content.as_str(), parts = parts.as_str(), upstream,
+            id, content = content.as_str(), parts = parts.as_str(), accused = accused.as_str(), upstream,
             evidence = evidence.as_str(), crashes;
             "request suspected"
         );
     }
     if !lost.is_empty() {
         ctx.digest_due.notify_one();
+        ctx.capacity_freed.notify_waiters();
     }
 }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -144,6 +144,11 @@
         crash_watch::standing(&self.ctx, &self.content)
     }
 
+    /// Returns whether a part of its prompt is suspected to crash upstreams.
+    fn has_suspected_part(&self) -> bool {
+        crash_watch::standing_by_parts(&self.ctx, &self.content) > Standing::Clear
+    }
+
     fn kind(&self) -> RouteKind {
         self.route.kind
     }
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -70,8 +70,13 @@
         let (mut decode, mut reservation) =
             placed.map_err(|refusal| req.broken_if_executed(refusal))?;
         let placed = *first_placed.get_or_insert_with(|| req.ctx.now());
-        // A prefill engine in the same data centre is preferred for the transfer.
-        let held = prefiller.prefill(&decode.data_centre).await;
+        // Each engine that a suspect reaches may crash, so its decode engine does the prefill as well.
+        let held = if prefiller.held.is_none() && req.has_suspected_part() {
+            None
+        } else {
+            // A prefill engine in the same data centre is preferred for the transfer.
+            prefiller.prefill(&decode.data_centre).await
+        };
         // Other gateways may have placed load on the engine during the prefill.
         if let Some(other) = wait::rereserve_if_overloaded(req, &model, demand, (&decode, &tried)) {
             (decode, reservation) = other;
@@ -101,14 +106,16 @@
             }
             Err(failure) => failure,
         };
-        drop(reservation);
+        if !matches!(failure, Failure::Lost(_)) {
+            drop(reservation);
+        }
         match &failure {
             Failure::Withdrawn => {
                 tried.push(decode.name.clone());
                 prefiller.held = held;
                 continue;
             }
-            Failure::Limited => {
+            Failure::Limited | Failure::Suspected => {
                 prefiller.held = held;
                 continue;
             }
--- a/crates/cumindoor/src/gateway/exchange/place.rs
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -9,10 +9,11 @@
 use super::{CallerRequest, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
-use crate::gateway::crash_watch::Standing;
+use crate::gateway::crash_watch::{self, Standing};
 use crate::gateway::directory::Endpoint;
 use crate::gateway::placement::{Choice, Demand};
 use crate::gateway::rate_limits;
+use crate::gateway::trials::Terms;
 
 /// Longest wait for a token of an upstream that names a rate limit, as a share of the target latency. The
 /// rest is needed to be on time.
@@ -65,12 +66,33 @@
         }
     }
 
-    /// Returns the fingerprint of the step. A request keeps its place at a decode engine during its
-    /// prefill, so the two steps are not in each other's way.
-    fn fingerprint(self, req: &CallerRequest) -> u128 {
+    /// Returns the fingerprints that are on trial with the step. A request keeps its place at a decode engine
+    /// during its prefill, so the two steps are not in each other's way.
+    fn fingerprints(self, req: &CallerRequest) -> Vec<u128> {
         match self {
-            Self::Prefill { .. } => req.content.prefill,
-            Self::Plain | Self::Decode { .. } => req.content.run,
+            Self::Prefill { .. } => vec![req.content.prefill],
+            Self::Plain | Self::Decode { .. } => crash_watch::tried_prints(&req.ctx, &req.content),
+        }
+    }
+
+    /// Returns how the request is treated here. A prefill writes no answer, so no part of the prompt
+    /// crashes its engine.
+    fn standing(self, req: &CallerRequest) -> Standing {
+        match self {
+            Self::Prefill { .. } => crash_watch::standing_alone(&req.ctx, &req.content),
+            Self::Plain | Self::Decode { .. } => req.standing(),
+        }
+    }
+
+    /// Returns how a suspect is tried. Requests with a bad part arrive at several gateways at once, so each of
+    /// their trials is agreed on.
+    fn terms(self, req: &CallerRequest, standing: Standing) -> Terms {
+        if standing == Standing::OnTrial {
+            Terms::Exclusive
+        } else if self.standing(req) > crash_watch::standing_alone(&req.ctx, &req.content) {
+            Terms::Agreed
+        } else {
+            Terms::AtOnce
         }
     }
 
@@ -115,7 +137,7 @@
         let mut freed = std::pin::pin!(freed);
         freed.as_mut().enable();
         req.refuse_poison()?;
-        let standing = req.standing();
+        let standing = place.standing(req);
         if standing == Standing::Clear {
             let (choice, mut reservation) = place.take(req, search).await?;
             if !reservation.obtain_permit(&choice, limit_until).await {
@@ -131,10 +153,10 @@
                 limit_until,
             };
             let (choice, mut reservation) = place.take(req, search).await?;
-            let exclusive = standing == Standing::OnTrial;
-            let fingerprint = place.fingerprint(req);
+            let terms = place.terms(req, standing);
+            let fingerprints = place.fingerprints(req);
             if reservation.obtain_permit(&choice, limit_until).await
-                && reservation.begin_trial(fingerprint, exclusive).await
+                && reservation.begin_trial(&fingerprints, terms).await
             {
                 // Another gateway may have seen a crash meanwhile.
                 req.refuse_poison()?;
@@ -188,8 +210,12 @@
     tried: &[Upstream],
 ) -> Option<Vec<Upstream>> {
     let now = req.ctx.now();
+    let fingerprints = place.fingerprints(req);
     let known = req.ctx.state();
-    if known.trials.is_on_trial(now, place.fingerprint(req)) {
+    if fingerprints
+        .iter()
+        .any(|f| known.trials.is_on_trial(now, *f))
+    {
         return None;
     }
     let untried = known.directory.usable(&req.service, place.stage());
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -69,7 +69,6 @@
         } else {
             attempt.await
         };
-        drop(reservation);
         let retry = match outcome {
             Ok(AttemptResult::Answered(response)) => return Ok(response),
             Ok(AttemptResult::Failed(response)) => {
@@ -81,7 +80,7 @@
                 continue;
             }
             // Others may have room, and this one later.
-            Err(Failure::Limited) => {
+            Err(Failure::Limited | Failure::Suspected) => {
                 tried.pop();
                 attempts -= 1;
                 continue;
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -280,7 +280,10 @@
                     wait::for_resume(&req, &model, demand).await.ok()?;
                 let place = (&choice, &mut reservation);
                 let sent = send::send(&req, place, Step::EndToEnd, last).await;
-                if matches!(sent, Err(Failure::Withdrawn | Failure::Limited)) {
+                if matches!(
+                    sent,
+                    Err(Failure::Withdrawn | Failure::Limited | Failure::Suspected)
+                ) {
                     continue;
                 }
                 let answer = sent.ok().filter(|a| a.head.status.is_success())?;
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -46,6 +46,9 @@
     /// Nothing was sent, because the upstream's rate limit leaves no room.
     #[display("the rate limit leaves no room")]
     Limited,
+    /// Nothing was sent, because the request became a suspect after its place was chosen.
+    #[display("the request has to be tried alone")]
+    Suspected,
     /// Nothing listens at the address.
     #[display("{_0}")]
     ConnectionRefused(String),
@@ -70,7 +73,11 @@
     pub(super) fn reached_upstream(&self) -> bool {
         !matches!(
             self,
-            Self::Unsent(_) | Self::Withdrawn | Self::Limited | Self::ConnectionRefused(_)
+            Self::Unsent(_)
+                | Self::Withdrawn
+                | Self::Limited
+                | Self::Suspected
+                | Self::ConnectionRefused(_)
         )
     }
 
@@ -80,7 +87,7 @@
             Self::Refused(..) => Some(Outcome::AtCapacity),
             Self::ConnectionRefused(_) | Self::Misdirected => Some(Outcome::Unreachable),
             Self::Unsent(_) | Self::Lost(_) => Some(Outcome::Lost),
-            Self::Limited | Self::Withdrawn => None,
+            Self::Limited | Self::Withdrawn | Self::Suspected => None,
         }
     }
 }
@@ -94,7 +101,7 @@
 ) -> Result<Answer, Failure> {
     let prefill = step == Step::Prefill;
     let request = build_request(req, choice, step, last_event_id)?;
-    let mut permit = recheck(req, choice, reservation)
+    let mut permit = recheck(req, choice, reservation, prefill)
         .inspect_err(|failure| record_failure(req, choice, failure))?;
     let content = req.content.clone();
     let fingerprint = if prefill {
@@ -106,7 +113,7 @@
     rate_limits::log_use(&req.ctx, &req.meta.id, choice, attempt);
     let asked = req.ctx.now();
     permit.spend();
-    let guard = AttemptGuard::new(&req.ctx, (&req.meta.id, content), fingerprint, choice);
+    let mut guard = AttemptGuard::new(&req.ctx, (&req.meta.id, content), fingerprint, choice);
     let executed_before = req.may_have_executed();
     if !prefill {
         req.set_maybe_executed(true);
@@ -130,6 +137,9 @@
             let reply = req.ctx.dialect.parse_reply(head.status, &head.headers);
             if !is_foreign(req, &reply) {
                 let served = head.status.is_success() && (reply.signed || prefill);
+                if served {
+                    guard.record_success();
+                }
                 let genuine = served || reply.not_executed;
                 rate_limits::record_reply(&req.ctx, choice, (&reply, asked), genuine);
             }
@@ -169,7 +179,12 @@
     req: &CallerRequest,
     choice: &Choice,
     reservation: &mut Reservation,
+    prefill: bool,
 ) -> Result<Permit, Failure> {
+    // A prefill writes no answer, so no part of the prompt crashes its engine.
+    if !prefill && !reservation.is_on_trial() && req.standing() > Standing::Clear {
+        return Err(Failure::Suspected);
+    }
     if !req.ctx.state().directory.is_current(choice) {
         return Err(Failure::Withdrawn);
     }
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -240,6 +240,8 @@
         let freed = req.ctx.capacity_freed.notified();
         let mut freed = std::pin::pin!(freed);
         freed.as_mut().enable();
+        // Other gateways may have seen crashes meanwhile.
+        req.refuse_poison()?;
         if let Some(chosen) = entry.try_reserve(model, search)? {
             drop(entry);
             req.ctx.capacity_freed.notify_waiters();
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -193,7 +193,8 @@
     /// Returns whether there is something that a gateway which is heard for the first time has to know.
     fn has_reports(&self) -> bool {
         let state = self.ctx.state();
-        !state.suspects.is_empty() || !state.limits.is_empty()
+        let crashes = !state.suspects.is_empty() || !state.part_suspects.is_empty();
+        crashes || !state.limits.is_empty()
     }
 
     async fn send(&self, peer_list: &PeerList, targets: &[SocketAddr], heartbeat: bool) {
@@ -227,22 +228,33 @@
     /// to some. Returns whether there is more to send.
     async fn send_crashes(&self, all: &[SocketAddr], some: &[SocketAddr]) -> bool {
         let now = self.ctx.now();
-        let (updates, page, trials, changed, more) = {
+        let (updates, pages, trials, changed, more) = {
             let mut state = self.ctx.state();
             state.suspects.tick(now);
-            let updates = state.suspects.next_update(now);
-            let page = match some {
-                [] => Vec::new(),
-                _ => state.suspects.next_page(now),
+            state.part_suspects.tick(now);
+            let updates = [
+                state.suspects.next_update(now),
+                state.part_suspects.next_update(now),
+            ];
+            let pages = match some {
+                [] => Default::default(),
+                _ => [
+                    state.suspects.next_page(now),
+                    state.part_suspects.next_page(now),
+                ],
             };
-            let more = state.suspects.has_updates();
+            let more = state.suspects.has_updates() || state.part_suspects.has_updates();
             let changed = state.trials.take_changed();
-            (updates, page, state.trials.own(), changed, more)
+            (updates, pages, state.trials.own(), changed, more)
         };
         // Trials go on being announced, in case a datagram is lost.
-        let to_all = changed || !updates.is_empty() || !trials.is_empty();
-        let to_some = !page.is_empty();
-        for (send, records, targets) in [(to_all, updates, all), (to_some, page, some)] {
+        let announce = changed || !trials.is_empty();
+        let [requests, parts] = updates;
+        // Records of requests and of parts go in datagrams of their own, which bounds the size of each.
+        let to_all = [(announce || !requests.is_empty(), requests), (false, parts)];
+        let to_all = to_all.map(|(send, records)| (send || !records.is_empty(), records, all));
+        let to_some = pages.map(|records| (!records.is_empty(), records, some));
+        for (send, records, targets) in to_all.into_iter().chain(to_some) {
             if !send {
                 continue;
             }
