Let callers repeat the requests with a bad part

Cause: the rule counts new requests and repeats alike, and gateway_parts sent each request once. Change: a case whose callers send a failed request twice more, through other gateways, with the same body.

--- a/crates/cumindoor/tests/gateway_parts.rs
+++ b/crates/cumindoor/tests/gateway_parts.rs
@@ -79,6 +79,8 @@
     rate: u32,
     /// Requests with each of them that are sent at once at the beginning.
     burst: u32,
+    /// Times that a caller sends a bad request again which fails and is not refused.
+    repeats: usize,
 }
 
 const CASE: Case = Case {
@@ -91,6 +93,7 @@
     bad: 1,
     rate: 4,
     burst: 0,
+    repeats: 0,
 };
 
 /// A fleet under load.
@@ -143,7 +146,7 @@
         let addrs = self.addrs.lock().unwrap().clone();
         let ready = async {
             for addr in addrs {
-                while send(addr, sound_prompt(self.case.path, 0)).await.status != 200 {
+                while send(addr, &sound_prompt(self.case.path, 0)).await.status != 200 {
                     sleep(Duration::from_millis(20)).await;
                 }
             }
@@ -153,22 +156,22 @@
 
     fn spawn_sound(&mut self) {
         let path = self.case.path;
-        self.spawn_sender((SOUND_RATE, 0), move |number| sound_prompt(path, number));
+        self.spawn_sender((SOUND_RATE, 0, 0), move |number| sound_prompt(path, number));
     }
 
     fn spawn_bad(&mut self) {
         let case = self.case;
         for bad in 0..case.bad {
-            self.spawn_sender((case.rate, case.burst), move |number| {
-                bad_prompt(case, bad, number)
-            });
+            let rate = (case.rate, case.burst, case.repeats);
+            self.spawn_sender(rate, move |number| bad_prompt(case, bad, number));
         }
     }
 
-    /// Sends `burst` prompts at once and then `rate` per second, in turn through all gateways.
+    /// Sends `burst` prompts at once and then `rate` per second, in turn through all gateways. Those that
+    /// fail are sent again up to `repeats` times through other gateways.
     fn spawn_sender(
         &mut self,
-        (rate, burst): (u32, u32),
+        (rate, burst, repeats): (u32, u32, usize),
         prompt: impl Fn(u32) -> Prompt + Send + 'static,
     ) {
         let (addrs, end) = (Arc::clone(&self.addrs), self.end.clone());
@@ -181,10 +184,19 @@
                 }
                 let prompt = prompt(number);
                 let addrs = addrs.lock().unwrap().clone();
-                let addr = addrs[number as usize % addrs.len()];
-                requests.spawn(async move { (prompt.clone(), send(addr, prompt).await) });
+                requests.spawn(async move {
+                    let mut answers = Vec::new();
+                    for attempt in 0..=repeats {
+                        let addr = addrs[(number as usize + attempt) % addrs.len()];
+                        answers.push((prompt.clone(), send(addr, &prompt).await));
+                        if answers[attempt].1.is_final() {
+                            break;
+                        }
+                    }
+                    answers
+                });
             }
-            requests.join_all().await
+            requests.join_all().await.into_iter().flatten().collect()
         });
     }
 
@@ -366,7 +378,7 @@
     }
 }
 
-/// Prints how many sound requests were refused as crashing ones, and for how long.
+/// Prints how many requests were refused as crashing ones, and for how long.
 fn print_refused(answers: &[(Prompt, Answer)], since: Instant) {
     let refused = |sound: bool| {
         let of_kind = answers
@@ -379,7 +391,7 @@
         (times.len(), times.first().copied(), times.last().copied())
     };
     println!(
-        "refused, first and last after the first crash: bad {:?}, sound {:?}",
+        "poison refusals, the first and the last after the start of the count: bad {:?}, sound {:?}",
         refused(false),
         refused(true)
     );
@@ -412,6 +424,7 @@
 #[case::burst_reset(Case { burst: 12, engines: 24, ..CASE })]
 #[case::burst_head(Case { burst: 20, engines: 30, fails: Break::Head, rate: 12, ..CASE })]
 #[case::sixty_gateways(Case { gateways: 60, rate: 12, engines: 24, ..CASE })]
+#[case::repeated(Case { repeats: 2, path: "/resume/x", ..CASE })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_with_a_part_that_crashes_engines_do_not_reach_engines_on_and_on(
     #[case] case: Case,
