Accuse silent attempts at dead engines, and bound the cost of the judgement

- **Cause:** an attempt at an engine that had gone dark counted as lost only when its connection ended, seconds after the fifth crash.
Two bad parts in requests with the same first parts could convict those.
The judgement of 500 parts with 32 crashes each took seconds, and suspects with one crash ran at several gateways at the same moment.
- **Change:** attempts without output are accused when their upstream leaves the list and accepts no connection, and for suspects on trial when a probe, every 250 ms, finds none.
`AttemptGuard` and `LostAttempts` are modules of their own.

--- a/crates/coord/src/poison/parts.rs
+++ b/crates/coord/src/poison/parts.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use blame::{Blame, Crashes, judge};
+use blame::{Blame, Crashes, MAX_EVENTS, judge};
 use derive_more::Display;
 
 use super::entry::{Crash, told};
@@ -61,9 +61,6 @@
     pub vouch_age: Duration,
     /// Maximum number of parts with crashes, and of parts that are vouched for.
     pub max_parts: usize,
-    /// Maximum number of crashes that are stored. One bound for all parts keeps the sets of crashes
-    /// of different parts comparable.
-    pub max_events: usize,
     /// Maximum number of records in one message to a peer.
     pub max_batch: usize,
     /// Maximum number of crashes in all records of one message, unless one record has more.
@@ -78,7 +75,6 @@
             retention: Duration::from_hours(24),
             vouch_age: Duration::from_mins(10),
             max_parts: 4_096,
-            max_events: 32,
             max_batch: 16,
             max_sightings: 128,
         }
@@ -143,13 +139,15 @@
     pub fn standing(&self, now: Time, parts: &[u128]) -> PartStanding {
         let now = self.shift(now);
         let known = parts.iter().filter_map(|p| Some((*p, self.blames.get(p)?)));
-        let standings = known.map(|(part, blame)| {
-            let beyond = blame.crashes.checked_sub(self.options.max_crashes);
-            let beyond = beyond.map(|beyond| u32::try_from(beyond.min(8)).unwrap_or(0));
-            let hold = self.options.hold * HOLD_FACTOR.saturating_pow(beyond.unwrap_or(0));
+        let known: BTreeMap<u128, &Blame> = known.collect();
+        let standings = known.iter().map(|(part, blame)| {
+            let beyond = blame.crashes.saturating_sub(self.options.max_crashes);
+            let beyond = u32::try_from(beyond.min(8)).unwrap_or(0);
+            let hold = self.options.hold * HOLD_FACTOR.saturating_pow(beyond);
             let retry_after = (blame.last + hold).since(now);
-            let inseparable = blame.companions.iter().all(|c| parts.contains(c));
+            let inseparable = blame.is_inseparable(known.values().copied());
             if blame.convicted && inseparable && !retry_after.is_zero() {
+                let part = *part;
                 PartStanding::Refused { part, retry_after }
             } else if blame.crashes > 1 {
                 PartStanding::OnTrial
@@ -238,7 +236,7 @@
                 unheard.push(part);
             } else {
                 let mut news = false;
-                for seen in record.sightings.iter().take(self.options.max_events) {
+                for seen in record.sightings.iter().take(MAX_EVENTS) {
                     if seen.age < self.options.retention {
                         let crash = Crash {
                             at: now - seen.age,
@@ -339,16 +337,16 @@
     }
 
     /// Adds a crash. Returns whether it is new.
-    fn accuse(&mut self, part: u128, crashed: &UpstreamStart, crash: Crash) -> bool {
+    fn accuse(&mut self, part: u128, event: &UpstreamStart, crash: Crash) -> bool {
         let crashes = self.accused.entry(part).or_default();
-        if let Some(known) = crashes.get_mut(crashed) {
+        if let Some(known) = crashes.get_mut(event) {
             // Each hop makes a crash look younger than it is. Of several runs, the one that began last
             // shows most.
             known.at = known.at.min(crash.at);
             known.ran = known.ran.min(crash.ran);
             return false;
         }
-        crashes.insert(crashed.clone(), crash);
+        crashes.insert(event.clone(), crash);
         true
     }
 
@@ -387,29 +385,8 @@
 
     /// Drops what exceeds the bounds, and judges what is left.
     fn limit(&mut self) {
+        self.drop_events();
         self.accused.retain(|_, crashes| !crashes.is_empty());
-        self.judge();
-        let mut events: BTreeMap<UpstreamStart, (bool, Time)> = BTreeMap::new();
-        for (part, crashes) in &self.accused {
-            let convicted = self.blames.get(part).is_some_and(|blame| blame.convicted);
-            for (crashed, crash) in crashes {
-                let event = events.entry(crashed.clone()).or_insert((false, crash.at));
-                *event = (event.0 || convicted, event.1.max(crash.at));
-            }
-        }
-        let mut dropped = false;
-        if events.len() > self.options.max_events {
-            let excess = events.len() - self.options.max_events;
-            let mut ranked: Vec<_> = events.into_iter().collect();
-            ranked.sort_by_key(|(_, rank)| *rank);
-            for (crashed, _) in &ranked[..excess] {
-                for crashes in self.accused.values_mut() {
-                    crashes.remove(crashed);
-                }
-            }
-            self.accused.retain(|_, crashes| !crashes.is_empty());
-            dropped = true;
-        }
         if self.accused.len() > self.options.max_parts {
             let last = |crashes: &Crashes| crashes.values().map(|crash| crash.at).max();
             let rank = |(part, crashes): (&u128, &Crashes)| (crashes.len(), last(crashes), *part);
@@ -419,10 +396,35 @@
             for (_, _, part) in &ranked[..excess] {
                 self.accused.remove(part);
             }
-            dropped = true;
         }
-        if dropped {
-            self.judge();
+        self.judge();
+    }
+
+    /// Drops the crashes beyond the limit: first those at which no convicted part ran, and of these the
+    /// oldest.
+    fn drop_events(&mut self) {
+        let mut events: BTreeMap<&UpstreamStart, (bool, Time)> = BTreeMap::new();
+        for (part, crashes) in &self.accused {
+            let convicted = self.blames.get(part).is_some_and(|blame| blame.convicted);
+            for (event, crash) in crashes {
+                let rank = events.entry(event).or_insert((false, crash.at));
+                *rank = (rank.0 || convicted, rank.1.max(crash.at));
+            }
+        }
+        let Some(excess) = events.len().checked_sub(MAX_EVENTS) else {
+            return;
+        };
+        let mut ranked: Vec<_> = events
+            .into_iter()
+            .map(|(event, rank)| (rank, event))
+            .collect();
+        ranked.sort_unstable();
+        let dropped = ranked.into_iter().take(excess);
+        let dropped: Vec<UpstreamStart> = dropped.map(|(_, event)| event.clone()).collect();
+        for crashes in self.accused.values_mut() {
+            for event in &dropped {
+                crashes.remove(event);
+            }
         }
     }
 
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -8,25 +8,27 @@
 //!
 //! See `docs/design.md`, section 6.6, and `docs/incidents/budget-repeats.md`.
 
-use std::collections::{BTreeMap, VecDeque};
+mod attempt_guard;
+mod lost_attempts;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use attempt_guard::AttemptGuard;
 use coord::hash::hash64;
 use coord::name::{Upstream, VmName};
 use coord::poison::{
-    CrashRecord, PartOptions, PartStanding, PartSuspects, PoisonOptions, Suspects, UpstreamStart,
-    is_part,
+    CrashRecord, PartOptions, PartStanding, PartSuspects, PoisonOptions, Suspects, is_part,
 };
-use coord::time::Time;
 use derive_more::Display;
+use lost_attempts::LostAttempt;
+pub use lost_attempts::LostAttempts;
 use tokio::time::timeout;
 
 use super::content::Content;
 use super::context::Context;
 use super::directory::UpstreamChange;
-use super::placement::Choice;
 use crate::serve::engine::SendError;
 
 /// Number of crashed upstreams after which a request is refused. Two innocent requests in a row may
@@ -47,18 +49,12 @@
 const CRASH_RETENTION: Duration = Duration::from_hours(24);
 /// Maximum number of records in one datagram: 16 records with all their crashes take 5.1 KB.
 const MAX_RECORDS: usize = 16;
-/// Time after its first output from which an attempt is no longer suspected: requests that crash
-/// upstreams do so when their run begins.
-const PROBATION: Duration = Duration::from_secs(1);
 /// Time within which an upstream that crashed refuses a connection.
 const REFUSAL_TIME: Duration = Duration::from_millis(20);
 /// Time within which a probe ends: the time limit for a connection and a margin.
 const PROBE_TIME: Duration = Duration::from_millis(300);
-/// Time after a lost attempt within which its upstream counts as crashed if it leaves the list. The
-/// store drops the entry of an upstream after three missed heartbeats, a few seconds.
-const DELISTING_TIME: Duration = Duration::from_secs(10);
-/// Maximum number of lost attempts that wait for that.
-const MAX_UNEXPLAINED: usize = 1_024;
+/// Maximum number of crashes that are told in a log line.
+const MAX_LOGGED_CRASHES: usize = 6;
 
 /// Lengthens the time of a refusal by up to as much again. Refusals end at a different time at each gateway,
 /// so that one of them tries the request and the others learn of the result.
@@ -109,188 +105,6 @@
     Restarted,
 }
 
-/// An attempt that ended without a complete answer.
-#[derive(Clone, Debug)]
-pub struct LostAttempt {
-    id: Arc<str>,
-    content: Content,
-    /// Fingerprint of the step that was lost.
-    fingerprint: u128,
-    upstream: UpstreamStart,
-    address: SocketAddr,
-    began: Time,
-    at: Time,
-}
-
-impl LostAttempt {
-    /// Returns the parts that a crash accuses: a prefill writes no answer, so it shows nothing of them.
-    fn parts(&self) -> &[u128] {
-        if self.fingerprint == self.content.run {
-            &self.content.part_prints
-        } else {
-            &[]
-        }
-    }
-}
-
-/// Lost attempts whose cause is not known yet.
-#[derive(Clone, Debug, Default)]
-pub struct LostAttempts {
-    /// Attempts at upstreams that are being probed.
-    probed: BTreeMap<Upstream, Vec<LostAttempt>>,
-    /// Attempts at upstreams that still accept connections, oldest first.
-    unexplained: VecDeque<LostAttempt>,
-}
-
-impl LostAttempts {
-    /// Adds an attempt. Returns whether a probe of its upstream has to be started.
-    fn add(&mut self, lost: LostAttempt) -> bool {
-        let waiting = self
-            .probed
-            .entry(lost.upstream.upstream.clone())
-            .or_default();
-        waiting.push(lost);
-        waiting.len() == 1
-    }
-
-    /// Returns whether an upstream is being probed.
-    fn is_probed(&self, upstream: &Upstream) -> bool {
-        self.probed.contains_key(upstream)
-    }
-
-    /// Takes the attempts that waited for the result of a probe.
-    fn take_probed(&mut self, upstream: &Upstream) -> Vec<LostAttempt> {
-        self.probed.remove(upstream).unwrap_or_default()
-    }
-
-    /// Keeps attempts in case their upstream leaves the list.
-    fn keep(&mut self, now: Time, attempts: Vec<LostAttempt>) {
-        self.unexplained.extend(attempts);
-        let is_old = |lost: &LostAttempt| now.since(lost.at) >= DELISTING_TIME;
-        while self.unexplained.front().is_some_and(is_old)
-            || self.unexplained.len() > MAX_UNEXPLAINED
-        {
-            self.unexplained.pop_front();
-        }
-    }
-
-    /// Takes the recent attempts at an upstream that left the list.
-    fn take_delisted(&mut self, now: Time, upstream: &Upstream) -> Vec<LostAttempt> {
-        let all = std::mem::take(&mut self.unexplained);
-        let there = |lost: &LostAttempt| lost.upstream.upstream == *upstream;
-        let (taken, kept): (VecDeque<_>, _) = all.into_iter().partition(there);
-        self.unexplained = kept;
-        let is_recent = |lost: &LostAttempt| now.since(lost.at) < DELISTING_TIME;
-        taken.into_iter().filter(is_recent).collect()
-    }
-}
-
-/// Watches over one attempt at an upstream. Dropping it means that the attempt was lost, whether the
-/// connection broke, a time limit passed or the caller left.
-pub struct AttemptGuard {
-    ctx: Arc<Context>,
-    lost: Option<LostAttempt>,
-    first_output: Option<Time>,
-    /// Whether the upstream answers with success, which shows that the parts of the prompt crash nothing if
-    /// the answer goes on.
-    succeeds: bool,
-    /// Whether the parts are vouched for already.
-    vouched: bool,
-}
-
-impl AttemptGuard {
-    /// Begins to watch over an attempt.
-    #[must_use]
-    pub fn new(
-        ctx: &Arc<Context>,
-        (id, content): (&Arc<str>, Content),
-        fingerprint: u128,
-        choice: &Choice,
-    ) -> Self {
-        let start = start_of(ctx, &choice.name).unwrap_or_default();
-        let lost = LostAttempt {
-            id: Arc::clone(id),
-            content,
-            fingerprint,
-            upstream: UpstreamStart::new(choice.name.clone(), start),
-            address: choice.address,
-            began: ctx.now(),
-            at: Time::ZERO,
-        };
-        Self {
-            ctx: Arc::clone(ctx),
-            lost: Some(lost),
-            first_output: None,
-            succeeds: false,
-            vouched: false,
-        }
-    }
-
-    /// Records that the upstream answers with success.
-    pub fn record_success(&mut self) {
-        self.succeeds = true;
-    }
-
-    /// Records that output arrived. After some time with output, the parts of the prompt are cleared: they
-    /// would have crashed the upstream when it began to write.
-    pub fn record_output(&mut self) {
-        let now = self.ctx.now();
-        let first = *self.first_output.get_or_insert(now);
-        if now.since(first) >= PROBATION {
-            self.vouch();
-        }
-    }
-
-    fn vouch(&mut self) {
-        let Some(lost) = &self.lost else { return };
-        if !self.succeeds || lost.parts().is_empty() || std::mem::replace(&mut self.vouched, true) {
-            return;
-        }
-        let now = self.ctx.now();
-        let cleared = self.ctx.state().part_suspects.vouch(now, lost.parts());
-        if !cleared.is_empty() {
-            let parts = lost.content.logged(|part| cleared.contains(&part));
-            log::info!(id = &*lost.id, parts = parts.as_str(); "parts cleared");
-            let count = u64::try_from(cleared.len()).unwrap_or(u64::MAX);
-            self.ctx.telemetry.add("part.cleared", count);
-            self.ctx.digest_due.notify_one();
-            self.ctx.capacity_freed.notify_waiters();
-        }
-    }
-
-    /// Ends the watch because the upstream certainly did not run the request.
-    pub fn not_executed(mut self) {
-        self.lost = None;
-    }
-
-    /// Ends the watch because the request ran without a crash.
-    pub fn completed(mut self) {
-        self.vouch();
-        let Some(ran) = self.lost.take() else { return };
-        let now = self.ctx.now();
-        let cleared = self.ctx.state().suspects.completed(now, ran.fingerprint);
-        if cleared {
-            let (id, content) = (&*ran.id, ran.content.to_string());
-            log::info!(id, content = content.as_str(); "suspicion cleared");
-            self.ctx.telemetry.count("crash.cleared");
-            self.ctx.digest_due.notify_one();
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        let Some(mut lost) = self.lost.take() else {
-            return;
-        };
-        lost.at = self.ctx.now();
-        let proven = |first| lost.at.since(first) >= PROBATION;
-        if !self.first_output.is_some_and(proven) {
-            investigate(&self.ctx, lost);
-        }
-    }
-}
-
 /// Returns how long a request is still refused because upstreams crashed while they ran it, or requests
 /// with the same part.
 #[must_use]
@@ -377,9 +191,6 @@
     let _ = timeout(limit, settled).await;
 }
 
-/// Maximum number of crashes that are told in a log line.
-const MAX_LOGGED_CRASHES: usize = 6;
-
 /// Logs what is believed of a request that is refused: the part of its prompt at fault, if it is one, the
 /// upstreams that crashed, and which gateway saw it how long ago.
 pub fn log_refusal(ctx: &Context, id: &str, content: &Content, retry_after: Duration) {
@@ -437,20 +248,46 @@
 }
 
 /// Takes note of a change to the list of upstreams.
-pub fn record_change(ctx: &Context, name: &Upstream, change: &UpstreamChange) {
-    let evidence = match change {
-        UpstreamChange::Removed => Evidence::Delisted,
-        UpstreamChange::Restarted => Evidence::Restarted,
+pub fn record_change(ctx: &Arc<Context>, name: &Upstream, change: &UpstreamChange) {
+    let now = ctx.now();
+    let (lost, silent) = {
+        let attempts = &mut ctx.state().lost_attempts;
+        match change {
+            UpstreamChange::Removed | UpstreamChange::Restarted | UpstreamChange::Draining => (
+                attempts.take_delisted(now, name),
+                attempts.take_silent(now, name),
+            ),
+            _ => return,
+        }
+    };
+    match change {
+        UpstreamChange::Restarted => {
+            accuse(ctx, &lost, Evidence::Restarted);
+            accuse(ctx, &silent, Evidence::Restarted);
+        }
         // It ends by plan, and what it cuts off then was no crash.
-        UpstreamChange::Draining => {
-            ctx.state().lost_attempts.take_delisted(ctx.now(), name);
-            return;
+        UpstreamChange::Draining => {}
+        _ => {
+            accuse(ctx, &lost, Evidence::Delisted);
+            probe_silent(ctx, silent);
         }
-        _ => return,
+    }
+}
+
+/// Accuses the attempts that wait for an upstream which has left the list, if it accepts no connection. Without
+/// this, the connection to an upstream that has gone dark tells of its crash only when a time limit passes.
+fn probe_silent(ctx: &Arc<Context>, silent: Vec<LostAttempt>) {
+    let Some(address) = silent.first().map(|attempt| attempt.address) else {
+        return;
     };
-    let now = ctx.now();
-    let lost = ctx.state().lost_attempts.take_delisted(now, name);
-    accuse(ctx, &lost, evidence);
+    let ctx = Arc::clone(ctx);
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
+        // One that accepts connections may have lost only its contact to the store.
+        if let Some(evidence) = reach(&ctx, address).await {
+            accuse(&ctx, &silent, evidence);
+        }
+    });
 }
 
 fn start_of(ctx: &Context, upstream: &Upstream) -> Option<u64> {
@@ -474,18 +311,22 @@
     }
 }
 
-/// Finds out whether an upstream still accepts connections, and accuses the requests that were lost
-/// there if it does not.
-async fn probe(ctx: &Context, name: &Upstream, address: SocketAddr) {
-    let connected = ctx.pool.connect(address).await;
-    let unreachable = match connected {
+/// Returns why an upstream counts as crashed, or `None` if it accepts connections.
+async fn reach(ctx: &Context, address: SocketAddr) -> Option<Evidence> {
+    match ctx.pool.connect(address).await {
         Ok(connection) => {
             connection.release();
             None
         }
         Err(SendError::Refused(_)) => Some(Evidence::Refused),
         Err(_) => Some(Evidence::Unreachable),
-    };
+    }
+}
+
+/// Finds out whether an upstream still accepts connections, and accuses the requests that were lost
+/// there if it does not.
+async fn probe(ctx: &Context, name: &Upstream, address: SocketAddr) {
+    let unreachable = reach(ctx, address).await;
     let lost = ctx.state().lost_attempts.take_probed(name);
     let evidence = match start_of(ctx, name) {
         None => Some(Evidence::Delisted),
@@ -505,6 +346,9 @@
 fn accuse(ctx: &Context, lost: &[LostAttempt], evidence: Evidence) {
     let evidence = evidence.to_string();
     for lost in lost {
+        if lost.on_trial {
+            lost.crashed.cancel();
+        }
         let now = ctx.now();
         let (crashes, accused) = {
             let mut state = ctx.state();
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -113,7 +113,13 @@
     rate_limits::log_use(&req.ctx, &req.meta.id, choice, attempt);
     let asked = req.ctx.now();
     permit.spend();
-    let mut guard = AttemptGuard::new(&req.ctx, (&req.meta.id, content), fingerprint, choice);
+    let mut guard = AttemptGuard::new(
+        &req.ctx,
+        (&req.meta.id, content),
+        fingerprint,
+        choice,
+        reservation.is_on_trial(),
+    );
     let executed_before = req.may_have_executed();
     if !prefill {
         req.set_maybe_executed(true);
@@ -126,10 +132,18 @@
     let pool = &req.ctx.pool;
     // An upstream may have crashed unnoticed while its connection was idle. A new connection shows
     // that it runs when a suspect is sent, so that its crash can be told from an earlier one.
-    let sent = if req.standing() > Standing::Clear {
-        pool.send_fresh(choice.address, request).await
-    } else {
-        pool.send_with_max_idle(choice.address, request, idle).await
+    let suspect = req.standing() > Standing::Clear;
+    let sending = async {
+        if suspect {
+            pool.send_fresh(choice.address, request).await
+        } else {
+            pool.send_with_max_idle(choice.address, request, idle).await
+        }
+    };
+    let crashed = guard.crashed();
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = crashed.cancelled() => Err(SendError::Sent("the upstream crashed".to_owned())),
     };
     let answered = match sent {
         Ok(connected) => {
--- a/crates/cumindoor/tests/gateway_suspects.rs
+++ b/crates/cumindoor/tests/gateway_suspects.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coord::poison::{Suspects, UpstreamStart};
+use coord::poison::{Suspects, UpstreamStart, part_fingerprint};
 use coord::time::Time;
-use cumindoor::gateway::crash_watch::new_suspects;
+use cumindoor::gateway::crash_watch::{new_part_suspects, new_suspects};
 use cumindoor::gateway::load_table::CrashReport;
 use cumindoor::gateway::trials::{Start, Terms, Trials};
 use rand::{RngExt, SeedableRng};
@@ -186,6 +186,46 @@
     assert!(bytes < MAX_DATAGRAM_BYTES, "{bytes} bytes");
 }
 
+/// Guards against a datagram of records of parts and of trials that exceeds the receiver's buffer.
+#[test]
+fn records_of_parts_are_bounded() {
+    const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+    let mut parts = new_part_suspects("front-boa-viagem-10".into());
+    let many: Vec<u128> = (0..10_000_u64)
+        .map(|n| part_fingerprint(&n.to_be_bytes()))
+        .collect();
+    for engine in 0..60_u64 {
+        let now = Time::from_millis(engine * 1_000);
+        let crashed = UpstreamStart::new("i-7f3a91c2d4".into(), u64::MAX - engine);
+        parts.upstream_crashed(now, &crashed, Duration::from_millis(123), &many[..500]);
+    }
+    let now = Time::from_millis(61_000);
+    parts.upstream_crashed(
+        now,
+        &UpstreamStart::new("i-7f3a91c2d4".into(), 1),
+        Duration::ZERO,
+        &many,
+    );
+    assert!(parts.len() <= 4_096);
+    let mut trials = Trials::default();
+    for engine in 0..1_000 {
+        let tried = &many[3 * engine..3 * engine + 3];
+        trials.announce(now, (u64::MAX - engine as u64, tried), Terms::Agreed);
+    }
+
+    let report = CrashReport {
+        start: u64::MAX,
+        sequence: u64::MAX,
+        trials: trials.own(),
+        records: parts.next_page(now),
+    };
+    let bytes = rmp_serde::to_vec(&report).unwrap().len();
+
+    let (records, trials) = (report.records.len(), report.trials.len());
+    println!("{bytes} bytes for {records} records and {trials} trials");
+    assert!(bytes < MAX_DATAGRAM_BYTES, "{bytes} bytes");
+}
+
 fn address(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7000))
 }
