--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -74,7 +74,6 @@
                 Err(send::record_lost(req, &choice, silence::REPLACED))
             }
         };
-        drop(reservation);
         let retry = match outcome {
             Ok(AttemptResult::Answered(response)) => return Ok(response),
             Ok(AttemptResult::Failed(response)) => {
@@ -86,7 +85,7 @@
                 continue;
             }
             // Others may have room, and this one later.
-            Err(Failure::Limited) => {
+            Err(Failure::Limited | Failure::Suspected) => {
                 tried.pop();
                 attempts -= 1;
                 continue;
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -49,6 +49,9 @@
     /// Nothing was sent, because the retry budget is spent.
     #[display("the retry budget is spent")]
     Unpaid,
+    /// Nothing was sent, because the request became a suspect after its place was chosen.
+    #[display("the request has to be tried alone")]
+    Suspected,
     /// Nothing listens at the address.
     #[display("{_0}")]
     ConnectionRefused(String),
@@ -77,6 +80,7 @@
                 | Self::Withdrawn
                 | Self::Limited
                 | Self::Unpaid
+                | Self::Suspected
                 | Self::ConnectionRefused(_)
         )
     }
@@ -87,7 +91,7 @@
             Self::Refused(..) => Some(Outcome::AtCapacity),
             Self::ConnectionRefused(_) | Self::Misdirected => Some(Outcome::Unreachable),
             Self::Unsent(_) | Self::Lost(_) => Some(Outcome::Lost),
-            Self::Limited | Self::Withdrawn | Self::Unpaid => None,
+            Self::Limited | Self::Withdrawn | Self::Unpaid | Self::Suspected => None,
         }
     }
 }
@@ -101,7 +105,7 @@
 ) -> Result<Answer, Failure> {
     let prefill = step == Step::Prefill;
     let request = build_request(req, choice, step, last_event_id)?;
-    let mut permit = recheck(req, choice, reservation)
+    let mut permit = recheck(req, choice, reservation, prefill)
         .inspect_err(|failure| record_failure(req, choice, failure))?;
     let content = req.content.clone();
     let fingerprint = if prefill {
@@ -114,7 +118,13 @@
     rate_limits::log_use(&req.ctx, &req.meta.id, choice, attempt);
     let asked = req.ctx.now();
     permit.spend();
-    let guard = AttemptGuard::new(&req.ctx, (&req.meta.id, content), fingerprint, choice);
+    let mut guard = AttemptGuard::new(
+        &req.ctx,
+        (&req.meta.id, content),
+        fingerprint,
+        choice,
+        reservation.is_on_trial(),
+    );
     let executed_before = req.may_have_executed();
     if !prefill {
         req.set_maybe_executed(true);
@@ -127,10 +137,18 @@
     let pool = &req.ctx.pool;
     // An upstream may have crashed unnoticed while its connection was idle. A new connection shows
     // that it runs when a suspect is sent, so that its crash can be told from an earlier one.
-    let sent = if req.standing() > Standing::Clear {
-        pool.send_fresh(choice.address, request).await
-    } else {
-        pool.send_with_max_idle(choice.address, request, idle).await
+    let suspect = req.standing() > Standing::Clear;
+    let sending = async {
+        if suspect {
+            pool.send_fresh(choice.address, request).await
+        } else {
+            pool.send_with_max_idle(choice.address, request, idle).await
+        }
+    };
+    let crashed = guard.crashed();
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = crashed.cancelled() => Err(SendError::Sent("the upstream crashed".to_owned())),
     };
     let answered = match sent {
         Ok(connected) => {
@@ -138,6 +156,9 @@
             let reply = req.ctx.dialect.parse_reply(head.status, &head.headers);
             if !is_foreign(req, &reply) {
                 let served = head.status.is_success() && (reply.signed || prefill);
+                if served {
+                    guard.record_success();
+                }
                 let genuine = served || reply.not_executed;
                 rate_limits::record_reply(&req.ctx, choice, (&reply, asked), genuine);
             }
@@ -183,7 +204,12 @@
     req: &CallerRequest,
     choice: &Choice,
     reservation: &mut Reservation,
+    prefill: bool,
 ) -> Result<Permit, Failure> {
+    // A prefill writes no answer, so no part of the prompt crashes its engine.
+    if !prefill && !reservation.is_on_trial() && req.standing() > Standing::Clear {
+        return Err(Failure::Suspected);
+    }
     if !req.ctx.state().directory.is_current(choice) {
         return Err(Failure::Withdrawn);
     }
