Wait for all gateways of gateway_parts at once

Cause: a stream takes half a second and was sent through each gateway in turn before a case began, which was 30 s with 60 gateways. Change: they are sent at once.

--- a/crates/cumindoor/tests/gateway_parts.rs
+++ b/crates/cumindoor/tests/gateway_parts.rs
@@ -146,13 +146,12 @@
     /// Waits until a request is answered through each gateway, so that all know routes and engines.
     async fn wait_until_ready(&self) {
         let addrs = self.addrs.lock().unwrap().clone();
-        let ready = async {
-            for addr in addrs {
-                while send(addr, &sound_prompt(self.case.path, 0)).await.status != 200 {
-                    sleep(Duration::from_millis(20)).await;
-                }
+        let ready = addrs.into_iter().map(async |addr| {
+            while send(addr, &sound_prompt(self.case.path, 0)).await.status != 200 {
+                sleep(Duration::from_millis(20)).await;
             }
-        };
+        });
+        let ready = futures::future::join_all(ready);
         timeout(Duration::from_mins(1), ready).await.unwrap();
     }
 
