--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -178,8 +178,8 @@
                 Ok(data) => {
                     guard.record_output();
                     match self.events.push(&data) {
-                        Some(ready) => Received::Events(ready),
-                        None => Received::Broken("an event exceeds the size limit".to_owned()),
+                        Ok(ready) => Received::Events(ready),
+                        Err(error) => Received::Broken(error.to_string()),
                     }
                 }
                 Err(_) => Received::Events(Bytes::new()),
--- a/crates/cumindoor/tests/gateway_rules.rs
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -244,8 +244,8 @@
     let mut events = EventBuffer::after(None);
     let piece = vec![b'x'; 600 * 1024];
 
-    assert!(events.push(&piece).is_some());
-    assert!(events.push(&piece).is_none());
+    assert!(events.push(&piece).is_ok());
+    assert!(events.push(&piece).is_err());
 }
 
 fn observe_for(
