Close connections whose bytes end no head or event for 1 s

Cause: limits in bytes alone do not end a head, an event or the framing of a stream whose bytes keep coming slowly. Such a request was held until its deadline, although another engine could serve it.

Change: reads of a pooled connection fail once the bytes of a head, or of the part of a stream up to the end of its next event, have been arriving for 1 s. A silence counts for 250 ms at most, so an engine that pauses within an event is not given up. The existing paths then record the attempt as lost and continue the stream at another engine.

Conclusion: events that end but say nothing, and bodies of failures and plain answers, are limited by the deadline (or the time of an attempt) as before. A plain answer without a length still counts as lost beyond 256 KiB.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -16,7 +16,7 @@
 pub mod directory;
 pub mod events;
 mod exchange;
-mod fetch;
+pub mod fetch;
 pub mod health;
 pub mod leadership;
 mod listeners;
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -24,6 +24,7 @@
 use crate::gateway::events::EventBuffer;
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::{Choice, Demand};
+use crate::serve::engine::pool::error_chain;
 use crate::serve::engine::{BodyError, BoxedBody, Lease};
 use crate::serve::headers;
 
@@ -65,6 +66,7 @@
     headers::strip(&mut head.headers);
     // Events that the caller already has are left out, so the length may differ.
     head.headers.remove(CONTENT_LENGTH);
+    lease.begin_part();
     let relay = Relay {
         req: Arc::clone(req),
         engine_started: req.ctx.now(),
@@ -161,7 +163,7 @@
     }
 
     async fn receive(&mut self) -> Received {
-        let Some((body, _, guard)) = &mut self.source else {
+        let Some((body, lease, guard)) = &mut self.source else {
             return Received::Broken("no engine is connected".to_owned());
         };
         let deadline = self.req.deadline;
@@ -177,14 +179,19 @@
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => {
                     guard.record_output();
-                    match self.events.push(&data) {
+                    let ended = self.events.ended();
+                    let pushed = self.events.push(&data);
+                    if self.events.ended() > ended {
+                        lease.begin_part();
+                    }
+                    match pushed {
                         Ok(ready) => Received::Events(ready),
                         Err(error) => Received::Broken(error.to_string()),
                     }
                 }
                 Err(_) => Received::Events(Bytes::new()),
             },
-            Ok(Some(Err(error))) => Received::Broken(error.to_string()),
+            Ok(Some(Err(error))) => Received::Broken(error_chain(&error)),
             Ok(None) if self.events.is_at_boundary() => Received::End,
             Ok(None) => Received::Broken("the stream ended in the middle of an event".to_owned()),
             Err(_) if until < deadline => Received::Broken("silent".to_owned()),
@@ -301,6 +308,7 @@
         log::info!(id = &*req.meta.id, upstream, last, memory = run.demand.kv_tokens; "stream resumed");
         req.ctx.telemetry.count("stream.resumed");
         self.engine_started = req.ctx.now();
+        answer.lease.begin_part();
         self.run = Some(run);
         self.source = Some((answer.body, answer.lease, answer.guard));
         true
--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -6,6 +6,7 @@
 pub mod cancel;
 pub mod poll;
 pub mod pool;
+mod receive;
 mod stream;
 mod wire;
 
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::receive::{LimitedStream, PartMarker};
+
 /// Idle connections kept for one upstream; a decode engine runs about 20 requests at a time.
 const MAX_IDLE_PER_UPSTREAM: usize = 32;
 /// How long a connection may stay idle; an upstream may announce a shorter time.
@@ -38,7 +40,12 @@
 /// A body of any kind, complete or streamed.
 pub type BoxedBody = UnsyncBoxBody<Bytes, BodyError>;
 
-type Sender = SendRequest<BoxedBody>;
+/// The half of a connection over which requests are sent.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<BoxedBody>,
+    parts: PartMarker,
+}
 
 /// Returns a body with the given contents.
 pub fn full_body(bytes: impl Into<Bytes>) -> BoxedBody {
@@ -80,6 +87,12 @@
 }
 
 impl Lease {
+    /// Begins a part of the response's body, such as an event. Reading the body fails if bytes keep
+    /// coming without the part's end, which the next call marks.
+    pub fn begin_part(&self) {
+        self.sender.parts.begin();
+    }
+
     /// Returns the connection to the pool; the whole response must have been read.
     pub fn release(self) {
         let Self {
@@ -88,6 +101,7 @@
             sender,
             max_idle,
         } = self;
+        sender.parts.end();
         pool.checkin(addr, sender, max_idle);
     }
 }
@@ -224,13 +238,15 @@
             .with_retries(KEEPALIVE_PROBES);
         let configured = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
         configured.map_err(|error| unsent(&error))?;
+        let parts = PartMarker::default();
+        let stream = LimitedStream::new(stream, parts.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
+        let (requests, connection) = handshake.await.map_err(|error| unsent(&error))?;
         // A connection error also fails the request on it, so it is not reported here.
         tokio::spawn(async move { drop(connection.await) });
-        Ok(sender)
+        Ok(Sender { requests, parts })
     }
 
     async fn exchange(
@@ -242,8 +258,10 @@
         if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
             request.headers_mut().entry(HOST).or_insert(host);
         }
-        match sender.try_send_request(request).await {
+        sender.parts.begin();
+        match sender.requests.try_send_request(request).await {
             Ok(response) => {
+                sender.parts.end();
                 let lease = Lease {
                     pool: self.clone(),
                     addr,
@@ -264,13 +282,13 @@
         let list = idle.get_mut(&addr)?;
         list.retain(is_usable);
         let is_reusable =
-            |idle: &IdleConnection| idle.sender.is_ready() && idle.since.elapsed() < limit;
+            |idle: &IdleConnection| idle.sender.requests.is_ready() && idle.since.elapsed() < limit;
         let ready = list.iter().rposition(is_reusable)?;
         Some(list.swap_remove(ready).sender)
     }
 
     fn checkin(&self, addr: SocketAddr, sender: Sender, limit: Duration) {
-        if sender.is_closed() {
+        if sender.requests.is_closed() {
             return;
         }
         let since = Instant::now();
@@ -309,7 +327,7 @@
 }
 
 fn is_usable(idle: &IdleConnection) -> bool {
-    !idle.sender.is_closed() && idle.since.elapsed() < idle.limit
+    !idle.sender.requests.is_closed() && idle.since.elapsed() < idle.limit
 }
 
 /// Returns how long a connection may stay idle after a response.
