Search each byte of a token stream once in serve

Cause: the parser of decode streams in cumindoor serve had the same fault as EventBuffer: it searched an incomplete line again from its start at each read.

Change: the parser keeps how much of the line was searched. New tests feed a line near the size limit in single bytes, two lines at any two splits, and a line without an end.

--- a/crates/cumindoor/src/serve/engine/stream.rs
+++ b/crates/cumindoor/src/serve/engine/stream.rs
@@ -115,6 +115,8 @@
 pub(super) struct Parser {
     id: String,
     expected: u32,
+    /// Bytes of an incomplete line that contain no line end, so that they are searched only once.
+    searched: usize,
 }
 
 impl Parser {
@@ -122,6 +124,7 @@
         Self {
             id,
             expected: offset,
+            searched: 0,
         }
     }
 
@@ -130,13 +133,15 @@
         buffer: &mut BytesMut,
         events: &mut Vec<StreamEvent>,
     ) -> Result<(), CallError> {
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line = buffer.split_to(end);
+        while let Some(end) = buffer[self.searched..].iter().position(|b| *b == b'\n') {
+            let line = buffer.split_to(self.searched + end);
             buffer.advance(1);
+            self.searched = 0;
             if let Some(text) = line.strip_prefix(b"data:") {
                 events.extend(self.event(text)?);
             }
         }
+        self.searched = buffer.len();
         if buffer.len() > MAX_EVENT_BYTES {
             return Err(CallError::Lost("an event is too long".to_owned()));
         }
@@ -187,3 +192,6 @@
         }))
     }
 }
+
+#[cfg(test)]
+mod tests;
