--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -25,6 +25,7 @@
 use crate::gateway::events::EventBuffer;
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::{Choice, Demand};
+use crate::serve::engine::pool::error_chain;
 use crate::serve::engine::{BodyError, BoxedBody, Lease};
 use crate::serve::headers;
 
@@ -63,6 +64,7 @@
     headers::strip(&mut head.headers);
     // Events that the caller already has are left out, so the length may differ.
     head.headers.remove(CONTENT_LENGTH);
+    lease.begin_part();
     let relay = Relay {
         req: Arc::clone(req),
         engine_started: req.ctx.now(),
@@ -172,7 +174,7 @@
     }
 
     async fn receive(&mut self) -> Received {
-        let (Some((body, _, guard)), Some(run)) = (&mut self.source, &self.run) else {
+        let (Some((body, lease, guard)), Some(run)) = (&mut self.source, &self.run) else {
             return Received::Broken("no engine is connected".to_owned());
         };
         let req = &*self.req;
@@ -192,14 +194,19 @@
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
                     guard.record_output();
-                    match self.events.push(&data) {
-                        Some(ready) => Received::Events(ready),
-                        None => Received::Broken("an event exceeds the size limit".to_owned()),
+                    let ended = self.events.ended();
+                    let pushed = self.events.push(&data);
+                    if self.events.ended() > ended {
+                        lease.begin_part();
+                    }
+                    match pushed {
+                        Ok(ready) => Received::Events(ready),
+                        Err(error) => Received::Broken(error.to_string()),
                     }
                 }
                 Err(_) => Received::Events(Bytes::new()),
             },
-            Some(Err(error)) => Received::Broken(error.to_string()),
+            Some(Err(error)) => Received::Broken(error_chain(&error)),
             None if self.events.is_at_boundary() => Received::End,
             None => Received::Broken("the stream ended in the middle of an event".to_owned()),
         }
@@ -358,6 +365,7 @@
         req.ctx.telemetry.count("stream.resumed");
         self.attempts += 1;
         self.engine_started = req.ctx.now();
+        answer.lease.begin_part();
         self.run = Some(DecodeRun {
             choice,
             placed: req.ctx.now(),
