--- a/crates/cumindoor/src/gateway/liveness.rs
+++ b/crates/cumindoor/src/gateway/liveness.rs
@@ -134,14 +134,12 @@
 
 async fn probe(ctx: &Context, address: SocketAddr) {
     let connected = ctx.pool.connect(address).await;
-    // An upstream resets connections beyond its limit; that is no sign of its end.
+    // An upstream resets connections beyond its limit; that is no sign of its end. The connection is
+    // closed, because idle ones count towards that limit.
     let accepted = !matches!(
         connected,
         Err(SendError::Refused(_) | SendError::TimedOut(_))
     );
-    if let Ok(connection) = connected {
-        connection.release();
-    }
     ctx.telemetry.count(if accepted {
         "probe.accepted"
     } else {
