--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -74,7 +74,6 @@
                 Err(send::record_lost(req, &choice, silence::REPLACED))
             }
         };
-        drop(reservation);
         let retry = match outcome {
             Ok(AttemptResult::Answered(response)) => return Ok(response),
             Ok(AttemptResult::Failed(response)) => {
@@ -86,7 +85,7 @@
                 continue;
             }
             // Others may have room, and this one later.
-            Err(Failure::Limited) => {
+            Err(Failure::Limited | Failure::Suspected) => {
                 tried.pop();
                 attempts -= 1;
                 continue;
@@ -109,14 +108,14 @@
         };
         if retry && moved && next.is_none() && fallback.is_none() {
             let successor = Successor::Plain(&tried);
-            next = Some(silence::next_place(req, successor, false).await?);
+            next = Some(silence::next_place(req, successor).await?);
         }
         if next.is_some() {
             // The retry is paid. The upstream may have crashed.
             req.refuse_poison()?;
             continue;
         }
-        if !retry || !req.ctx.try_retry(&req.service) {
+        if !retry || !req.may_send() {
             let refusal = req.refusal(Reason::Refused, Reason::Broken, REFUSED_RETRY_AFTER);
             return fallback.ok_or(refusal);
         }
--- a/crates/cumindoor/src/gateway/exchange/silence.rs
+++ b/crates/cumindoor/src/gateway/exchange/silence.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Returns the patience with an engine that prefills a prompt, which it should do within `limit`.
+    pub(super) fn prefill(limit: Duration) -> Self {
+        Self {
+            probe: limit,
+            replace: None,
+        }
+    }
+
     /// Returns the patience with a plain upstream.
     pub(super) fn plain(req: &CallerRequest, successor: Option<Successor<'a>>) -> Self {
         let limit = req.route.target_latency.mul_f64(PLAIN_ATTEMPT_TARGETS);
@@ -125,7 +133,7 @@
             return std::future::pending().await;
         };
         sleep_until(began + after).await;
-        match next_place(req, successor, false).await {
+        match next_place(req, successor).await {
             Ok(place) => place,
             // The refusal concerns another attempt, and this one may still be answered.
             Err(_) => std::future::pending().await,
@@ -140,24 +148,34 @@
     }
 }
 
-/// Waits until a place at another upstream and a retry for it are both at hand, unless the retry is
-/// `paid` already. Refuses only a request that is known to crash upstreams.
+/// Waits until the request may be sent once more, and takes a retry if it needs one.
+pub(super) async fn next_retry(req: &CallerRequest) {
+    while !req.may_send() {
+        retry_at_hand(req).await;
+    }
+}
+
+/// Waits until the budget has a retry for the request, without taking it.
+async fn retry_at_hand(req: &CallerRequest) {
+    let mut awaited = false;
+    // Asking the budget to grant a retry would log each denial.
+    while req.repeats.needs_token() && !req.ctx.has_retry(&req.service) {
+        if !std::mem::replace(&mut awaited, true) {
+            let service = req.service.as_str();
+            log::info!(id = &*req.meta.id, service; "retry awaited");
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Waits until a place at another upstream and a retry for it are both at hand. Refuses only a request
+/// that is known to crash upstreams.
 pub(super) async fn next_place(
     req: &CallerRequest,
     successor: Successor<'_>,
-    paid: bool,
 ) -> Result<Place, Refusal> {
-    let (ctx, service) = (&req.ctx, &req.service);
-    let mut denied = false;
     loop {
-        if !paid && !ctx.has_retry(service) {
-            // Asking the budget for a retry would log each denial.
-            if !std::mem::replace(&mut denied, true) {
-                log::info!(id = &*req.meta.id, service = service.as_str(); "retry awaited");
-            }
-            sleep(RETRY_INTERVAL).await;
-            continue;
-        }
+        retry_at_hand(req).await;
         req.refuse_poison()?;
         let taken = match successor {
             Successor::Plain(tried) => wait::for_plain(req, tried).await,
@@ -166,9 +184,8 @@
             }
         };
         match taken {
-            Ok(place) if paid || (ctx.has_retry(service) && ctx.try_retry(service)) => {
-                return Ok(place);
-            }
+            // Another request may have taken the last retry meanwhile.
+            Ok(place) if req.may_send() => return Ok(place),
             Ok(_) => sleep(RETRY_INTERVAL).await,
             Err(_) => sleep(PLACE_INTERVAL).await,
         }
