Let neither a late move nor a refused probe end an answer

- **Cause:** a reviewer who had not seen the work showed that the cause of LOST still acted: the search for another engine was timed from the last read, but the move was given up at a time counted from the last event, so that a move which could not succeed closed a connection on which the engine went on.
An engine that refused connections counted as gone although it may finish what it has begun, and once-only requests were cut for it.
A plain request that had been moved was refused if its next upstream was withdrawn.
- **Change:** another engine is looked for between two thirds and 0.85 of the time after which the caller leaves, counted from the last event, and not before 1.8 s.
Once moved, the stream is tried at others until its deadline.
A silent upstream that accepts no connections is left only when a place and a retry are at hand, and never for a request that may run once only.
Probes begin after 1.2 s at least.
A place is not held while the search waits for a retry.

--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -92,7 +92,8 @@
         };
         let place = (&decode, &mut reservation);
         let sending = send::send(req, place, step, req.meta.last_event_id);
-        let patience = Patience::stream(req, None);
+        let patience =
+            Patience::stream(req, req.started, None).repeatable(req.route.max_attempts > 1);
         let sent = match silence::watch(req, &decode, patience, sending).await {
             Watched::Answered(sent) => sent,
             Watched::Gone | Watched::Replaced(_) => {
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -63,7 +63,7 @@
         attempts += 1;
         let may_retry = req.kind().is_retryable() && attempts < req.route.max_attempts;
         let successor = may_retry.then_some(Successor::Plain(&tried));
-        let patience = Patience::plain(req, successor);
+        let patience = Patience::plain(req, successor).repeatable(may_retry);
         let attempt = attempt(req, (&choice, &mut reservation));
         let outcome = match silence::watch(req, &choice, patience, attempt).await {
             Watched::Answered(outcome) => outcome,
@@ -82,13 +82,19 @@
             }
             Err(Failure::Withdrawn) => {
                 attempts -= 1;
-                continue;
+                if !moved {
+                    continue;
+                }
+                true
             }
             // Others may have room, and this one later.
             Err(Failure::Limited | Failure::Suspected) => {
                 tried.pop();
                 attempts -= 1;
-                continue;
+                if !moved {
+                    continue;
+                }
+                true
             }
             Err(failure) => {
                 if may_retry && !failure.not_executed() {
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -182,7 +182,7 @@
         let tried = std::slice::from_ref(&run.choice.name);
         let model = req.def.model.as_ref().filter(|_| may_change);
         let successor = model.map(|model| Successor::Decode(model, run.demand, tried));
-        let patience = Patience::stream(req, successor);
+        let patience = Patience::stream(req, self.last_event, successor).repeatable(may_change);
         let watched = silence::watch(req, &run.choice, patience, body.frame());
         let frame = match timeout_at(req.deadline, watched).await {
             Ok(Watched::Answered(frame)) => frame,
@@ -284,9 +284,14 @@
     /// not possible.
     async fn change_engine(&mut self, cause: &str, place: Option<Place>) -> Result<(), BodyError> {
         self.disconnect_engine(cause).await;
-        // Nobody reads the events of an engine that is found later.
-        let until = self.last_event + self.req.abandon_time();
-        let resumed = timeout_at(until.min(self.req.deadline), self.resume(place)).await;
+        let deadline = self.req.deadline;
+        let until = match place {
+            // The first engine may have gone on, so the move must not end the answer.
+            Some(_) => deadline,
+            // Nobody reads the events of an engine that is found later.
+            None => deadline.min(self.last_event + self.req.abandon_time()),
+        };
+        let resumed = timeout_at(deadline, self.resume(place, until)).await;
         let resumed = resumed.unwrap_or(Err("no other engine took it in time"));
         resumed.map_err(|why| {
             let (id, silent_ms) = (&*self.req.meta.id, millis(self.last_event.elapsed()));
@@ -296,9 +301,13 @@
     }
 
     /// Resumes the stream after the last event that was sent to the caller, at the engine that has a
-    /// place, or at others. An engine that certainly did not run it is no reason to end the stream.
+    /// place, or at others that are found by `until`. An engine that certainly did not run it is no reason to end the stream.
     /// Returns why it is not resumed if the route does not allow that.
-    async fn resume(&mut self, mut place: Option<Place>) -> Result<(), &'static str> {
+    async fn resume(
+        &mut self,
+        mut place: Option<Place>,
+        until: Instant,
+    ) -> Result<(), &'static str> {
         let req = Arc::clone(&self.req);
         let (Some(model), Some(prompt)) = (&req.def.model, req.meta.prompt) else {
             return Err("the request states no prompt");
@@ -311,8 +320,9 @@
         while self.attempts < req.route.max_attempts {
             let taken = match place.take() {
                 Some(taken) => taken,
-                None => silence::next_place(&req, successor)
+                None => timeout_at(until, silence::next_place(&req, successor))
                     .await
+                    .map_err(|_| "no other engine took it in time")?
                     .map_err(|_| "the request crashes upstreams")?,
             };
             if req.refuse_poison().is_err() {
@@ -338,7 +348,8 @@
         let req = Arc::clone(&self.req);
         let last = self.events.last_id();
         let sending = send::send(&req, (&choice, &mut reservation), Step::EndToEnd, last);
-        let patience = Patience::stream(&req, None);
+        let is_last = self.attempts + 1 >= req.route.max_attempts;
+        let patience = Patience::stream(&req, self.last_event, None).repeatable(!is_last);
         let answer = match silence::watch(&req, &choice, patience, sending).await {
             Watched::Answered(sent) => sent,
             Watched::Gone | Watched::Replaced(_) => {
--- a/crates/cumindoor/src/gateway/exchange/silence.rs
+++ b/crates/cumindoor/src/gateway/exchange/silence.rs
@@ -1,14 +1,14 @@
 //! What becomes of a request whose upstream is silent.
 //!
 //! Silence alone ends no attempt, because a sound upstream may fall silent and go on. An attempt ends
-//! before its answer only if the upstream accepts no connections any longer, or if a place at another
-//! upstream and a retry are both at hand. See `docs/design.md`, section 6.10.
+//! before its answer only if a place at another upstream and a retry are both at hand, earlier if the
+//! upstream accepts no connections any longer. See `docs/design.md`, section 6.10.
 
 use std::time::Duration;
 
 use border::Model;
 use coord::name::Upstream;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::{CallerRequest, millis, wait};
 use crate::gateway::answer::Refusal;
@@ -19,11 +19,15 @@
 
 /// An engine is probed after a silence of this many times the longest gap of the route.
 const PROBE_GAPS: u32 = 4;
-/// Silence after which an engine is probed if the route states no gap.
-const DEFAULT_PROBE_SILENCE: Duration = Duration::from_millis(1_200);
+/// Shortest silence after which an engine is probed. Probes are charged for, and short pauses are usual.
+const MIN_PROBE_SILENCE: Duration = Duration::from_millis(1_200);
 /// Share of the time after which callers abandon a silent stream from which another engine is looked for.
 /// The rest is needed to read the prompt there.
 const REPLACE_SHARE: f64 = 2.0 / 3.0;
+/// Share of that time after which no other engine is looked for any more, because it would not answer in time.
+const LAST_REPLACE_SHARE: f64 = 0.85;
+/// Shortest silence after which another engine is looked for. Sound engines pause for a second or so.
+const MIN_REPLACE_SILENCE: Duration = Duration::from_millis(1_800);
 /// Time limit of an attempt at a plain upstream that may be followed by another one, as a multiple of
 /// the target latency.
 const PLAIN_ATTEMPT_TARGETS: f64 = 1.2;
@@ -49,18 +53,37 @@
 pub(super) struct Patience<'a> {
     /// Silence after which it is probed.
     probe: Duration,
-    /// Silence after which another one is looked for, and among which.
-    replace: Option<(Duration, Successor<'a>)>,
+    /// Whether the request may be sent again, so that it need not stay with an upstream that is gone.
+    repeatable: bool,
+    /// When another one is looked for, from and until when, and among which. A move that begins later
+    /// would only end an answer.
+    replace: Option<([Instant; 2], Successor<'a>)>,
 }
 
 impl<'a> Patience<'a> {
-    /// Returns the patience with an engine that streams, or is about to.
-    pub(super) fn stream(req: &CallerRequest, successor: Option<Successor<'a>>) -> Self {
+    /// Returns the patience with an engine that streams, or is about to. `since` is when the caller got
+    /// its last event, or sent the request.
+    pub(super) fn stream(
+        req: &CallerRequest,
+        since: Instant,
+        successor: Option<Successor<'a>>,
+    ) -> Self {
         let gaps = req.route.max_gap.map(|gap| gap * PROBE_GAPS);
-        let replace = req.abandon_time().mul_f64(REPLACE_SHARE);
+        let abandoned = req.abandon_time();
+        let first = abandoned.mul_f64(REPLACE_SHARE).max(MIN_REPLACE_SILENCE);
+        let last = abandoned.mul_f64(LAST_REPLACE_SHARE);
         Self {
-            probe: gaps.unwrap_or(DEFAULT_PROBE_SILENCE),
-            replace: successor.map(|successor| (replace, successor)),
+            probe: gaps.unwrap_or_default().max(MIN_PROBE_SILENCE),
+            repeatable: req.kind().is_retryable(),
+            replace: successor.map(|successor| ([since + first, since + last], successor)),
+        }
+    }
+
+    /// Keeps the request with its upstream to the end if it may not be sent again.
+    pub(super) fn repeatable(self, repeatable: bool) -> Self {
+        Self {
+            repeatable: self.repeatable && repeatable,
+            ..self
         }
     }
 
@@ -68,6 +91,7 @@
     pub(super) fn prefill(limit: Duration) -> Self {
         Self {
             probe: limit,
+            repeatable: true,
             replace: None,
         }
     }
@@ -77,7 +101,8 @@
         let limit = req.route.target_latency.mul_f64(PLAIN_ATTEMPT_TARGETS);
         Self {
             probe: limit,
-            replace: successor.map(|successor| (limit, successor)),
+            repeatable: req.kind().is_retryable(),
+            replace: successor.map(|successor| ([Instant::now() + limit, req.deadline], successor)),
         }
     }
 }
@@ -85,7 +110,7 @@
 /// Result of waiting for an upstream.
 pub(super) enum Watched<T> {
     Answered(T),
-    /// The upstream accepts no connections any longer.
+    /// The upstream accepts no connections any longer, and the retry for another one is paid.
     Gone,
     /// The upstream was silent for long, and another one has a place. The retry is paid.
     Replaced(Place),
@@ -128,23 +153,36 @@
     let silent_ms = millis(began.elapsed());
     let replaceable = patience.replace.is_some();
     log::info!(id, upstream = name, silent_ms, replaceable; "upstream silent");
+    // The refusal of a search concerns another attempt, and this one may still be answered.
+    let search = async |successor| match next_place(req, successor).await {
+        Ok(place) => place,
+        Err(_) => std::future::pending().await,
+    };
     let replaced = async {
-        let Some((after, successor)) = patience.replace else {
-            return std::future::pending().await;
-        };
-        sleep_until(began + after).await;
-        match next_place(req, successor).await {
-            Ok(place) => place,
-            // The refusal concerns another attempt, and this one may still be answered.
-            Err(_) => std::future::pending().await,
+        if let Some(([first, last], successor)) = patience.replace {
+            sleep_until(first).await;
+            if let Ok(place) = timeout_at(last, search(successor)).await {
+                return Some(place);
+            }
         }
+        std::future::pending().await
     };
-    tokio::select! {
-        () = liveness::until_gone(&req.ctx, upstream) => {
-            req.ctx.record_outcome(&upstream.name, Outcome::Unreachable);
-            None
+    let gone = async {
+        liveness::until_gone(&req.ctx, upstream).await;
+        req.ctx.record_outcome(&upstream.name, Outcome::Unreachable);
+        match patience.replace {
+            // An upstream that refuses connections may still finish what it has begun.
+            _ if !patience.repeatable => std::future::pending().await,
+            Some((_, successor)) => Some(search(successor).await),
+            None => {
+                next_retry(req).await;
+                None
+            }
         }
-        place = replaced => Some(place),
+    };
+    tokio::select! {
+        place = gone => place,
+        place = replaced => place,
     }
 }
 
@@ -186,7 +224,10 @@
         match taken {
             // Another request may have taken the last retry meanwhile.
             Ok(place) if req.may_send() => return Ok(place),
-            Ok(_) => sleep(RETRY_INTERVAL).await,
+            Ok(place) => {
+                drop(place);
+                sleep(RETRY_INTERVAL).await;
+            }
             Err(_) => sleep(PLACE_INTERVAL).await,
         }
     }
