Read the body of a request before it is refused

- **Cause:** a request without a route, with an unreadable head or beyond the memory for bodies was refused before its body had arrived, and its connection closed.
The caller failed to write the rest and never read the refusal: neither an answer nor a refusal, beside a change of the configuration that removes a route.
- **Change:** the body is read and dropped first, 4 MiB and 1 s at most.

--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -25,7 +25,7 @@
 use hyper::{Request, Response};
 use rand::RngExt;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use self::repeats::Repeats;
 use super::answer::{Reason, Refusal};
@@ -43,6 +43,10 @@
 const MAX_ROUTING_AGE: Duration = Duration::from_secs(6);
 /// Retry time sent to callers when memory for request bodies is exhausted.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Largest body that is read of a request that is refused.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+/// Time limit for that. The rest of a body arrives within milliseconds of its head.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Memory reserved for a body of unknown size.
 const UNKNOWN_BODY_BYTES: u64 = 64 * 1024;
 
@@ -257,14 +261,13 @@
     (mut parts, body): (Parts, Incoming),
     (arrived, started): (Time, Instant),
 ) -> Result<CallerRequest, Refusal> {
-    let routing = ctx.state().routing.clone();
-    let routing = routing.ok_or(Refusal::with_retry(Reason::Unready, UNREADY_RETRY_AFTER))?;
-    let route = find_route(ctx, &routing, &parts)?;
-    let meta = ctx.dialect.parse_request(&parts.headers).map_err(|error| {
-        let error = error.to_string();
-        log::info!(error = error.as_str(); "head rejected");
-        Refusal::new(Reason::Malformed)
-    })?;
+    let (routing, route, meta) = match read_head(ctx, &parts) {
+        Ok(read) => read,
+        Err(refusal) => {
+            discard(body).await;
+            return Err(refusal);
+        }
+    };
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + timeout;
     let (body, memory) = read_body(ctx, &routing, body, deadline).await?;
@@ -314,6 +317,38 @@
     }
 }
 
+/// Finds the route of a request and parses its headers.
+fn read_head(
+    ctx: &Context,
+    parts: &Parts,
+) -> Result<(Arc<Routing>, Arc<Route>, RequestMeta), Refusal> {
+    let routing = ctx.state().routing.clone();
+    let routing = routing.ok_or(Refusal::with_retry(Reason::Unready, UNREADY_RETRY_AFTER))?;
+    let route = find_route(ctx, &routing, parts)?;
+    let meta = ctx.dialect.parse_request(&parts.headers).map_err(|error| {
+        let error = error.to_string();
+        log::info!(error = error.as_str(); "head rejected");
+        Refusal::new(Reason::Malformed)
+    })?;
+    Ok((routing, route, meta))
+}
+
+/// Reads the body of a request that is refused. If the connection were closed before the body has
+/// arrived, the caller would fail to write it and might never read the refusal.
+async fn discard(mut body: Incoming) {
+    let discarded = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    // A caller that sends no more is refused all the same.
+    let _ = timeout(DISCARD_TIME, discarded).await;
+}
+
 fn find_route(ctx: &Context, routing: &Routing, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = host(&parts.headers).or_else(|| parts.uri.host());
     let found = host.and_then(|host| routing.route(host, parts.uri.path()));
@@ -347,7 +382,10 @@
     let size = hint.exact().unwrap_or(UNKNOWN_BODY_BYTES);
     let permits = u32::try_from(size).unwrap_or(u32::MAX);
     let memory = Arc::clone(&ctx.body_memory).try_acquire_many_owned(permits);
-    let memory = memory.map_err(|_| Refusal::with_retry(Reason::Busy, BUSY_RETRY_AFTER))?;
+    let Ok(memory) = memory else {
+        discard(body).await;
+        return Err(Refusal::with_retry(Reason::Busy, BUSY_RETRY_AFTER));
+    };
     let collected = timeout_at(deadline, Limited::new(body, limit).collect()).await;
     let collected = collected.map_err(|_| Refusal::new(Reason::SlowBody))?;
     match collected {
