Leave most of a narrow link to requests

Cause: a gateway sends a digest to all others at each change, one datagram every 0.3 ms, and reports go with it. With 67 others and digests of 1 KB that is 28 Mbit/s. Change: the pause after a digest is so long that it and its reports fill a quarter of the link (`pacing`). Claims for tokens and trials, which others must hear in time, are sent without that pause. On wide links nothing changes. Without the pause 15 of 18 cases of the new test fail, with 8 to 115 of 10 Mbit/s. Load is known up to 0.3 s later from a busy gateway on a narrow link.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -22,6 +22,7 @@
 mod listeners;
 pub mod load_table;
 mod orders;
+pub mod pacing;
 pub mod peer_list;
 mod peers;
 pub mod placement;
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -21,7 +21,7 @@
 use super::directory::Directory;
 use super::health::Outcome;
 use super::load_table::{Key, Load, LoadTable, Seen, service_key};
-use super::peers::DIGEST_INTERVAL_PER_PEER;
+use super::pacing::DIGEST_INTERVAL_PER_PEER;
 use super::placement::Choice;
 use super::queue::Queue;
 use super::rate_limits::Permit;
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -16,7 +16,7 @@
 use crate::gateway::crash_watch::Standing;
 use crate::gateway::directory::{Directory, Endpoint};
 use crate::gateway::load_table::{Load, service_key};
-use crate::gateway::peers::DIGEST_INTERVAL_PER_PEER;
+use crate::gateway::pacing::DIGEST_INTERVAL_PER_PEER;
 use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens};
 use crate::gateway::queue::{KvPool, Ticket};
 
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -5,8 +5,8 @@
 //! receives. A gateway without peers decides on its own load alone.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use coord::limit::LimitReport;
@@ -17,15 +17,13 @@
 use super::context::{Context, State};
 use super::crash_watch;
 use super::load_table::{CrashReport, Digest};
+use super::pacing::{DIGEST_INTERVAL_PER_PEER, Round};
 use super::peer_list::PeerList;
 use super::rate_limits;
 use super::wakeups::WakeupThrottle;
 
 /// Time between two digests without a change.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Shortest time between two digests, to be multiplied by the number of peers that receive them.
-/// The cost of a change grows with the fleet, so in a large fleet one digest covers more changes.
-pub(super) const DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_micros(300);
 /// Largest datagram. The largest expected digest, with 500 loads, takes 8 KB.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -46,6 +44,8 @@
     start: u64,
     /// Sequence number of the next digest.
     number: AtomicU64,
+    /// What was sent since the last digest.
+    round: Mutex<Round>,
 }
 
 impl PeerExchange {
@@ -63,6 +63,7 @@
             socket,
             start: unix_millis(),
             number: AtomicU64::new(1),
+            round: Mutex::default(),
         })
     }
 
@@ -76,14 +77,17 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_heartbeat = Instant::now();
         let mut earliest = Instant::now();
+        let mut report_earliest = Instant::now();
         let mut pending = false;
         let mut newcomers = Vec::new();
         let mut wakeups = WakeupThrottle::default();
         loop {
-            let due = if pending {
-                earliest.min(next_heartbeat)
-            } else {
+            let due = if !pending {
                 next_heartbeat
+            } else if self.has_announcements() {
+                report_earliest.min(next_heartbeat)
+            } else {
+                earliest.min(next_heartbeat)
             };
             let wake = wakeups.due();
             tokio::select! {
@@ -107,19 +111,27 @@
                     self.update_seeds(&mut peer_list);
                     let heartbeat = due >= next_heartbeat;
                     let targets = peer_list.targets(self.ctx.now(), heartbeat);
-                    self.send(&peer_list, &targets, heartbeat).await;
+                    let complete = heartbeat || due >= earliest;
+                    if complete {
+                        self.send(&peer_list, &targets, heartbeat).await;
+                    }
                     if heartbeat {
                         newcomers.extend(peer_list.page_targets(self.ctx.now()));
                     }
                     let newcomers = std::mem::take(&mut newcomers);
                     pending = self.send_crashes(&targets, &newcomers).await;
                     pending |= self.send_limits(&targets, &newcomers, heartbeat).await;
+                    pending |= !complete;
                     let gone = self.expire();
                     if heartbeat || gone {
                         self.record_fleet(&peer_list);
                     }
-                    let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
-                    earliest = Instant::now() + DIGEST_INTERVAL_PER_PEER * count;
+                    let now = Instant::now();
+                    let peers = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+                    report_earliest = now + DIGEST_INTERVAL_PER_PEER * peers;
+                    if complete {
+                        earliest = now + self.end_round(peers);
+                    }
                     if heartbeat {
                         next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
                     }
@@ -196,6 +208,13 @@
         !state.suspects.is_empty() || !state.limits.is_empty()
     }
 
+    /// Returns whether something has to be announced that others must hear in time: claims for tokens and
+    /// trials. It does not wait until a narrow link has room for a digest.
+    fn has_announcements(&self) -> bool {
+        let state = self.ctx.state();
+        state.limits.has_updates() || state.trials.has_changed()
+    }
+
     async fn send(&self, peer_list: &PeerList, targets: &[SocketAddr], heartbeat: bool) {
         let mut digest = {
             let state = self.ctx.state();
@@ -305,11 +324,19 @@
         self.ctx.state().limits.has_updates()
     }
 
+    /// Returns the time until the next digest after one to this many peers.
+    fn end_round(&self, peers: u32) -> Duration {
+        let mut round = self.round.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *round).pause(peers, self.ctx.settings().resources.link.0)
+    }
+
     async fn send_to_all(&self, bytes: &[u8], targets: &[SocketAddr]) {
         for target in targets {
             if self.socket.send_to(bytes, target).await.is_err() {
                 self.ctx.telemetry.count("peer.unsent");
             }
+            let mut round = self.round.lock().unwrap_or_else(PoisonError::into_inner);
+            round.count(bytes.len());
         }
     }
 
--- a/crates/cumindoor/src/gateway/rate_limits.rs
+++ b/crates/cumindoor/src/gateway/rate_limits.rs
@@ -15,7 +15,7 @@
 
 use super::context::Context;
 use super::directory::Endpoint;
-use super::peers::DIGEST_INTERVAL_PER_PEER;
+use super::pacing::DIGEST_INTERVAL_PER_PEER;
 use super::placement::Choice;
 
 /// Time from the announcement of a claim until the other gateways have heard of it, in addition to the time
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -91,6 +91,8 @@
         connections: Count = "connections" Value("3000") ["10" to "1000000"],
         /// Maximum memory for request bodies.
         bodies: Bytes = "bodies" Value("32 MB") ["1 MB" to "64 GB"],
+        /// Bandwidth of the network link in Mbit/s. Digests to other gateways fill a part of it.
+        link: Ratio = "link" Value("1000") ["0.1" to "1000000"],
     }
 }
 
--- a/crates/cumindoor/src/gateway/trials.rs
+++ b/crates/cumindoor/src/gateway/trials.rs
@@ -147,6 +147,12 @@
         self.own.values().copied().collect()
     }
 
+    /// Returns whether the own trials changed since they were last announced.
+    #[must_use]
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
     /// Returns whether the own trials changed since the last call.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/crates/cumindoor/tests/gateway_rules.rs
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -11,6 +11,7 @@
 use cumindoor::gateway::health::{Health, Outcome};
 use cumindoor::gateway::leadership::{FleetView, Leadership};
 use cumindoor::gateway::load_table::Digest;
+use cumindoor::gateway::pacing::Round;
 use cumindoor::gateway::peer_list::PeerList;
 use cumindoor::gateway::wakeups::WakeupThrottle;
 use rand::{RngExt, SeedableRng};
@@ -410,3 +411,26 @@
 
     assert_eq!((cut_off, healed, later), (false, false, true));
 }
+
+/// Guards against digests that fill a narrow link, so that connections to upstreams time out and requests
+/// reach them after their callers have left.
+#[rstest]
+fn digests_leave_most_of_a_narrow_link_to_requests(
+    #[values(8, 68, 300)] peers: u32,
+    #[values(60, 400, 1_400)] bytes: usize,
+    #[values(1, 3)] reports: u32,
+) {
+    const LINK: f64 = 10.0;
+    const HEADERS: usize = 42;
+    let mut round = Round::default();
+    for _ in 0..peers * reports {
+        round.count(bytes);
+    }
+
+    let (narrow, wide) = (round.pause(peers, LINK), round.pause(peers, 100_000.0));
+
+    let sent = f64::from(peers * reports) * f64::from(u32::try_from(bytes + HEADERS).unwrap());
+    let used = 8.0 * sent / narrow.as_secs_f64() / 1e6;
+    assert!(used < LINK / 3.0, "{used:.1} of {LINK} Mbit/s");
+    assert_eq!(wide, Duration::from_micros(300) * peers);
+}
