--- a/crates/coord/src/limit/retries.rs
+++ b/crates/coord/src/limit/retries.rs
@@ -141,7 +141,7 @@
         granted
     }
 
-    /// Returns whether [`Self::try_retry`] would allow a retry.
+    /// Returns whether the limit allows a retry, without counting one.
     pub fn has_retry(&mut self, now: Time, limit: &RetryLimit, division: Division) -> bool {
         self.bucket(now, limit);
         self.retries_left(now, limit, division) >= 1.0
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -8,7 +8,7 @@
 use border::{Catalogue, Dialect, Routing};
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
-use coord::poison::Suspects;
+use coord::poison::{PartSuspects, Suspects};
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,9 +17,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::crash_watch::{LostAttempts, new_suspects};
+use super::crash_watch::{LostAttempts, new_part_suspects, new_suspects};
 use super::directory::Directory;
 use super::health::Outcome;
+use super::liveness::Liveness;
 use super::load_table::{Key, Load, LoadTable, Seen, service_key};
 use super::pacing::DIGEST_INTERVAL_PER_PEER;
 use super::placement::Choice;
@@ -27,7 +28,7 @@
 use super::rate_limits::Permit;
 use super::service_times::ServiceTimes;
 use super::settings::Settings;
-use super::trials::{Start, Trials};
+use super::trials::{Start, Terms, Trials};
 use crate::serve::cell::Clock;
 use crate::serve::engine::Pool;
 use crate::serve::telemetry::Telemetry;
@@ -56,8 +57,12 @@
     pub retry_budgets: BTreeMap<Key, RetryBudget<SocketAddr>>,
     /// Requests that may have crashed upstreams.
     pub suspects: Suspects,
+    /// Parts of prompts that may have crashed upstreams.
+    pub part_suspects: PartSuspects,
     /// Attempts that ended without an answer for a reason that is not known yet.
     pub lost_attempts: LostAttempts,
+    /// Probes of silent upstreams.
+    pub liveness: Liveness,
     /// Runs of requests that may have crashed upstreams.
     pub trials: Trials,
     /// Rate limits that upstreams name.
@@ -88,15 +93,6 @@
         }
     }
 
-    /// Returns the gateways among which limits of the whole fleet are divided.
-    fn division(&self, now: Time, expected: bool) -> Division {
-        let fleet = self.loads.fleet();
-        Division {
-            gateways: fleet.size(now, expected),
-            share: fleet.share(now, expected),
-        }
-    }
-
     /// Returns the retry budget of a service.
     pub fn retry_budget(&mut self, service: Key) -> &mut RetryBudget<SocketAddr> {
         let rng = &mut self.rng;
@@ -153,7 +149,9 @@
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             suspects: new_suspects(settings.gateway.name.clone()),
+            part_suspects: new_part_suspects(settings.gateway.name.clone()),
             lost_attempts: LostAttempts::default(),
+            liveness: Liveness::default(),
             trials: Trials::default(),
             limits: SharedLimits::new(settings.fleet.address.0),
             service_times: BTreeMap::new(),
@@ -270,9 +268,8 @@
     pub fn try_retry(&self, service: &Service) -> bool {
         let now = self.now();
         let limit = self.retry_limit();
-        let expected = self.expects_peers();
+        let division = self.division(now);
         let mut state = self.state();
-        let division = state.division(now, expected);
         let budget = state.retry_budget(service_key(service));
         let granted = budget.try_retry(now, &limit, division);
         let (requests, retries) = budget.counted();
@@ -292,17 +289,28 @@
         granted
     }
 
-    /// Returns whether [`Self::try_retry`] would take a retry.
+    /// Returns whether the budget has a retry. Unlike [`Self::try_retry`], it takes and logs nothing.
+    #[must_use]
     pub fn has_retry(&self, service: &Service) -> bool {
         let now = self.now();
         let limit = self.retry_limit();
-        let expected = self.expects_peers();
+        let division = self.division(now);
         let mut state = self.state();
-        let division = state.division(now, expected);
         let budget = state.retry_budget(service_key(service));
         budget.has_retry(now, &limit, division)
     }
 
+    /// Returns the gateways among which limits of the whole fleet are divided.
+    fn division(&self, now: Time) -> Division {
+        let expected = self.expects_peers();
+        let state = self.state();
+        let fleet = state.loads.fleet();
+        Division {
+            gateways: fleet.size(now, expected),
+            share: fleet.share(now, expected),
+        }
+    }
+
     /// Counts one request of a caller, which adds to the retry budget.
     pub fn count_request(&self, service: &Service) {
         let now = self.now();
@@ -352,26 +360,30 @@
 impl Reservation {
     /// Begins the trial of a suspect on the upstream. Returns false, and begins none, if another one
     /// must end first.
-    pub async fn begin_trial(&mut self, fingerprint: u128, exclusive: bool) -> bool {
+    pub async fn begin_trial(&mut self, fingerprints: &[u128], terms: Terms) -> bool {
         let now = self.ctx.now();
         let announced = {
             let mut state = self.ctx.state();
-            state
-                .trials
-                .announce(now, (self.key, fingerprint), exclusive)
+            state.trials.announce(now, (self.key, fingerprints), terms)
         };
         let Some(number) = announced else {
             return false;
         };
         self.trial = Some(number);
         self.ctx.digest_due.notify_one();
-        let started = !exclusive || self.start_trial(number).await;
+        let started = terms == Terms::AtOnce || self.start_trial(number).await;
         if !started {
             self.end_trial();
         }
         started
     }
 
+    /// Returns whether the request is on trial on the upstream.
+    #[must_use]
+    pub fn is_on_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     /// Waits until the announcements of other gateways have arrived and until no other suspect runs on
     /// the upstream. Returns whether the trial has started.
     async fn start_trial(&self, number: u64) -> bool {
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -8,22 +8,27 @@
 //!
 //! See `docs/design.md`, section 6.6, and `docs/incidents/budget-repeats.md`.
 
-use std::collections::{BTreeMap, VecDeque};
+mod attempt_guard;
+mod lost_attempts;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use attempt_guard::AttemptGuard;
 use coord::hash::hash64;
 use coord::name::{Upstream, VmName};
-use coord::poison::{CrashRecord, PoisonOptions, Suspects, UpstreamStart};
-use coord::time::Time;
+use coord::poison::{
+    CrashRecord, PartOptions, PartStanding, PartSuspects, PoisonOptions, Suspects, is_part,
+};
 use derive_more::Display;
+use lost_attempts::LostAttempt;
+pub use lost_attempts::LostAttempts;
 use tokio::time::timeout;
 
 use super::content::Content;
 use super::context::Context;
 use super::directory::UpstreamChange;
-use super::placement::Choice;
 use crate::serve::engine::SendError;
 
 /// Number of crashed upstreams after which a request is refused. Two innocent requests in a row may
@@ -37,30 +42,44 @@
 const COINCIDENCE: Duration = Duration::from_secs(1);
 /// Shortest time for which such a request is refused.
 const MIN_HOLD: Duration = Duration::from_mins(2);
+/// Shortest time for which requests with a part that crashes upstreams are refused. It is short because a
+/// sound part may be refused, if it ran each time that another one crashed upstreams.
+const MIN_PART_HOLD: Duration = Duration::from_secs(20);
 /// Time for which crashes count.
 const CRASH_RETENTION: Duration = Duration::from_hours(24);
 /// Maximum number of records in one datagram: 16 records with all their crashes take 5.1 KB.
 const MAX_RECORDS: usize = 16;
-/// Time after its first output from which an attempt is no longer suspected: requests that crash
-/// upstreams do so when their run begins.
-const PROBATION: Duration = Duration::from_secs(1);
 /// Time within which an upstream that crashed refuses a connection.
 const REFUSAL_TIME: Duration = Duration::from_millis(20);
 /// Time within which a probe ends: the time limit for a connection and a margin.
 const PROBE_TIME: Duration = Duration::from_millis(300);
-/// Time after a lost attempt within which its upstream counts as crashed if it leaves the list. The
-/// store drops the entry of an upstream after three missed heartbeats, a few seconds.
-const DELISTING_TIME: Duration = Duration::from_secs(10);
-/// Maximum number of lost attempts that wait for that.
-const MAX_UNEXPLAINED: usize = 1_024;
+/// Maximum number of crashes that are told in a log line.
+const MAX_LOGGED_CRASHES: usize = 6;
+
+/// Lengthens the time of a refusal by up to as much again. Refusals end at a different time at each gateway,
+/// so that one of them tries the request and the others learn of the result.
+fn spread(hold: Duration, vm: &VmName) -> Duration {
+    let spread = f64::from(u32::try_from(hash64(vm.as_str().as_bytes()) >> 32).unwrap_or(0));
+    hold.mul_f64(1.0 + spread / f64::from(u32::MAX))
+}
+
+/// Returns the empty table of the crashes of parts of a gateway.
+#[must_use]
+pub fn new_part_suspects(vm: VmName) -> PartSuspects {
+    let options = PartOptions {
+        max_crashes: MAX_CRASHES,
+        hold: spread(MIN_PART_HOLD, &vm),
+        retention: CRASH_RETENTION,
+        max_batch: MAX_RECORDS,
+        ..PartOptions::default()
+    };
+    PartSuspects::new(vm, options)
+}
 
 /// Returns the empty table of crashes of a gateway.
 #[must_use]
 pub fn new_suspects(vm: VmName) -> Suspects {
-    // Refusals end at a different time at each gateway, so that one of them tries the request and
-    // the others learn of the result.
-    let spread = f64::from(u32::try_from(hash64(vm.as_str().as_bytes()) >> 32).unwrap_or(0));
-    let hold = MIN_HOLD.mul_f64(1.0 + spread / f64::from(u32::MAX));
+    let hold = spread(MIN_HOLD, &vm);
     let options = PoisonOptions {
         max_crashes: MAX_CRASHES,
         max_excused: MAX_EXCUSED,
@@ -86,147 +105,18 @@
     Restarted,
 }
 
-/// An attempt that ended without a complete answer.
-#[derive(Clone, Debug)]
-pub struct LostAttempt {
-    id: Arc<str>,
-    content: Content,
-    /// Fingerprint of the step that was lost.
-    fingerprint: u128,
-    upstream: UpstreamStart,
-    address: SocketAddr,
-    began: Time,
-    at: Time,
-}
-
-/// Lost attempts whose cause is not known yet.
-#[derive(Clone, Debug, Default)]
-pub struct LostAttempts {
-    /// Attempts at upstreams that are being probed.
-    probed: BTreeMap<Upstream, Vec<LostAttempt>>,
-    /// Attempts at upstreams that still accept connections, oldest first.
-    unexplained: VecDeque<LostAttempt>,
-}
-
-impl LostAttempts {
-    /// Adds an attempt. Returns whether a probe of its upstream has to be started.
-    fn add(&mut self, lost: LostAttempt) -> bool {
-        let waiting = self
-            .probed
-            .entry(lost.upstream.upstream.clone())
-            .or_default();
-        waiting.push(lost);
-        waiting.len() == 1
-    }
-
-    /// Returns whether an upstream is being probed.
-    fn is_probed(&self, upstream: &Upstream) -> bool {
-        self.probed.contains_key(upstream)
-    }
-
-    /// Takes the attempts that waited for the result of a probe.
-    fn take_probed(&mut self, upstream: &Upstream) -> Vec<LostAttempt> {
-        self.probed.remove(upstream).unwrap_or_default()
-    }
-
-    /// Keeps attempts in case their upstream leaves the list.
-    fn keep(&mut self, now: Time, attempts: Vec<LostAttempt>) {
-        self.unexplained.extend(attempts);
-        let is_old = |lost: &LostAttempt| now.since(lost.at) >= DELISTING_TIME;
-        while self.unexplained.front().is_some_and(is_old)
-            || self.unexplained.len() > MAX_UNEXPLAINED
-        {
-            self.unexplained.pop_front();
-        }
-    }
-
-    /// Takes the recent attempts at an upstream that left the list.
-    fn take_delisted(&mut self, now: Time, upstream: &Upstream) -> Vec<LostAttempt> {
-        let all = std::mem::take(&mut self.unexplained);
-        let there = |lost: &LostAttempt| lost.upstream.upstream == *upstream;
-        let (taken, kept): (VecDeque<_>, _) = all.into_iter().partition(there);
-        self.unexplained = kept;
-        let is_recent = |lost: &LostAttempt| now.since(lost.at) < DELISTING_TIME;
-        taken.into_iter().filter(is_recent).collect()
-    }
-}
-
-/// Watches over one attempt at an upstream. Dropping it means that the attempt was lost, whether the
-/// connection broke, a time limit passed or the caller left.
-pub struct AttemptGuard {
-    ctx: Arc<Context>,
-    lost: Option<LostAttempt>,
-    first_output: Option<Time>,
-}
-
-impl AttemptGuard {
-    /// Begins to watch over an attempt.
-    #[must_use]
-    pub fn new(
-        ctx: &Arc<Context>,
-        (id, content): (&Arc<str>, Content),
-        fingerprint: u128,
-        choice: &Choice,
-    ) -> Self {
-        let start = start_of(ctx, &choice.name).unwrap_or_default();
-        let lost = LostAttempt {
-            id: Arc::clone(id),
-            content,
-            fingerprint,
-            upstream: UpstreamStart::new(choice.name.clone(), start),
-            address: choice.address,
-            began: ctx.now(),
-            at: Time::ZERO,
-        };
-        Self {
-            ctx: Arc::clone(ctx),
-            lost: Some(lost),
-            first_output: None,
-        }
-    }
-
-    /// Records that output arrived.
-    pub fn record_output(&mut self) {
-        self.first_output.get_or_insert(self.ctx.now());
-    }
-
-    /// Ends the watch because the upstream certainly did not run the request.
-    pub fn not_executed(mut self) {
-        self.lost = None;
-    }
-
-    /// Ends the watch because the request ran without a crash.
-    pub fn completed(mut self) {
-        let Some(ran) = self.lost.take() else { return };
-        let now = self.ctx.now();
-        let cleared = self.ctx.state().suspects.completed(now, ran.fingerprint);
-        if cleared {
-            let (id, content) = (&*ran.id, ran.content.to_string());
-            log::info!(id, content = content.as_str(); "suspicion cleared");
-            self.ctx.telemetry.count("crash.cleared");
-            self.ctx.digest_due.notify_one();
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        let Some(mut lost) = self.lost.take() else {
-            return;
-        };
-        lost.at = self.ctx.now();
-        let proven = |first| lost.at.since(first) >= PROBATION;
-        if !self.first_output.is_some_and(proven) {
-            investigate(&self.ctx, lost);
-        }
-    }
-}
-
-/// Returns how long a request is still refused because upstreams crashed while they ran it.
+/// Returns how long a request is still refused because upstreams crashed while they ran it, or requests
+/// with the same part.
 #[must_use]
-pub fn refusal(ctx: &Context, content: Content) -> Option<Duration> {
+pub fn refusal(ctx: &Context, content: &Content) -> Option<Duration> {
     let now = ctx.now();
-    ctx.state().suspects.refusal(now, &content.steps())
+    let state = ctx.state();
+    let alone = state.suspects.refusal(now, &content.steps());
+    let by_part = match state.part_suspects.standing(now, &content.part_prints) {
+        PartStanding::Refused { retry_after, .. } => Some(retry_after),
+        _ => None,
+    };
+    alone.max(by_part)
 }
 
 /// How a request is treated because of the upstreams that crashed while they ran it.
@@ -240,9 +130,9 @@
     OnTrial,
 }
 
-/// Returns how a request is treated at present.
+/// Returns how a request is treated at present, whatever the parts of its prompt.
 #[must_use]
-pub fn standing(ctx: &Context, content: Content) -> Standing {
+pub fn standing_alone(ctx: &Context, content: &Content) -> Standing {
     let now = ctx.now();
     match ctx.state().suspects.crash_count(now, &content.steps()) {
         0 => Standing::Clear,
@@ -251,10 +141,37 @@
     }
 }
 
+/// Returns how a request is treated because of the parts of its prompt.
+#[must_use]
+pub fn standing_by_parts(ctx: &Context, content: &Content) -> Standing {
+    let now = ctx.now();
+    let state = ctx.state();
+    match state.part_suspects.standing(now, &content.part_prints) {
+        PartStanding::Clear => Standing::Clear,
+        PartStanding::Suspect => Standing::Suspect,
+        PartStanding::OnTrial | PartStanding::Refused { .. } => Standing::OnTrial,
+    }
+}
+
+/// Returns how a request is treated at present.
+#[must_use]
+pub fn standing(ctx: &Context, content: &Content) -> Standing {
+    standing_alone(ctx, content).max(standing_by_parts(ctx, content))
+}
+
+/// Returns the fingerprints that are on trial while a request runs: its own, and those of its suspected
+/// parts.
+#[must_use]
+pub fn tried_prints(ctx: &Context, content: &Content) -> Vec<u128> {
+    let mut tried = ctx.state().part_suspects.accused(&content.part_prints);
+    tried.push(content.run);
+    tried
+}
+
 /// Waits until it is known whether an upstream crashed at which an attempt was just lost, so that the
 /// next attempt takes it into account. A request that no upstream crashed under before waits only
 /// as long as an upstream needs to refuse a connection.
-pub async fn settle(ctx: &Context, content: Content, upstream: &Upstream) {
+pub async fn settle(ctx: &Context, content: &Content, upstream: &Upstream) {
     let limit = match standing(ctx, content) {
         Standing::Clear => REFUSAL_TIME,
         Standing::Suspect | Standing::OnTrial => PROBE_TIME,
@@ -274,21 +191,34 @@
     let _ = timeout(limit, settled).await;
 }
 
-/// Logs what is believed of a request that is refused: the upstreams that crashed, and which gateway
-/// saw it how long ago.
-pub fn log_refusal(ctx: &Context, id: &str, content: Content, retry_after: Duration) {
+/// Logs what is believed of a request that is refused: the part of its prompt at fault, if it is one, the
+/// upstreams that crashed, and which gateway saw it how long ago.
+pub fn log_refusal(ctx: &Context, id: &str, content: &Content, retry_after: Duration) {
     let now = ctx.now();
-    let sightings = ctx.state().suspects.sightings(now, &content.steps());
-    let told = sightings.iter().map(|seen| {
+    let (part, sightings) = {
+        let state = ctx.state();
+        match state.part_suspects.standing(now, &content.part_prints) {
+            PartStanding::Refused { part, .. } => {
+                let sightings = state.part_suspects.sightings(now, part);
+                (content.logged(|other| other == part), sightings)
+            }
+            _ => (
+                String::new(),
+                state.suspects.sightings(now, &content.steps()),
+            ),
+        }
+    };
+    let crashes = sightings.len();
+    let told = sightings.iter().take(MAX_LOGGED_CRASHES).map(|seen| {
         let ms = seen.age.as_millis();
         format!("{} seen by {} {ms} ms ago", seen.crashed, seen.observer)
     });
     let told: Vec<String> = told.collect();
-    let (crashes, told) = (told.len(), told.join(", "));
+    let told = told.join(", ");
     let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
     let content = content.to_string();
     log::info!(
-        id, content = content.as_str(), crashes, believed = told.as_str(), retry_ms;
+        id, content = content.as_str(), part = part.as_str(), crashes, believed = told.as_str(), retry_ms;
         "poison refused"
     );
 }
@@ -296,26 +226,68 @@
 /// Merges the records of another gateway, which has sent them to all.
 pub fn merge_reports(ctx: &Context, records: &[CrashRecord]) {
     let now = ctx.now();
-    let changed = ctx.state().suspects.merge(now, records);
+    let (parts, requests): (Vec<_>, Vec<_>) = records
+        .iter()
+        .cloned()
+        .partition(|record| is_part(record.fingerprint));
+    let (changed, answers) = {
+        let mut state = ctx.state();
+        let mut changed = state.suspects.merge(now, &requests);
+        changed.extend(state.part_suspects.merge(now, &parts));
+        (changed, state.part_suspects.has_updates())
+    };
+    if answers {
+        ctx.digest_due.notify_one();
+    }
+    if !changed.is_empty() {
+        // Requests that wait for a trial may be refused or cleared by now.
+        ctx.capacity_freed.notify_waiters();
+    }
     let count = u64::try_from(changed.len()).unwrap_or(u64::MAX);
     ctx.telemetry.add("crash.reported", count);
 }
 
 /// Takes note of a change to the list of upstreams.
-pub fn record_change(ctx: &Context, name: &Upstream, change: &UpstreamChange) {
-    let evidence = match change {
-        UpstreamChange::Removed => Evidence::Delisted,
-        UpstreamChange::Restarted => Evidence::Restarted,
+pub fn record_change(ctx: &Arc<Context>, name: &Upstream, change: &UpstreamChange) {
+    let now = ctx.now();
+    let (lost, silent) = {
+        let attempts = &mut ctx.state().lost_attempts;
+        match change {
+            UpstreamChange::Removed | UpstreamChange::Restarted | UpstreamChange::Draining => (
+                attempts.take_delisted(now, name),
+                attempts.take_silent(now, name),
+            ),
+            _ => return,
+        }
+    };
+    match change {
+        UpstreamChange::Restarted => {
+            accuse(ctx, &lost, Evidence::Restarted);
+            accuse(ctx, &silent, Evidence::Restarted);
+        }
         // It ends by plan, and what it cuts off then was no crash.
-        UpstreamChange::Draining => {
-            ctx.state().lost_attempts.take_delisted(ctx.now(), name);
-            return;
+        UpstreamChange::Draining => {}
+        _ => {
+            accuse(ctx, &lost, Evidence::Delisted);
+            probe_silent(ctx, silent);
         }
-        _ => return,
+    }
+}
+
+/// Accuses the attempts that wait for an upstream which has left the list, if it accepts no connection. Without
+/// this, the connection to an upstream that has gone dark tells of its crash only when a time limit passes.
+fn probe_silent(ctx: &Arc<Context>, silent: Vec<LostAttempt>) {
+    let Some(address) = silent.first().map(|attempt| attempt.address) else {
+        return;
     };
-    let now = ctx.now();
-    let lost = ctx.state().lost_attempts.take_delisted(now, name);
-    accuse(ctx, &lost, evidence);
+    let ctx = Arc::clone(ctx);
+    let tasks = ctx.tasks.clone();
+    tasks.spawn(async move {
+        // One that accepts connections may have lost only its contact to the store.
+        if let Some(evidence) = reach(&ctx, address).await {
+            accuse(&ctx, &silent, evidence);
+        }
+    });
 }
 
 fn start_of(ctx: &Context, upstream: &Upstream) -> Option<u64> {
@@ -339,18 +311,22 @@
     }
 }
 
-/// Finds out whether an upstream still accepts connections, and accuses the requests that were lost
-/// there if it does not.
-async fn probe(ctx: &Context, name: &Upstream, address: SocketAddr) {
-    let connected = ctx.pool.connect(address).await;
-    let unreachable = match connected {
+/// Returns why an upstream counts as crashed, or `None` if it accepts connections.
+async fn reach(ctx: &Context, address: SocketAddr) -> Option<Evidence> {
+    match ctx.pool.connect(address).await {
         Ok(connection) => {
             connection.release();
             None
         }
         Err(SendError::Refused(_)) => Some(Evidence::Refused),
         Err(_) => Some(Evidence::Unreachable),
-    };
+    }
+}
+
+/// Finds out whether an upstream still accepts connections, and accuses the requests that were lost
+/// there if it does not.
+async fn probe(ctx: &Context, name: &Upstream, address: SocketAddr) {
+    let unreachable = reach(ctx, address).await;
     let lost = ctx.state().lost_attempts.take_probed(name);
     let evidence = match start_of(ctx, name) {
         None => Some(Evidence::Delisted),
@@ -370,22 +346,35 @@
 fn accuse(ctx: &Context, lost: &[LostAttempt], evidence: Evidence) {
     let evidence = evidence.to_string();
     for lost in lost {
+        if lost.on_trial {
+            lost.crashed.cancel();
+        }
         let now = ctx.now();
-        let crashes = {
-            let suspects = &mut ctx.state().suspects;
+        let (crashes, accused) = {
+            let mut state = ctx.state();
             let ran = lost.at.since(lost.began);
+            let suspects = &mut state.suspects;
             suspects.upstream_crashed(lost.at, &lost.upstream, ran, &[lost.fingerprint]);
-            suspects.crash_count(now, &lost.content.steps())
+            let crashes = suspects.crash_count(now, &lost.content.steps());
+            let parts = &mut state.part_suspects;
+            parts.upstream_crashed(lost.at, &lost.upstream, ran, lost.parts());
+            (crashes, parts.accused(lost.parts()))
         };
         ctx.telemetry.count("crash.seen");
+        let count = u64::try_from(accused.len()).unwrap_or(u64::MAX);
+        ctx.telemetry.add("part.accused", count);
+        let accused = lost.content.logged(|part| accused.contains(&part));
         let (id, content) = (&*lost.id, lost.content.to_string());
+        let parts = lost.content.logged_parts();
         let upstream = lost.upstream.upstream.as_str();
         log::info!(
-            id, content = content.as_str(), upstream, evidence = evidence.as_str(), crashes;
+            id, content = content.as_str(), parts = parts.as_str(), accused = accused.as_str(), upstream,
+            evidence = evidence.as_str(), crashes;
             "request suspected"
         );
     }
     if !lost.is_empty() {
         ctx.digest_due.notify_one();
+        ctx.capacity_freed.notify_waiters();
     }
 }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 mod relay;
 mod repeats;
 mod send;
+mod silence;
 mod wait;
 
 use std::net::IpAddr;
@@ -113,14 +114,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time without an event after which the caller of a stream gives up.
+    fn abandon_time(&self) -> Duration {
+        let gap = self.route.max_gap.unwrap_or_default();
+        let silence =
+            (self.route.target_latency * STREAM_ABANDON_TARGETS).max(gap * STREAM_ABANDON_GAPS);
+        silence.max(STREAM_ABANDON_TIME)
+    }
+
     /// Returns whether the caller of a stream is assumed to have given up before the first event.
     /// Its closed connection may not have been detected yet, and an engine would generate output
     /// that nobody reads.
     fn is_abandoned(&self) -> bool {
-        let gap = self.route.max_gap.unwrap_or_default();
-        let silence =
-            (self.route.target_latency * STREAM_ABANDON_TARGETS).max(gap * STREAM_ABANDON_GAPS);
-        self.started.elapsed() > silence.max(STREAM_ABANDON_TIME)
+        self.started.elapsed() > self.abandon_time()
     }
 
     /// Returns whether the request may be sent to an upstream, and takes a token of the retry budget if that
@@ -148,16 +154,21 @@
     /// Refuses a request while it is known to crash upstreams. Call it before each attempt, because
     /// other gateways or the previous attempt may have seen another crash.
     fn refuse_poison(&self) -> Result<(), Refusal> {
-        let Some(retry_after) = crash_watch::refusal(&self.ctx, self.content) else {
+        let Some(retry_after) = crash_watch::refusal(&self.ctx, &self.content) else {
             return Ok(());
         };
-        crash_watch::log_refusal(&self.ctx, &self.meta.id, self.content, retry_after);
+        crash_watch::log_refusal(&self.ctx, &self.meta.id, &self.content, retry_after);
         Err(self.broken_if_executed(Refusal::until(Reason::Poison, retry_after)))
     }
 
     /// Returns how the request is treated because of upstreams that crashed while they ran it.
     fn standing(&self) -> Standing {
-        crash_watch::standing(&self.ctx, self.content)
+        crash_watch::standing(&self.ctx, &self.content)
+    }
+
+    /// Returns whether a part of its prompt is suspected to crash upstreams.
+    fn has_suspected_part(&self) -> bool {
+        crash_watch::standing_by_parts(&self.ctx, &self.content) > Standing::Clear
     }
 
     fn kind(&self) -> RouteKind {
@@ -202,7 +213,7 @@
     let mut content = None;
     let answered = match read_request(&ctx, caller, (parts, body), (arrived, started)).await {
         Ok(req) => {
-            content = Some(req.content);
+            content = Some(req.content.clone());
             run(Arc::new(req)).await
         }
         Err(refusal) => Err(refusal),
@@ -262,7 +273,9 @@
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
     ctx.count_request(&service);
     let host = host(&parts.headers).or_else(|| parts.uri.host());
-    let content = Content::new(caller, host.unwrap_or_default(), &parts, &body);
+    let shared = shared_parts(ctx, &meta);
+    let caller = (caller, host.unwrap_or_default());
+    let content = Content::new(caller, &parts, &body, shared);
     headers::strip(&mut parts.headers);
     ctx.dialect.remove_reserved_headers(&mut parts.headers);
     // The HTTP client sets the length of the request to the upstream.
@@ -286,6 +299,21 @@
     })
 }
 
+/// Returns the ids of the shared parts of a prompt. A request whose parts cannot be read is handled as
+/// one without parts.
+fn shared_parts<'a>(ctx: &Context, meta: &'a RequestMeta) -> &'a [Arc<str>] {
+    match &meta.shared_parts {
+        None => &[],
+        Some(Ok(parts)) => parts,
+        Some(Err(error)) => {
+            ctx.telemetry.count("parts.unreadable");
+            let (id, error) = (&*meta.id, error.to_string());
+            log::info!(id, error = error.as_str(); "parts unreadable");
+            &[]
+        }
+    }
+}
+
 fn find_route(ctx: &Context, routing: &Routing, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = host(&parts.headers).or_else(|| parts.uri.host());
     let found = host.and_then(|host| routing.route(host, parts.uri.path()));
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -12,10 +12,11 @@
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::relay::{self, DecodeRun};
 use super::send::{self, Failure};
+use super::silence::{self, Patience, Watched};
 use super::{CallerRequest, millis, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation};
@@ -70,8 +71,13 @@
         let (mut decode, mut reservation) =
             placed.map_err(|refusal| req.broken_if_executed(refusal))?;
         let placed = *first_placed.get_or_insert_with(|| req.ctx.now());
-        // A prefill engine in the same data centre is preferred for the transfer.
-        let held = prefiller.prefill(&decode.data_centre).await;
+        // Each engine that a suspect reaches may crash, so its decode engine does the prefill as well.
+        let held = if prefiller.held.is_none() && req.has_suspected_part() {
+            None
+        } else {
+            // A prefill engine in the same data centre is preferred for the transfer.
+            prefiller.prefill(&decode.data_centre).await
+        };
         // Other gateways may have placed load on the engine during the prefill.
         if let Some(other) = wait::rereserve_if_overloaded(req, &model, demand, (&decode, &tried)) {
             (decode, reservation) = other;
@@ -85,7 +91,14 @@
             None => Step::EndToEnd,
         };
         let place = (&decode, &mut reservation);
-        let sent = send::send(req, place, step, req.meta.last_event_id).await;
+        let sending = send::send(req, place, step, req.meta.last_event_id);
+        let patience = Patience::stream(req, None);
+        let sent = match silence::watch(req, &decode, patience, sending).await {
+            Watched::Answered(sent) => sent,
+            Watched::Gone | Watched::Replaced(_) => {
+                Err(send::record_lost(req, &decode, silence::GONE))
+            }
+        };
         let failure = match sent {
             Ok(answer) => {
                 if let Some(held) = held {
@@ -101,14 +114,16 @@
             }
             Err(failure) => failure,
         };
-        drop(reservation);
+        if !matches!(failure, Failure::Lost(_)) {
+            drop(reservation);
+        }
         match &failure {
             Failure::Withdrawn => {
                 tried.push(decode.name.clone());
                 prefiller.held = held;
                 continue;
             }
-            Failure::Limited => {
+            Failure::Limited | Failure::Suspected => {
                 prefiller.held = held;
                 continue;
             }
@@ -128,7 +143,7 @@
                 if !req.kind().is_retryable() || req.route.max_attempts <= 1 {
                     return Err(Refusal::new(Reason::Broken));
                 }
-                crash_watch::settle(&req.ctx, req.content, &decode.name).await;
+                crash_watch::settle(&req.ctx, &req.content, &decode.name).await;
             }
         }
         let unreached = !failure.reached_upstream();
@@ -220,7 +235,7 @@
         if let Some(held) = self.held.take() {
             return Some(held);
         }
-        let (ctx, content) = (&self.req.ctx, self.req.content);
+        let (ctx, content) = (&self.req.ctx, &self.req.content);
         let may_run = || crash_watch::refusal(ctx, content).is_none();
         while self.attempts < MAX_PREFILL_ATTEMPTS && may_run() {
             if !self.req.may_send() {
@@ -232,7 +247,7 @@
                 Err(failure) if failure.reached_upstream() => {
                     let last = self.tried.last();
                     if let Some(last) = last.filter(|_| !failure.not_executed()) {
-                        crash_watch::settle(&self.req.ctx, self.req.content, last).await;
+                        crash_watch::settle(&self.req.ctx, &self.req.content, last).await;
                     }
                 }
                 Err(_) => self.attempts -= 1,
@@ -254,8 +269,23 @@
         let estimate = Duration::from_secs_f64(estimate / 1_000.0);
         let limit = estimate.mul_f64(PREFILL_TIMEOUT_FACTOR) + PREFILL_TIMEOUT_MARGIN;
         let call = self.call(&choice, &mut reservation);
-        let late = |_| send::record_lost(self.req, &choice, "the prefill timed out");
-        let called = timeout(limit, call).await.map_err(late).and_then(|r| r);
+        let late = async {
+            sleep(limit).await;
+            // Without a retry, the request could go nowhere else.
+            silence::next_retry(self.req).await;
+        };
+        let called = tokio::select! {
+            biased;
+            watched = silence::watch(self.req, &choice, Patience::prefill(limit), call) => {
+                match watched {
+                    Watched::Answered(called) => called,
+                    Watched::Gone | Watched::Replaced(_) => {
+                        Err(send::record_lost(self.req, &choice, silence::GONE))
+                    }
+                }
+            }
+            () = late => Err(send::record_lost(self.req, &choice, "the prefill timed out")),
+        };
         drop(reservation);
         self.tried.push(choice.name.clone());
         if called.is_ok() {
