--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod liveness;
 pub mod load_table;
 mod orders;
+pub mod pacing;
 pub mod peer_list;
 mod peers;
 pub mod placement;
