Keep to what upstreams state about themselves: leaving, and taking nothing for a while

- **Cause:** an engine that leaves says so in all its answers, and one that refuses may name the seconds for which it wants nothing.
Nothing read either header, so requests went on to engines whose entry still said ready.
- **Change:** gateway/statements keeps both by start of the upstream.
Placement, orders and the check before each send ask it; entries of the store do not withdraw it.
Leaving is told to other gateways in digests.
Refusals name the earliest time at which an upstream takes requests again.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -81,6 +81,15 @@
     pub slots: u32,
 }
 
+/// What an upstream states about itself in an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time for which it takes no requests of this gateway, if it refused this one and states such a time.
+    pub pause: Option<Result<Duration, Malformed>>,
+}
+
 /// Contents of an upstream's response headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
@@ -94,6 +103,8 @@
     pub signed: bool,
     /// Load of the upstream, if stated.
     pub work: Option<Work>,
+    /// What the upstream states about itself.
+    pub statement: Statement,
     /// Rate of requests that the upstream takes from all gateways together, if it states one.
     pub rate_limit: Option<Result<Rate, Malformed>>,
 }
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use dialect::{
     AttemptMeta, Dialect, KvSource, OrderAnswer, PrefillResult, Prompt, Reply, RequestMeta,
-    StageOrder, Step, Work,
+    StageOrder, Statement, Step, Work,
 };
 pub use published::{Catalogue, Change, Page, Stage, Topic, UpstreamEntry};
 pub use routing::{CallerLimits, Model, Route, RouteKind, Routing, ServiceDef};
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -29,6 +29,7 @@
 mod rate_limits;
 pub mod service_times;
 mod settings;
+pub mod statements;
 mod store_watch;
 pub mod trials;
 pub mod wakeups;
--- a/crates/cumindoor/src/gateway/answer.rs
+++ b/crates/cumindoor/src/gateway/answer.rs
@@ -44,6 +44,9 @@
     /// The rate limits of the upstreams leave no room.
     #[display("limited")]
     Limited,
+    /// The upstreams have stated that they take no requests for a while.
+    #[display("paused")]
+    Paused,
     /// The upstreams refused the request.
     #[display("refused")]
     Refused,
@@ -77,6 +80,7 @@
             | Self::NoUpstream
             | Self::Overloaded
             | Self::Limited
+            | Self::Paused
             | Self::Refused
             | Self::Poison
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -13,6 +13,7 @@
 use super::health::Health;
 use super::load_table::{Key, upstream_key};
 use super::placement::Choice;
+use super::statements::Statements;
 
 /// An upstream as this gateway sees it: its published entry and the results of recent requests.
 #[derive(Clone, Debug)]
@@ -67,6 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: BTreeMap<Upstream, Endpoint>,
+    /// What upstreams state about themselves in their answers.
+    pub statements: Statements,
     /// End of the grace period during which entries that disappear are kept, except those of
     /// draining upstreams.
     grace_until: Time,
@@ -139,6 +142,9 @@
 
     /// Removes entries that did not return within the grace period, and returns their names.
     pub fn expire(&mut self, now: Time) -> Vec<Upstream> {
+        let upstreams = &self.upstreams;
+        let is_listed = |key| upstreams.values().any(|endpoint| endpoint.limit_key == key);
+        self.statements.expire(now, is_listed);
         if now < self.grace_until {
             return Vec::new();
         }
@@ -166,16 +172,22 @@
         self.upstreams.get(&choice.name).is_some_and(|endpoint| {
             let entry = &endpoint.entry;
             let same = endpoint.limit_key == choice.limit_key && entry.service == choice.service;
-            same && entry.stage == choice.stage && !entry.draining
+            same && entry.stage == choice.stage && !self.is_leaving(endpoint)
         })
     }
 
+    /// Returns whether an upstream is leaving, by its entry or by its own statement.
+    #[must_use]
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        endpoint.entry.draining || self.statements.is_leaving(endpoint.limit_key)
+    }
+
     /// Returns the upstream with this name for an update of its health.
     pub fn get_mut(&mut self, name: &Upstream) -> Option<&mut Endpoint> {
         self.upstreams.get_mut(name)
     }
 
-    /// Returns the upstreams of a service at a stage that are not draining. Upstreams of plain
+    /// Returns the upstreams of a service at a stage that are not leaving. Upstreams of plain
     /// services have no stage.
     pub fn usable<'a, 's>(
         &'a self,
@@ -184,14 +196,14 @@
     ) -> impl Iterator<Item = &'a Endpoint> + use<'a, 's> {
         let fits = move |endpoint: &&Endpoint| {
             let entry = &endpoint.entry;
-            entry.service == *service && entry.stage == stage && !entry.draining
+            entry.service == *service && entry.stage == stage && !self.is_leaving(endpoint)
         };
         self.upstreams.values().filter(fits)
     }
 
-    /// Returns the upstreams of a service that are not draining, at any stage.
+    /// Returns the upstreams of a service that are not leaving, at any stage.
     pub fn not_draining<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Endpoint> {
-        let fits = move |e: &&Endpoint| e.entry.service == *service && !e.entry.draining;
+        let fits = move |e: &&Endpoint| e.entry.service == *service && !self.is_leaving(e);
         self.upstreams.values().filter(fits)
     }
 
@@ -279,8 +291,9 @@
     }
 
     fn remove(&mut self, now: Time, name: &Upstream) -> Option<UpstreamChange> {
+        let leaving = self.is_leaving(self.upstreams.get(name)?);
         let endpoint = self.upstreams.get_mut(name)?;
-        if now < self.grace_until && !endpoint.entry.draining {
+        if now < self.grace_until && !leaving {
             endpoint.missing_since.get_or_insert(now);
             return Some(UpstreamChange::Missing);
         }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -345,7 +345,7 @@
         }
     };
     match timeout_at(req.deadline, running).await {
-        Ok(answered) => answered,
+        Ok(answered) => answered.map_err(|refusal| place::outlast_pause(&req, refusal)),
         Err(_) => Err(req.refusal(Reason::Late, Reason::TimedOut, BUSY_RETRY_AFTER)),
     }
 }
--- a/crates/cumindoor/src/gateway/exchange/place.rs
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -162,12 +162,48 @@
     limit.max(Instant::now() + least).min(req.deadline)
 }
 
-/// Refuses a request if the rate limits of all upstreams that could take it leave no room in time.
+/// Returns the time until the first upstream takes requests again, if all that were not tried have stated
+/// that they take none for a while.
+pub(super) fn pause_left(
+    req: &CallerRequest,
+    stage: Option<Stage>,
+    tried: &[Upstream],
+) -> Option<(Upstream, Duration)> {
+    let mut known = req.ctx.state();
+    let placer = wait::placer(&req.ctx, &mut known, None);
+    let (first, left) = placer.paused_out(&req.service, stage, tried)?;
+    Some((first.name.clone(), left))
+}
+
+/// Delays the return of a refused caller until an upstream takes requests again, if all of them have stated
+/// that they take none for a while.
+pub(super) fn outlast_pause(req: &CallerRequest, refusal: Refusal) -> Refusal {
+    if !matches!(refusal.reason, Reason::NoUpstream | Reason::Refused) {
+        return refusal;
+    }
+    let is_model = req.def.model.is_some() && req.meta.prompt.is_some();
+    let stage = is_model.then_some(Stage::Decode);
+    match pause_left(req, stage, &[]) {
+        Some((_, left)) => Refusal::until(refusal.reason, left),
+        None => refusal,
+    }
+}
+
+/// Refuses a request if no upstream that could take it does so in time, because of rate limits or because
+/// all of them have stated that they take none for a while.
 pub(super) fn refuse_limited(
     req: &CallerRequest,
     stage: Option<Stage>,
     search: Search<'_>,
 ) -> Result<(), Refusal> {
+    let patience = search.limit_until.saturating_duration_since(Instant::now());
+    let paused = pause_left(req, stage, search.tried);
+    if let Some((first, left)) = paused.filter(|(_, left)| *left > patience) {
+        let (id, upstream) = (&*req.meta.id, first.as_str());
+        let retry_ms = super::millis(left);
+        log::info!(id, upstream, retry_ms; "pause refused");
+        return Err(Refusal::until(Reason::Paused, left));
+    }
     let next = {
         let mut known = req.ctx.state();
         let placer = wait::placer(&req.ctx, &mut known, Some(search));
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -16,6 +16,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::Choice;
 use crate::gateway::rate_limits::{self, Permit};
+use crate::gateway::statements;
 use crate::serve::engine::{Lease, SendError, full_body};
 
 /// Longest idle time after which a connection still carries a request that may be executed only
@@ -43,8 +44,9 @@
     /// Nothing was sent, because the upstream is leaving or gone, or is another one by now.
     #[display("the upstream is no longer there")]
     Withdrawn,
-    /// Nothing was sent, because the upstream's rate limit leaves no room.
-    #[display("the rate limit leaves no room")]
+    /// Nothing was sent, because the upstream's rate limit leaves no room or the upstream takes nothing for
+    /// a while.
+    #[display("the upstream takes no more requests at present")]
     Limited,
     /// Nothing listens at the address.
     #[display("{_0}")]
@@ -129,6 +131,7 @@
             let (head, body) = connected.response.into_parts();
             let reply = req.ctx.dialect.parse_reply(head.status, &head.headers);
             if !is_foreign(req, &reply) {
+                statements::record(&req.ctx, choice, &reply.statement);
                 let served = head.status.is_success() && (reply.signed || prefill);
                 let genuine = served || reply.not_executed;
                 rate_limits::record_reply(&req.ctx, choice, (&reply, asked), genuine);
@@ -170,8 +173,16 @@
     choice: &Choice,
     reservation: &mut Reservation,
 ) -> Result<Permit, Failure> {
-    if !req.ctx.state().directory.is_current(choice) {
-        return Err(Failure::Withdrawn);
+    let now = req.ctx.now();
+    let paused = {
+        let directory = &req.ctx.state().directory;
+        if !directory.is_current(choice) {
+            return Err(Failure::Withdrawn);
+        }
+        directory.statements.pause_left(now, choice.limit_key)
+    };
+    if paused.is_some() {
+        return Err(Failure::Limited);
     }
     let permit = reservation.take_permit(choice);
     permit.ok_or(Failure::Limited)
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use coord::hash::hash64;
-use coord::limit::{FleetSize, Sighting};
+use coord::limit::{FleetSize, LimitKey, Sighting};
 use coord::name::{Service, Upstream};
 use coord::poison::CrashRecord;
 use coord::time::Time;
@@ -128,6 +128,10 @@
     /// Whether the sender is stopping and needs no more digests.
     #[serde(rename = "leaving")]
     pub stopping: bool,
+    /// Starts of upstreams that told the sender that they are leaving. Gateways of older builds do not
+    /// send it.
+    #[serde(default)]
+    pub departing: Vec<LimitKey>,
 }
 
 /// The crashes of upstreams that a gateway knows of, in a datagram of their own: most of the time
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -21,6 +21,8 @@
 use super::directory::Endpoint;
 use super::leadership::{FleetView, Leadership};
 use super::load_table::service_key;
+use super::placement::Choice;
+use super::statements;
 use crate::serve::engine::full_body;
 
 /// Interval at which the usage of the engines is sampled.
@@ -116,7 +118,12 @@
             Stage::Prefill => Stage::Decode,
             Stage::Decode => Stage::Prefill,
         };
-        let healthy = engines(from).filter(|endpoint| !endpoint.health.is_ejected(now));
+        let paused = |endpoint: &&Endpoint| {
+            let statements = &state.directory.statements;
+            statements.pause_left(now, endpoint.limit_key).is_some()
+        };
+        let healthy =
+            engines(from).filter(|endpoint| !endpoint.health.is_ejected(now) && !paused(endpoint));
         let mut idle: Vec<&Endpoint> = healthy.collect();
         idle.sort_by_key(|endpoint| (load(endpoint).kv_tokens, load(endpoint).unprefilled_tokens));
         let chosen = idle.into_iter().take(moved as usize);
@@ -186,7 +193,12 @@
     let request = ctx.dialect.order_request(order).map(full_body);
     let sent = ctx.pool.send_fresh(engine.entry.address, request).await;
     let connected = sent.map_err(|error| error.to_string())?;
-    Ok(ctx.dialect.parse_order_status(connected.response.status()))
+    let (status, headers) = (connected.response.status(), connected.response.headers());
+    let reply = ctx.dialect.parse_reply(status, headers);
+    if !reply.misdirected {
+        statements::record(ctx, &Choice::from(engine), &reply.statement);
+    }
+    Ok(ctx.dialect.parse_order_status(status))
 }
 
 fn unix_seconds() -> u64 {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -29,6 +29,9 @@
 /// Largest datagram. The largest expected digest, with 500 loads, takes 8 KB.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
+/// Maximum number of leaving upstreams in a digest, which take 9 bytes each.
+const MAX_DEPARTING: usize = 128;
+
 /// The effect of a datagram.
 #[derive(Default)]
 struct Effect {
@@ -145,6 +148,9 @@
         let leaving = digest.stopping;
         let changed = {
             let mut state = self.ctx.state();
+            for key in digest.departing.iter().take(MAX_DEPARTING) {
+                state.directory.statements.record_reported(now, *key);
+            }
             for (key, left) in &digest.switching {
                 let until = now + Duration::from_millis((*left).into());
                 state.directory.set_switching_by_key(*key, until);
@@ -203,6 +209,8 @@
             let now = self.ctx.now();
             digest.switching = state.directory.ordered_switches(now);
             digest.failing = state.directory.failing(now);
+            digest.departing = state.directory.statements.leaving();
+            digest.departing.truncate(MAX_DEPARTING);
             digest.seen = state.seen;
             digest
         };
--- a/crates/cumindoor/src/gateway/placement.rs
+++ b/crates/cumindoor/src/gateway/placement.rs
@@ -240,7 +240,34 @@
         tried: &[Upstream],
     ) -> Vec<&'a Endpoint> {
         let usable = self.directory.usable(service, stage);
-        usable.filter(|e| !tried.contains(&e.name)).collect()
+        usable
+            .filter(|e| !tried.contains(&e.name) && self.pause_left(e).is_none())
+            .collect()
+    }
+
+    fn pause_left(&self, endpoint: &Endpoint) -> Option<Duration> {
+        let statements = &self.directory.statements;
+        statements.pause_left(self.now, endpoint.limit_key)
+    }
+
+    /// Returns the upstream that takes requests again first, and when, if all that were not tried have
+    /// stated that they take none for a while.
+    #[must_use]
+    pub fn paused_out(
+        &self,
+        service: &Service,
+        stage: Option<Stage>,
+        tried: &[Upstream],
+    ) -> Option<(&'a Endpoint, Duration)> {
+        let mut first: Option<(&'a Endpoint, Duration)> = None;
+        let usable = self.directory.usable(service, stage);
+        for endpoint in usable.filter(|e| !tried.contains(&e.name)) {
+            let left = self.pause_left(endpoint)?;
+            if first.is_none_or(|(_, least)| left < least) {
+                first = Some((endpoint, left));
+            }
+        }
+        first
     }
 
     fn choose(
