--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -31,6 +31,7 @@
 mod rate_limits;
 pub mod service_times;
 mod settings;
+pub mod statements;
 mod store_watch;
 pub mod trials;
 pub mod wakeups;
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -301,8 +301,8 @@
     let started = {
         let mut state = ctx.state();
         let endpoint = state.directory.get(&name);
-        let draining = endpoint.is_some_and(|endpoint| endpoint.entry.draining);
-        !draining && state.lost_attempts.add(lost)
+        let leaving = endpoint.is_some_and(|endpoint| state.directory.is_leaving(endpoint));
+        !leaving && state.lost_attempts.add(lost)
     };
     if started {
         let ctx = Arc::clone(ctx);
