--- a/crates/cumindoor/src/gateway/content.rs
+++ b/crates/cumindoor/src/gateway/content.rs
@@ -24,6 +24,12 @@
     pub run: u128,
     /// Fingerprint of its prefill.
     pub prefill: u128,
+    /// Address of the caller.
+    pub caller: IpAddr,
+    /// Hash of the method, host and path, for log events.
+    pub target: u64,
+    /// Hash of the body, for log events.
+    pub body: u64,
     /// Ids of the parts of its prompt that other requests may have as well.
     pub parts: Arc<[Arc<str>]>,
     /// Fingerprints of these parts, in the same order.
@@ -39,14 +45,17 @@
         body: &[u8],
         parts: &[Arc<str>],
     ) -> Self {
-        let caller = caller.to_string();
+        let address = caller.to_string();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let texts = [&*caller, head.method.as_str(), host, path];
-        let [caller, method, host, path] = texts.map(str::as_bytes);
-        let run = fingerprint(&[caller, method, host, path, body]);
+        let texts = [&*address, head.method.as_str(), host, path];
+        let [address, method, host, path] = texts.map(str::as_bytes);
+        let run = fingerprint(&[address, method, host, path, body]);
         Self {
             run,
             prefill: !run,
+            caller,
+            target: short(fingerprint(&[method, host, path])),
+            body: short(fingerprint(&[body])),
             parts: parts.into(),
             part_prints: parts
                 .iter()
@@ -60,6 +69,7 @@
     pub fn steps(&self) -> [u128; 2] {
         [self.run, self.prefill]
     }
+
     /// Returns the ids of the first shared parts for log events.
     #[must_use]
     pub fn logged_parts(&self) -> String {
@@ -77,3 +87,9 @@
         shown.join(",")
     }
 }
+
+/// Shortens a fingerprint for log events.
+fn short(print: u128) -> u64 {
+    let [high, low] = [print >> 64, print & u128::from(u64::MAX)];
+    u64::try_from(high ^ low).unwrap_or(u64::MAX)
+}
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -367,8 +367,14 @@
         let (id, content) = (&*lost.id, lost.content.to_string());
         let parts = lost.content.logged_parts();
         let upstream = lost.upstream.upstream.as_str();
+        let (caller, target) = (lost.content.caller.to_string(), lost.content.target);
+        let (target, body) = (
+            format!("{target:016x}"),
+            format!("{:016x}", lost.content.body),
+        );
         log::info!(
-            id, content = content.as_str(), parts = parts.as_str(), accused = accused.as_str(), upstream,
+            id, content = content.as_str(), caller = caller.as_str(), target_hash = target.as_str(),
+            body_hash = body.as_str(), parts = parts.as_str(), accused = accused.as_str(), upstream,
             evidence = evidence.as_str(), crashes;
             "request suspected"
         );
