--- a/crates/cumindoor/tests/gateway_crashes.rs
+++ b/crates/cumindoor/tests/gateway_crashes.rs
@@ -124,23 +124,55 @@
     (ids.len(), lines.len())
 }
 
+/// Who sends the poison request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Callers {
+    One,
+    /// One in three data centres.
+    Three,
+    /// Another one for each try.
+    Many,
+}
+
+impl Callers {
+    /// Returns the last part of the address of the caller that makes a try.
+    fn of(self, number: usize) -> u8 {
+        let callers = match self {
+            Self::One => 1,
+            Self::Three => 3,
+            Self::Many => TRIES,
+        };
+        POISON.1 + u8::try_from(number % callers).unwrap()
+    }
+}
+
 /// Sends the poison request through the gateways in turn until it has crashed three engines.
-async fn send_until_third_crash(fleet: &Fleet, engines: &[CrashingEngine], path: &str) {
+async fn send_until_third_crash(
+    fleet: &Fleet,
+    engines: &[CrashingEngine],
+    (path, callers): (&str, Callers),
+) {
     for number in 0..TRIES {
         if crashes(engines, POISON.0).len() >= CRASHES {
             break;
         }
         let gateway = number % fleet.gateways.len();
-        fleet.call(gateway, POISON.1, (path, POISON.0)).await;
+        let caller = callers.of(number);
+        fleet.call(gateway, caller, (path, POISON.0)).await;
     }
 }
 
 /// Sends the poison request twice through each gateway while all engines are up.
-async fn send_through_all(fleet: &Fleet, engines: &[CrashingEngine], path: &str) {
+async fn send_through_all(
+    fleet: &Fleet,
+    engines: &[CrashingEngine],
+    (path, callers): (&str, Callers),
+) {
     for number in 0..2 * fleet.gateways.len() {
         wait_until_up(engines).await;
         let gateway = number % fleet.gateways.len();
-        fleet.call(gateway, POISON.1, (path, POISON.0)).await;
+        let caller = callers.of(TRIES / 2 + number);
+        fleet.call(gateway, caller, (path, POISON.0)).await;
     }
 }
 
@@ -213,9 +245,9 @@
     let end = CancellationToken::new();
     let bystanders = tokio::spawn(send_bystanders(Arc::clone(&fleet), path, end.clone()));
 
-    send_until_third_crash(&fleet, &engines, path).await;
+    send_until_third_crash(&fleet, &engines, (path, Callers::One)).await;
     sleep(STABLE_WINDOW).await;
-    send_through_all(&fleet, &engines, path).await;
+    send_through_all(&fleet, &engines, (path, Callers::One)).await;
     end.cancel();
 
     assert_retries_allowed(&fleet, &engines);
@@ -226,6 +258,43 @@
     );
 }
 
+/// Guards against crashes that are counted for each caller of one request apart.
+#[rstest]
+#[case::plain("/safe/x", Callers::Three, &[(PLAIN, 3)])]
+#[case::plain_many("/safe/x", Callers::Many, &[(PLAIN, 3)])]
+#[case::once("/once/x", Callers::Three, &[(PLAIN, 3)])]
+#[case::prefill("/resume/x", Callers::Three, &[(PLAIN, 1), (PREFILL, 3), (DECODE, 3)])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_of_several_callers_that_crashes_engines_is_not_sent_again(
+    #[case] path: &str,
+    #[case] callers: Callers,
+    #[case] kinds: &[(EngineOptions, usize)],
+) {
+    let fleet = start_fleet(GATEWAYS).await;
+    let is_target = |options: &EngineOptions| (options.stage == "prefill") == (path == "/resume/x");
+    let kinds: Vec<(EngineOptions, usize)> = kinds
+        .iter()
+        .map(|(options, count)| {
+            let vulnerable = is_target(options);
+            (
+                EngineOptions {
+                    vulnerable,
+                    ..*options
+                },
+                *count,
+            )
+        })
+        .collect();
+    let engines = fleet.start_engines(&kinds).await;
+    wait_until_ready(&fleet).await;
+
+    send_until_third_crash(&fleet, &engines, (path, callers)).await;
+    sleep(STABLE_WINDOW).await;
+    send_through_all(&fleet, &engines, (path, callers)).await;
+
+    assert_retries_allowed(&fleet, &engines);
+}
+
 /// How gateways lose their memory of crashes.
 #[derive(Clone, Copy, Debug)]
 enum Restart {
@@ -243,7 +312,7 @@
     let mut fleet = start_fleet(GATEWAYS).await;
     let engines = fleet.start_engines(&[(PLAIN, 4)]).await;
     wait_until_ready(&fleet).await;
-    send_until_third_crash(&fleet, &engines, "/safe/x").await;
+    send_until_third_crash(&fleet, &engines, ("/safe/x", Callers::One)).await;
     sleep(STABLE_WINDOW).await;
     wait_until_up(&engines).await;
 
@@ -254,7 +323,7 @@
         }
     }
     wait_until_ready(&fleet).await;
-    send_through_all(&fleet, &engines, "/safe/x").await;
+    send_through_all(&fleet, &engines, ("/safe/x", Callers::One)).await;
 
     assert_retries_allowed(&fleet, &engines);
 }
@@ -365,7 +434,7 @@
     let fleet = start_fleet(3).await;
     let engines = fleet.start_engines(&[(PLAIN, 4)]).await;
     wait_until_ready(&fleet).await;
-    send_until_third_crash(&fleet, &engines, "/safe/x").await;
+    send_until_third_crash(&fleet, &engines, ("/safe/x", Callers::One)).await;
     sleep(STABLE_WINDOW).await;
     let before = engines
         .iter()
@@ -401,9 +470,9 @@
     let engines = fleet.start_engines(&[(PLAIN, 6)]).await;
     wait_until_ready(&fleet).await;
 
-    send_until_third_crash(&fleet, &engines, "/safe/x").await;
+    send_until_third_crash(&fleet, &engines, ("/safe/x", Callers::One)).await;
     sleep(STABLE_WINDOW).await;
-    send_through_all(&fleet, &engines, "/safe/x").await;
+    send_through_all(&fleet, &engines, ("/safe/x", Callers::One)).await;
 
     assert_retries_allowed(&fleet, &engines);
 }
