Count crashes by what upstreams see of a request, whoever sends it

Cause: the fingerprint of a request had its caller's address. Each further caller of the same request had up to three crashes of its own. Class: what comes again is recognised by something that need not come again; an upstream does not see the caller's address, so it cannot be what crashes it.

Change: the fingerprint has the method, host, path and body. A request that runs to its end is cleared as before, so one that all callers send alike is not refused for other crashes (new test, two cases).

Gateways of the version before compute other fingerprints, so crashes do not add up with theirs during an upgrade.

--- a/crates/cumindoor/src/gateway/content.rs
+++ b/crates/cumindoor/src/gateway/content.rs
@@ -14,8 +14,9 @@
 
 /// Fingerprints of the content of a request.
 ///
-/// Each try of a caller has a new id, a new connection and often another gateway. Only the caller's
-/// address, the method, host and path, and the body stay the same. Crashes are counted for each
+/// Each try of a caller has a new id, a new connection and often another gateway. Only the method, host
+/// and path, and the body stay the same. The caller's address is no part of it: an upstream does not
+/// see it, so what crashes an upstream for one caller does so for all. Crashes are counted for each
 /// step, because a decode engine may well run what crashes a prefill engine, and the reverse.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[display("{run:032x}")]
@@ -24,7 +25,7 @@
     pub run: u128,
     /// Fingerprint of its prefill.
     pub prefill: u128,
-    /// Address of the caller.
+    /// Address of the caller, for log events.
     pub caller: IpAddr,
     /// Hash of the method, host and path, for log events.
     pub target: u64,
@@ -45,11 +46,9 @@
         body: &[u8],
         parts: &[Arc<str>],
     ) -> Self {
-        let address = caller.to_string();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let texts = [&*address, head.method.as_str(), host, path];
-        let [address, method, host, path] = texts.map(str::as_bytes);
-        let run = fingerprint(&[address, method, host, path, body]);
+        let [method, host, path] = [head.method.as_str(), host, path].map(str::as_bytes);
+        let run = fingerprint(&[method, host, path, body]);
         Self {
             run,
             prefill: !run,
--- a/crates/cumindoor/tests/gateway_crashes.rs
+++ b/crates/cumindoor/tests/gateway_crashes.rs
@@ -429,6 +429,58 @@
     assert_eq!(refused, 0, "innocent requests were refused");
 }
 
+/// Guards against a refusal of what many callers send alike, and which was lost when engines crashed.
+#[rstest]
+#[case::reset(Crash::Reset)]
+#[case::dark(Crash::Dark)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_all_callers_send_is_not_refused_for_other_crashes(#[case] crash: Crash) {
+    const CALLERS: u8 = 12;
+    let fleet = Arc::new(start_fleet(GATEWAYS).await);
+    let engines = fleet
+        .start_engines(&[(EngineOptions { crash, ..SLOW }, 4)])
+        .await;
+    wait_until_ready(&fleet).await;
+    let end = CancellationToken::new();
+    let bystanders = (0..CALLERS).map(|caller| {
+        let (fleet, end) = (Arc::clone(&fleet), end.clone());
+        tokio::spawn(async move {
+            let mut replies = [0_u32; 2];
+            let mut gateway = usize::from(caller);
+            while !end.is_cancelled() {
+                gateway = (gateway + 1) % fleet.gateways.len();
+                let call = ("/safe/same", "same");
+                let reply = fleet.call(gateway, 100 + caller, call).await;
+                replies[0] += u32::from(reply.as_ref().is_some_and(|reply| reply.0 == 200));
+                replies[1] += u32::from(reply.is_some_and(|reply| reply.1 == "poison\n"));
+                sleep(Duration::from_millis(15)).await;
+            }
+            replies
+        })
+    });
+    let bystanders: Vec<JoinHandle<[u32; 2]>> = bystanders.collect();
+
+    for wave in 0..4 {
+        wait_until_up(&engines).await;
+        sleep(3 * SLOW.work).await;
+        engines[wave % 4].crash(Bytes::new());
+        sleep(SLOW.work).await;
+        engines[(wave + 1) % 4].crash(Bytes::new());
+    }
+    wait_until_up(&engines).await;
+    sleep(STABLE_WINDOW / 3).await;
+    end.cancel();
+    let mut sum = [0, 0];
+    for task in bystanders {
+        let replies = task.await.unwrap();
+        sum = [sum[0] + replies[0], sum[1] + replies[1]];
+    }
+
+    println!("served and refused as poison: {sum:?}");
+    assert!(sum[0] > 0, "none was served");
+    assert_eq!(sum[1], 0, "innocent requests were refused");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refusal_names_what_is_believed_and_when_to_return() {
     let fleet = start_fleet(3).await;
