Add a table of the software versions at which streams began

Nothing holds where it began.

Change: coord::origin. The VM that relays a stream tells five others, by rendezvous, before the first event leaves; a VM that does not know it asks them. What nobody knows stays unknown. docs/design.md, 6.12.

Conclusion: nothing uses it yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod limit;
 pub mod member;
 pub mod name;
+pub mod origin;
 pub mod owner;
 pub mod poison;
 pub mod retry;
