Let streams go on at the software version that began them

Cause: no choice of an engine knew of versions. The adapter dropped the version of an entry, and nothing read `Resumes`. Class: a property of the past that a decision needs is held by nobody who takes part in it.

Change: a request is bound to the build that writes its first event; the placer and the check before each send ask for it. A caller that takes a stream up is bound by what gateways remember of the attempt it names, and refused at once if they do not (unknown-origin) or if no engine of that version is left (version-gone). An entry with another version is another start. Requests that resume are not in line for places of other versions.

Conclusion: why this works: each event leaves only after its build is bound and told, and everything that chooses asks the same place. Open: streams of a gateway that was cut off before they began, and of a fleet that lost all gateways, are refused.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -35,6 +35,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the attempt that brought the caller the first event, if it resumes a stream and names one.
+    pub resumes: Option<Result<Arc<str>, Malformed>>,
     /// Ids of the parts of the prompt that other requests may have as well, in order, if the request
     /// names its parts.
     pub shared_parts: Option<Result<Vec<Arc<str>>, Malformed>>,
--- a/crates/border/src/published.rs
+++ b/crates/border/src/published.rs
@@ -42,6 +42,8 @@
 pub struct UpstreamEntry {
     /// Service that the upstream provides.
     pub service: Service,
+    /// Version of its software. It belongs to one start of the upstream.
+    pub version: Arc<str>,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Data centre in which it runs.
--- a/crates/cumindoor/src/gateway/answer.rs
+++ b/crates/cumindoor/src/gateway/answer.rs
@@ -53,6 +53,12 @@
     /// Upstreams crashed while they ran this request, so it is not sent to others.
     #[display("poison")]
     Poison,
+    /// Nobody knows at which software version the stream began that the caller resumes.
+    #[display("unknown-origin")]
+    UnknownOrigin,
+    /// No upstream of the software version is left at which the stream began that the caller resumes.
+    #[display("version-gone")]
+    VersionGone,
     /// The deadline passed before the request was executed.
     #[display("late")]
     Late,
@@ -83,6 +89,8 @@
             | Self::Paused
             | Self::Refused
             | Self::Poison
+            | Self::UnknownOrigin
+            | Self::VersionGone
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use border::{Catalogue, Dialect, Routing};
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
+use coord::origin::Origins;
 use coord::poison::{PartSuspects, Suspects};
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -23,6 +24,7 @@
 use super::liveness::Liveness;
 use super::load_table::{Key, Load, LoadTable, Seen, service_key};
 use super::pacing::DIGEST_INTERVAL_PER_PEER;
+use super::peer_socket::PeerSocket;
 use super::placement::Choice;
 use super::queue::Queue;
 use super::rate_limits::Permit;
@@ -67,6 +69,8 @@
     pub trials: Trials,
     /// Rate limits that upstreams name.
     pub limits: SharedLimits<SocketAddr>,
+    /// Where streams began that callers may take up.
+    pub origins: Origins,
     /// Observed service times of model services.
     pub service_times: BTreeMap<Service, ServiceTimes>,
     /// When the store last answered.
@@ -117,6 +121,10 @@
     pub capacity_freed: Notify,
     /// Notified when a change has to be sent to other gateways.
     pub digest_due: Notify,
+    /// Notified when another gateway has answered where a stream began.
+    pub origin_heard: Notify,
+    /// Sends datagrams to other gateways, once it is bound.
+    pub peer_socket: OnceLock<Arc<PeerSocket>>,
     /// Notified when a probe of an upstream has ended.
     pub probe_ended: Notify,
     /// Cancelled when a planned stop begins.
@@ -154,6 +162,7 @@
             liveness: Liveness::default(),
             trials: Trials::default(),
             limits: SharedLimits::new(settings.fleet.address.0),
+            origins: Origins::default(),
             service_times: BTreeMap::new(),
             store_contact: Time::ZERO,
             seen: Seen::default(),
@@ -169,6 +178,8 @@
             telemetry: Telemetry::in_memory(),
             capacity_freed: Notify::new(),
             digest_due: Notify::new(),
+            origin_heard: Notify::new(),
+            peer_socket: OnceLock::new(),
             probe_ended: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 use coord::hash::hash64;
 use coord::limit::LimitKey;
 use coord::name::{Service, Upstream};
+use coord::origin::{BuildKey, build_key};
 use coord::time::Time;
 use derive_more::Display;
 
@@ -25,6 +26,8 @@
     /// Key of this start of the upstream in the table of rate limits. One that starts anew, or an upstream at
     /// a used address, has named nothing yet.
     pub limit_key: LimitKey,
+    /// Key of the version of its software, which belongs to this start as well.
+    pub build: BuildKey,
     /// Entry that the upstream published in the store.
     pub entry: UpstreamEntry,
     /// Health derived from the results of recent requests.
@@ -176,6 +179,14 @@
         })
     }
 
+    /// Returns whether the upstream is known to have started anew since a choice, so that what it sends may
+    /// come from another version of its software. One that has disappeared has not.
+    #[must_use]
+    pub fn has_restarted(&self, choice: &Choice) -> bool {
+        let endpoint = self.upstreams.get(&choice.name);
+        endpoint.is_some_and(|endpoint| endpoint.limit_key != choice.limit_key)
+    }
+
     /// Returns whether an upstream is leaving, by its entry or by its own statement.
     #[must_use]
     pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
@@ -187,16 +198,19 @@
         self.upstreams.get_mut(name)
     }
 
-    /// Returns the upstreams of a service at a stage that are not leaving. Upstreams of plain
-    /// services have no stage.
+    /// Returns the upstreams of a service at a stage that are not leaving, of one build or of any.
+    /// Upstreams of plain services have no stage.
     pub fn usable<'a, 's>(
         &'a self,
         service: &'s Service,
         stage: Option<Stage>,
+        build: Option<BuildKey>,
     ) -> impl Iterator<Item = &'a Endpoint> + use<'a, 's> {
         let fits = move |endpoint: &&Endpoint| {
             let entry = &endpoint.entry;
-            entry.service == *service && entry.stage == stage && !self.is_leaving(endpoint)
+            let is_of_build = build.is_none_or(|build| endpoint.build == build);
+            let serves = entry.service == *service && entry.stage == stage && is_of_build;
+            serves && !self.is_leaving(endpoint)
         };
         self.upstreams.values().filter(fits)
     }
@@ -260,6 +274,7 @@
             let endpoint = Endpoint {
                 key: upstream_key(name),
                 limit_key: limit_key(name, &entry),
+                build: build_key(entry.service.as_str(), &entry.version),
                 name: name.clone(),
                 entry,
                 health: Health::default(),
@@ -279,7 +294,10 @@
         if old.stage != new.stage {
             endpoint.switching_until = Time::ZERO;
         }
-        if (old.start_ms, old.address) != (new.start_ms, new.address) {
+        endpoint.build = build_key(new.service.as_str(), &new.version);
+        // Software is not replaced under a running process.
+        let start = |entry: &UpstreamEntry| (entry.start_ms, entry.address, entry.version.clone());
+        if start(&old) != start(new) {
             endpoint.health = Health::default();
             endpoint.limit_key = limit_key(name, new);
             return Some(UpstreamChange::Restarted);
@@ -304,7 +322,8 @@
 
 fn limit_key(name: &Upstream, entry: &UpstreamEntry) -> LimitKey {
     let start = entry.start_ms.unwrap_or_default();
-    hash64(format!("{}|{}|{start}", name.as_str(), entry.address).as_bytes())
+    let (name, address, version) = (name.as_str(), entry.address, &entry.version);
+    hash64(format!("{name}|{address}|{start}|{version}").as_bytes())
 }
 
 #[expect(
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Handling of one request, from its head to its final response.
 
 mod model;
+mod origin;
 mod place;
 mod plain;
 mod relay;
@@ -10,13 +11,14 @@
 mod wait;
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use border::{RequestMeta, Route, RouteKind, Routing, ServiceDef};
 use bytes::Bytes;
 use coord::name::Service;
+use coord::origin::BuildKey;
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -32,6 +34,7 @@
 use super::content::Content;
 use super::context::Context;
 use super::crash_watch::{self, Standing};
+use super::directory::Directory;
 use crate::serve::engine::BoxedBody;
 use crate::serve::headers;
 
@@ -100,6 +103,8 @@
     parts: Parts,
     body: Bytes,
     content: Content,
+    /// The build that wrote the first event of the stream, once the caller has that event.
+    build: OnceLock<BuildKey>,
     /// Number of attempts at upstreams so far.
     attempts: AtomicU32,
     repeats: Repeats,
@@ -118,6 +123,18 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the build to which the stream is bound, or `None` if it is free to begin at any.
+    fn build(&self) -> Option<BuildKey> {
+        self.build.get().copied()
+    }
+
+    /// Returns whether an upstream that is not leaving has the build to which the stream is bound, at any
+    /// stage.
+    fn has_upstream_of_build(&self, directory: &Directory) -> bool {
+        let mut all = directory.not_draining(&self.service);
+        all.any(|endpoint| Some(endpoint.build) == self.build())
+    }
+
     /// Returns the time without an event after which the caller of a stream gives up.
     fn abandon_time(&self) -> Duration {
         let gap = self.route.max_gap.unwrap_or_default();
@@ -292,6 +309,7 @@
         parts,
         body,
         content,
+        build: OnceLock::new(),
         attempts: AtomicU32::new(0),
         repeats: Repeats::default(),
         arrived,
@@ -421,6 +439,7 @@
 async fn run(req: Arc<CallerRequest>) -> Result<Response<BoxedBody>, Refusal> {
     let running = async {
         req.refuse_poison()?;
+        origin::find(&req).await?;
         if req.def.model.is_some() && req.meta.prompt.is_some() {
             model::run(&req).await
         } else {
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use border::{KvSource, Model, Step};
-use coord::name::{DataCentre, Upstream};
+use coord::name::Upstream;
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -75,8 +75,7 @@
         let held = if prefiller.held.is_none() && req.has_suspected_part() {
             None
         } else {
-            // A prefill engine in the same data centre is preferred for the transfer.
-            prefiller.prefill(&decode.data_centre).await
+            prefiller.prefill(&decode).await
         };
         // Other gateways may have placed load on the engine during the prefill.
         if let Some(other) = wait::rereserve_if_overloaded(req, &model, demand, (&decode, &tried)) {
@@ -232,7 +231,7 @@
     }
 
     /// Returns a prefill result, or `None` if no prefill engine produced one.
-    async fn prefill(&mut self, preferred: &DataCentre) -> Option<HeldPrefill> {
+    async fn prefill(&mut self, decode: &Choice) -> Option<HeldPrefill> {
         if let Some(held) = self.held.take() {
             return Some(held);
         }
@@ -243,7 +242,7 @@
                 return None;
             }
             self.attempts += 1;
-            match self.attempt(preferred).await? {
+            match self.attempt(decode).await? {
                 Ok(held) => return Some(held),
                 Err(failure) if failure.reached_upstream() => {
                     let last = self.tried.last();
@@ -258,9 +257,9 @@
     }
 
     /// Tries one engine; returns `None` if there is none left.
-    async fn attempt(&mut self, preferred: &DataCentre) -> Option<Result<HeldPrefill, Failure>> {
+    async fn attempt(&mut self, decode: &Choice) -> Option<Result<HeldPrefill, Failure>> {
         let ctx = &self.req.ctx;
-        let placed = wait::for_prefill(self.req, self.demand, preferred, &self.tried).await;
+        let placed = wait::for_prefill(self.req, self.demand, decode, &self.tried).await;
         let (choice, mut reservation) = placed.ok()?;
         if self.is_risky(&choice) {
             return None;
--- /dev/null
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -0,0 +1,84 @@
+//! The software version at which a stream began, which alone may continue it.
+//!
+//! A request is free until its caller has the first event. From then on it is bound to the build that wrote
+//! that event, and so are later attempts of its caller, at any gateway. See `docs/design.md`, section 6.12.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use border::RouteKind;
+use coord::origin::{BuildKey, StreamKey, stream_key};
+
+use super::{CallerRequest, millis};
+use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::origins::{self, RunningStream};
+use crate::gateway::placement::Choice;
+
+/// Time for which an origin is kept after the caller's time limit, for the way of its last attempt.
+const RETENTION_MARGIN: Duration = Duration::from_secs(10);
+
+/// Binds a request that resumes a stream to the build at which it began. Refuses it if nobody knows that
+/// build, because any other one would write something that does not fit.
+pub(super) async fn find(req: &CallerRequest) -> Result<(), Refusal> {
+    let resumes = req.meta.last_event_id.is_some() || req.meta.resumes.is_some();
+    if !req.kind().is_stream() || !resumes {
+        return Ok(());
+    }
+    let name = match &req.meta.resumes {
+        Some(Ok(name)) => name,
+        Some(Err(error)) => return Err(refuse(req, &error.to_string())),
+        None => return Err(refuse(req, "the caller names no attempt")),
+    };
+    let stream = stream_key(name, req.content.run);
+    let Some(build) = origins::find(&req.ctx, stream).await else {
+        return Err(refuse(req, "no gateway knows the attempt"));
+    };
+    req.build.get_or_init(|| build);
+    let waited_ms = millis(req.started.elapsed());
+    let version = version(req, build);
+    let (id, resumes, version) = (&*req.meta.id, &**name, version.as_deref().unwrap_or(""));
+    log::info!(id, resumes, version, waited_ms; "origin found");
+    req.ctx.telemetry.count("origin.found");
+    if !req.has_upstream_of_build(&req.ctx.state().directory) {
+        return Err(Refusal::new(Reason::VersionGone));
+    }
+    Ok(())
+}
+
+fn refuse(req: &CallerRequest, why: &str) -> Refusal {
+    let waited_ms = millis(req.started.elapsed());
+    log::info!(id = &*req.meta.id, why, waited_ms; "origin unknown");
+    req.ctx.telemetry.count("origin.unknown");
+    Refusal::new(Reason::UnknownOrigin)
+}
+
+/// Returns the version that a build key stands for, if an upstream has it.
+pub(super) fn version(req: &CallerRequest, build: BuildKey) -> Option<Arc<str>> {
+    let state = req.ctx.state();
+    let mut all = state.directory.all();
+    let endpoint = all.find(|endpoint| endpoint.build == build)?;
+    Some(endpoint.entry.version.clone())
+}
+
+/// Binds a request to the build that is about to send its caller the first event of an attempt, and tells
+/// other gateways, to which the caller may come back at once. Returns `None` if no other attempt may follow.
+pub(super) async fn bind(req: &CallerRequest, choice: &Choice) -> Option<RunningStream> {
+    let build = *req.build.get_or_init(|| choice.build);
+    if req.kind() != (RouteKind::Stream { resumable: true }) {
+        return None;
+    }
+    let limit = req.meta.timeout.unwrap_or(req.route.timeout);
+    let retention = limit.saturating_sub(req.started.elapsed()) + RETENTION_MARGIN;
+    Some(origins::begin(&req.ctx, &streams(req), build, retention).await)
+}
+
+/// Returns the keys under which the caller may take the stream up: by the attempt that began it, which it
+/// should name, and by this one.
+fn streams(req: &CallerRequest) -> Vec<StreamKey> {
+    let own = stream_key(&req.meta.id, req.content.run);
+    let first = match &req.meta.resumes {
+        Some(Ok(name)) => Some(stream_key(name, req.content.run)),
+        _ => None,
+    };
+    std::iter::once(own).chain(first).collect()
+}
--- a/crates/cumindoor/src/gateway/exchange/place.rs
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use border::{Model, Stage};
-use coord::name::{DataCentre, Upstream};
+use coord::name::Upstream;
+use coord::origin::BuildKey;
 use tokio::time::{Instant, sleep_until};
 
 use super::{CallerRequest, wait};
@@ -28,7 +29,8 @@
     Plain,
     Prefill {
         demand: Demand,
-        preferred: &'a DataCentre,
+        /// The decode engine that imports the result.
+        decode: &'a Choice,
     },
     /// KV cache at a decode engine, to be had by `until`.
     Decode {
@@ -47,6 +49,8 @@
     pub(super) tried: &'a [Upstream],
     /// Until when it waits for a token of an upstream that names a rate limit.
     pub(super) limit_until: Instant,
+    /// The build that it must go to, if it resumes a stream.
+    pub(super) build: Option<BuildKey>,
 }
 
 impl Search<'_> {
@@ -104,9 +108,7 @@
     ) -> Result<(Choice, Reservation), Refusal> {
         match self {
             Self::Plain => wait::wait_for_plain(req, search).await,
-            Self::Prefill { demand, preferred } => {
-                wait::take_prefill(req, demand, preferred, search)
-            }
+            Self::Prefill { demand, decode } => wait::take_prefill(req, demand, decode, search),
             Self::Decode {
                 model,
                 demand,
@@ -131,7 +133,12 @@
 ) -> Result<(Choice, Reservation), Refusal> {
     let until = wait::wait_limit(req);
     let limit_until = limit_until(req);
-    let search = Search { tried, limit_until };
+    let build = req.build();
+    let search = Search {
+        tried,
+        limit_until,
+        build,
+    };
     loop {
         let freed = req.ctx.capacity_freed.notified();
         let mut freed = std::pin::pin!(freed);
@@ -150,7 +157,7 @@
         if let Some(avoided) = avoided(req, standing, place, tried) {
             let search = Search {
                 tried: &avoided,
-                limit_until,
+                ..search
             };
             let (choice, mut reservation) = place.take(req, search).await?;
             let terms = place.terms(req, standing);
@@ -192,7 +199,7 @@
     tried: &[Upstream],
 ) -> Option<(Upstream, Duration)> {
     let mut known = req.ctx.state();
-    let placer = wait::placer(&req.ctx, &mut known, None);
+    let placer = wait::placer(req, &mut known, None);
     let (first, left) = placer.paused_out(&req.service, stage, tried)?;
     Some((first.name.clone(), left))
 }
@@ -228,7 +235,7 @@
     }
     let next = {
         let mut known = req.ctx.state();
-        let placer = wait::placer(&req.ctx, &mut known, Some(search));
+        let placer = wait::placer(req, &mut known, Some(search));
         let next = placer.limited_out(&req.service, stage, search.tried);
         next.map(Choice::from)
     };
@@ -254,7 +261,8 @@
     {
         return None;
     }
-    let untried = known.directory.usable(&req.service, place.stage());
+    let directory = &known.directory;
+    let untried = directory.usable(&req.service, place.stage(), req.build());
     let untried: Vec<_> = untried.filter(|e| !tried.contains(&e.name)).collect();
     let is_taken = |endpoint: &&&Endpoint| known.trials.is_taken(now, endpoint.key);
     let is_used = |endpoint: &&&Endpoint| known.trials.is_used(now, endpoint.key);
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -10,7 +10,7 @@
 
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Successor, Watched};
-use super::{CallerRequest, millis, relay, wait};
+use super::{CallerRequest, millis, origin, relay, wait};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch;
@@ -135,6 +135,13 @@
     let answer = send::send(req, (choice, reservation), Step::EndToEnd, None).await?;
     let status = answer.head.status;
     let response = buffer_small(req, choice, answer).await?;
+    if req.kind().is_stream() && status.is_success() {
+        if req.ctx.state().directory.has_restarted(choice) {
+            return Err(send::record_lost(req, choice, relay::RESTARTED));
+        }
+        // The answer is there, so its origin need not be told again.
+        drop(origin::bind(req, choice).await);
+    }
     let ms = millis(req.started.elapsed());
     let (id, upstream) = (&*req.meta.id, choice.name.as_str());
     log::info!(id, upstream, status = status.as_u16(), ms; "request answered");
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -18,12 +18,13 @@
 
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Place, Successor, Watched};
-use super::{CallerGuard, CallerRequest, millis, plain};
+use super::{CallerGuard, CallerRequest, millis, origin, plain};
 use crate::gateway::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch::{self, AttemptGuard};
 use crate::gateway::events::EventBuffer;
 use crate::gateway::health::Outcome;
+use crate::gateway::origins::RunningStream;
 use crate::gateway::placement::{Choice, Demand};
 use crate::serve::engine::pool::error_chain;
 use crate::serve::engine::{BodyError, BoxedBody, Lease};
@@ -32,6 +33,9 @@
 /// Time before a stream is sent to another engine after one did not take it.
 const RESUME_DELAY: Duration = Duration::from_millis(20);
 
+/// Text of the failure of an engine that started anew under its name before its first bytes arrived.
+pub(super) const RESTARTED: &str = "the engine started anew";
+
 /// A request that was accepted by a decode engine.
 pub(super) struct DecodeRun {
     pub(super) choice: Choice,
@@ -71,6 +75,8 @@
         run: Some(run),
         source: Some((body, lease, guard)),
         events: EventBuffer::after(req.meta.last_event_id),
+        engine_checked: false,
+        origin: None,
         attempts: 1,
         awaiting_first: true,
         last_event: req.started,
@@ -117,6 +123,10 @@
     run: Option<DecodeRun>,
     source: Option<(Incoming, Lease, AttemptGuard)>,
     events: EventBuffer,
+    /// Whether the current engine was the one that had been chosen when its first bytes arrived.
+    engine_checked: bool,
+    /// The stream as other gateways know it, from its first event on.
+    origin: Option<RunningStream>,
     attempts: u32,
     awaiting_first: bool,
     /// When the caller took the last event, or when it sent the request.
@@ -145,7 +155,7 @@
             match self.receive().await {
                 Received::Events(bytes) if bytes.is_empty() => {}
                 Received::Events(bytes) => {
-                    self.record_first_event();
+                    self.record_first_event().await;
                     return Some(Ok(Frame::data(bytes)));
                 }
                 Received::End => {
@@ -194,6 +204,10 @@
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
                     guard.record_output();
+                    let checked = std::mem::replace(&mut self.engine_checked, true);
+                    if !checked && req.ctx.state().directory.has_restarted(&run.choice) {
+                        return Received::Broken(RESTARTED.to_owned());
+                    }
                     let ended = self.events.ended();
                     let pushed = self.events.push(&data);
                     if self.events.ended() > ended {
@@ -212,10 +226,13 @@
         }
     }
 
-    fn record_first_event(&mut self) {
+    async fn record_first_event(&mut self) {
         if !std::mem::replace(&mut self.awaiting_first, false) {
             return;
         }
+        if let Some(run) = &self.run {
+            self.origin = origin::bind(&self.req, &run.choice).await;
+        }
         let ctx = &self.req.ctx;
         if let Some(run) = &mut self.run {
             run.reservation.end_trial();
@@ -227,7 +244,12 @@
         let upstream = self.run.as_ref().map(|run| run.choice.name.clone());
         let upstream = upstream.as_ref().map_or("", |name| name.as_str());
         let on_time = waited <= self.req.route.target_latency;
-        log::info!(id = &*self.req.meta.id, upstream, ms = millis(waited), on_time; "stream started");
+        let version = self
+            .req
+            .build()
+            .and_then(|build| origin::version(&self.req, build));
+        let version = version.as_deref().unwrap_or("");
+        log::info!(id = &*self.req.meta.id, upstream, version, ms = millis(waited), on_time; "stream started");
     }
 
     fn complete(&mut self) {
@@ -318,6 +340,9 @@
         let demand = Demand::new(&prompt, model);
         let successor = Successor::Decode(model, demand, &[]);
         while self.attempts < req.route.max_attempts {
+            if req.build().is_some() && !req.has_upstream_of_build(&req.ctx.state().directory) {
+                return Err("no engine of the stream's version is left");
+            }
             let taken = match place.take() {
                 Some(taken) => taken,
                 None => timeout_at(until, silence::next_place(&req, successor))
@@ -384,6 +409,7 @@
             demand,
         });
         self.source = Some((answer.body, answer.lease, answer.guard));
+        self.engine_checked = false;
         Ok(())
     }
 }
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -216,7 +216,9 @@
     let now = req.ctx.now();
     let paused = {
         let directory = &req.ctx.state().directory;
-        if !directory.is_current(choice) {
+        // The stream may have been bound to a build after the upstream was chosen.
+        let is_fitting = req.build().is_none_or(|build| choice.build == build);
+        if !is_fitting || !directory.is_current(choice) {
             return Err(Failure::Withdrawn);
         }
         directory.statements.pause_left(now, choice.limit_key)
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use border::{Model, Stage};
-use coord::name::{DataCentre, Service, Upstream};
+use coord::name::Upstream;
 use coord::time::Time;
 use tokio::time::{Instant, sleep_until};
 
@@ -49,24 +49,25 @@
 pub(super) async fn for_prefill(
     req: &CallerRequest,
     demand: Demand,
-    preferred: &DataCentre,
+    decode: &Choice,
     tried: &[Upstream],
 ) -> Result<(Choice, Reservation), Refusal> {
-    take_place(req, Place::Prefill { demand, preferred }, tried).await
+    take_place(req, Place::Prefill { demand, decode }, tried).await
 }
 
 pub(super) fn take_prefill(
     req: &CallerRequest,
     demand: Demand,
-    preferred: &DataCentre,
+    decode: &Choice,
     search: Search<'_>,
 ) -> Result<(Choice, Reservation), Refusal> {
     let ctx = &req.ctx;
     let choice = {
         let mut state = ctx.state();
-        let mut placer = placer(ctx, &mut state, Some(search));
-        placer.preferred = preferred;
-        placer.choose_prefill(&req.service, search.tried)
+        let mut placer = placer(req, &mut state, Some(search));
+        // The result is moved from one engine to the other.
+        placer.preferred = &decode.data_centre;
+        placer.choose_prefill(&req.service, decode.build, search.tried)
     };
     let choice = choice.ok_or(Refusal::with_retry(
         Reason::NoUpstream,
@@ -93,13 +94,8 @@
         freed.as_mut().enable();
         let chosen = {
             let mut state = req.ctx.state();
-            if all_tried(&state.directory, &req.service, None, tried) {
-                return Err(Refusal::with_retry(
-                    Reason::NoUpstream,
-                    NO_UPSTREAM_RETRY_AFTER,
-                ));
-            }
-            let mut placer = placer(&req.ctx, &mut state, Some(search));
+            refuse_if_all_tried(req, &state.directory, None, tried)?;
+            let mut placer = placer(req, &mut state, Some(search));
             placer.choose_plain(&req.service, tried)
         };
         if let Some(choice) = chosen {
@@ -162,7 +158,7 @@
     let ctx = &req.ctx;
     let choice = {
         let mut state = ctx.state();
-        let mut placer = placer(ctx, &mut state, Some(search));
+        let mut placer = placer(req, &mut state, Some(search));
         placer.choose_decode_prefilled(&req.service, model, demand, search.tried)?
     };
     let reservation = reserve(ctx, &choice, demand);
@@ -193,7 +189,7 @@
         }
         let mut tried = tried.to_vec();
         tried.push(current.name.clone());
-        let mut placer = placer(ctx, &mut state, None);
+        let mut placer = placer(req, &mut state, None);
         placer.choose_decode(&req.service, model, demand, &tried)?
     };
     ctx.telemetry.count("place.changed");
@@ -268,15 +264,24 @@
     }
 }
 
-/// Returns whether the request was already sent to all upstreams of the service, or there are none.
-fn all_tried(
+/// Refuses a request that was already sent to all upstreams that may take it, or if there are none.
+fn refuse_if_all_tried(
+    req: &CallerRequest,
     directory: &Directory,
-    service: &Service,
     stage: Option<Stage>,
     tried: &[Upstream],
-) -> bool {
-    let mut upstreams = directory.usable(service, stage);
-    upstreams.all(|endpoint| tried.contains(&endpoint.name))
+) -> Result<(), Refusal> {
+    if req.build().is_some() && !req.has_upstream_of_build(directory) {
+        return Err(Refusal::new(Reason::VersionGone));
+    }
+    let mut upstreams = directory.usable(&req.service, stage, req.build());
+    if upstreams.all(|endpoint| tried.contains(&endpoint.name)) {
+        return Err(Refusal::with_retry(
+            Reason::NoUpstream,
+            NO_UPSTREAM_RETRY_AFTER,
+        ));
+    }
+    Ok(())
 }
 
 pub(super) fn wait_limit(req: &CallerRequest) -> Instant {
@@ -284,10 +289,10 @@
     limit.min(req.deadline)
 }
 
-/// Returns a placer that prefers this gateway's data centre. Without a search, it chooses no upstream that
-/// names a rate limit.
+/// Returns a placer that prefers this gateway's data centre and keeps to the build of a stream that is
+/// resumed. Without a search, it chooses no upstream that names a rate limit.
 pub(super) fn placer<'a>(
-    ctx: &'a Context,
+    req: &'a CallerRequest,
     state: &'a mut State,
     search: Option<Search<'_>>,
 ) -> Placer<'a, rand_chacha::ChaCha8Rng> {
@@ -297,8 +302,9 @@
         loads: &state.loads,
         limits: &state.limits,
         patience: search.and_then(|search| search.patience(gateways)),
-        preferred: ctx.data_centre(),
-        now: ctx.now(),
+        build: req.build(),
+        preferred: req.ctx.data_centre(),
+        now: req.ctx.now(),
         rng: &mut state.rng,
         rank: None,
     }
@@ -329,6 +335,7 @@
             demand,
         );
         let ticket = ticket.with_priority(req.route.priority);
+        let ticket = ticket.resuming(req.build().is_some());
         let queue = state.queues.entry(req.service.clone()).or_default();
         let number = queue.enter(ticket);
         drop(state);
@@ -373,19 +380,17 @@
         let service = &self.req.service;
         let now = ctx.now();
         let mut state = ctx.state();
-        let decode = Some(Stage::Decode);
-        if all_tried(&state.directory, service, decode, tried) {
-            return Err(Refusal::with_retry(
-                Reason::NoUpstream,
-                NO_UPSTREAM_RETRY_AFTER,
-            ));
-        }
+        refuse_if_all_tried(self.req, &state.directory, Some(Stage::Decode), tried)?;
         let queue = state.queues.get(service);
         if !queue.is_some_and(|queue| queue.may_proceed(now, self.number)) {
             return Ok(None);
         }
-        let rank = self.rank(&state, now);
-        let mut placer = placer(ctx, &mut state, Some(search));
+        // Places at one build are not shared out among the first requests of all gateways.
+        let rank = match search.build {
+            Some(_) => None,
+            None => self.rank(&state, now),
+        };
+        let mut placer = placer(self.req, &mut state, Some(search));
         placer.rank = rank;
         let chosen = placer.choose_decode(service, model, self.demand, tried);
         if chosen.is_none() {
@@ -449,15 +454,20 @@
         let here = state.queues.get(service).map(|queue| queue.waiting(now));
         let here = here.unwrap_or_default();
         let mut pool = KvPool::default();
-        let engines = state.directory.usable(service, Some(Stage::Decode));
+        let directory = &state.directory;
+        let engines = directory.usable(service, Some(Stage::Decode), search.build);
         for endpoint in engines.filter(is_open) {
             let used = state.loads.load(endpoint.key).kv_tokens;
             pool.used += u64::from(used);
             pool.free += u64::from(model.kv_capacity.saturating_sub(used));
         }
         let waiting = u64::from(elsewhere.kv_tokens) + u64::from(here.kv_tokens);
-        // On average, half of the waiting requests are served first.
-        pool.ahead = waiting / 2;
+        // On average, half of the waiting requests are served first. One that resumes a stream waits for none.
+        pool.ahead = if search.build.is_some() {
+            0
+        } else {
+            waiting / 2
+        };
         let times = state
             .service_times
             .get(service)
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -305,6 +305,11 @@
         self.peers.contains_key(&addr)
     }
 
+    /// Returns the addresses of the other live gateways.
+    pub fn live_gateways(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().copied()
+    }
+
     /// Returns the number of live gateways, including this one.
     #[must_use]
     pub fn gateway_count(&self) -> usize {
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -83,7 +83,7 @@
     let mut wanted = Vec::new();
     for (service, def) in &routing.services {
         let Some(model) = &def.model else { continue };
-        let engines = |stage| state.directory.usable(service, Some(stage));
+        let engines = |stage| state.directory.usable(service, Some(stage), None);
         let balancer = balancers
             .entry(service.clone())
             .or_insert_with(|| StageBalancer::new(now));
--- /dev/null
+++ b/crates/cumindoor/src/gateway/origins.rs
@@ -0,0 +1,170 @@
+//! What the gateways tell and ask each other of the origins of streams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::name::{DataCentre, VmName};
+use coord::origin::{BuildKey, MAX_BATCH, OriginMessage, OriginRecord, Step, StreamKey, keepers};
+use coord::owner::Owners;
+use tokio::time::{sleep, timeout};
+
+use super::context::{Context, State};
+
+/// Longest time for which the first event of a stream waits until other gateways were told of its origin.
+/// The datagrams usually leave at once.
+const TELL_TIME: Duration = Duration::from_millis(20);
+
+/// A stream that this gateway relays, and whose origin it tells again from time to time. Dropping it ends
+/// that; the origin stays known.
+pub struct RunningStream {
+    ctx: Arc<Context>,
+    streams: Vec<StreamKey>,
+}
+
+impl Drop for RunningStream {
+    fn drop(&mut self) {
+        let mut state = self.ctx.state();
+        for stream in &self.streams {
+            state.origins.end(*stream);
+        }
+    }
+}
+
+/// Records the origin of a stream, under each of its keys, and tells other gateways.
+pub async fn begin(
+    ctx: &Arc<Context>,
+    streams: &[StreamKey],
+    build: BuildKey,
+    retention: Duration,
+) -> RunningStream {
+    let told = {
+        let now = ctx.now();
+        let mut state = ctx.state();
+        let others = others(&state);
+        let mut told = Vec::new();
+        for stream in streams {
+            let record = state.origins.begin(now, (*stream, build), retention);
+            let keepers = keepers(&others, *stream);
+            told.extend(keepers.into_iter().map(|keeper| (keeper, record)));
+        }
+        told
+    };
+    let running = RunningStream {
+        ctx: Arc::clone(ctx),
+        streams: streams.to_vec(),
+    };
+    let telling = async {
+        for (keeper, record) in told {
+            send(ctx, &keeper, &OriginMessage::Told(vec![record])).await;
+        }
+    };
+    if timeout(TELL_TIME, telling).await.is_err() {
+        ctx.telemetry.count("origin.untold");
+    }
+    running
+}
+
+/// Returns the build at which a stream began, or `None` if no gateway that can be reached knows it.
+pub async fn find(ctx: &Arc<Context>, stream: StreamKey) -> Option<BuildKey> {
+    let lookup = OngoingLookup::begin(ctx, stream);
+    loop {
+        let heard = ctx.origin_heard.notified();
+        let mut heard = std::pin::pin!(heard);
+        heard.as_mut().enable();
+        let now = ctx.now();
+        let step = {
+            let mut state = ctx.state();
+            let others = others(&state);
+            let expects_others = ctx.expects_peers();
+            state
+                .origins
+                .next_step(now, lookup.stream, &others, expects_others)
+        };
+        let until = match step {
+            Step::Known(build) => return Some(build),
+            Step::Unknown => return None,
+            Step::Ask {
+                round,
+                targets,
+                until,
+            } => {
+                let streams = vec![stream];
+                let question = OriginMessage::Asked { round, streams };
+                for target in &targets {
+                    send(ctx, target, &question).await;
+                }
+                until
+            }
+            Step::Wait { until } => until,
+        };
+        tokio::select! {
+            () = heard => {}
+            () = sleep(until.since(ctx.now())) => {}
+        }
+    }
+}
+
+/// A lookup that ends when it is dropped, also if the caller leaves.
+struct OngoingLookup<'a> {
+    ctx: &'a Context,
+    stream: StreamKey,
+}
+
+impl<'a> OngoingLookup<'a> {
+    fn begin(ctx: &'a Context, stream: StreamKey) -> Self {
+        let now = ctx.now();
+        ctx.state().origins.begin_lookup(now, stream);
+        Self { ctx, stream }
+    }
+}
+
+impl Drop for OngoingLookup<'_> {
+    fn drop(&mut self) {
+        self.ctx.state().origins.end_lookup(self.stream);
+    }
+}
+
+/// Handles a message of another gateway, and returns the answer to it.
+pub fn receive(ctx: &Context, from: SocketAddr, message: OriginMessage) -> Option<OriginMessage> {
+    let now = ctx.now();
+    let is_answer = matches!(message, OriginMessage::Answered { .. });
+    let answer = ctx.state().origins.receive(now, &name(from), message);
+    if is_answer {
+        ctx.origin_heard.notify_waiters();
+    }
+    answer
+}
+
+/// Tells the origins of the streams that this gateway relays again.
+pub async fn retell(ctx: &Context) {
+    let told = {
+        let now = ctx.now();
+        let state = ctx.state();
+        state.origins.retold(now, &others(&state))
+    };
+    for (keeper, records) in told {
+        for batch in records.chunks(MAX_BATCH) {
+            let batch: Vec<OriginRecord> = batch.to_vec();
+            send(ctx, &keeper, &OriginMessage::Told(batch)).await;
+        }
+    }
+}
+
+async fn send(ctx: &Context, to: &VmName, message: &OriginMessage) {
+    let (Some(socket), Ok(address)) = (ctx.peer_socket.get(), to.as_str().parse()) else {
+        return;
+    };
+    socket.send(message, &[address]).await;
+}
+
+/// Returns the gateways that this one hears. Digests do not name data centres, so all count as one.
+fn others(state: &State) -> Owners {
+    let fleet = DataCentre::from("fleet");
+    let live = state.loads.live_gateways();
+    live.map(|addr| (name(addr), fleet.clone())).collect()
+}
+
+fn name(gateway: SocketAddr) -> VmName {
+    gateway.to_string().into()
+}
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -5,20 +5,22 @@
 //! receives. A gateway without peers decides on its own load alone.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use coord::limit::LimitReport;
+use coord::origin::OriginMessage;
 use eyre::WrapErr;
-use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
 use super::context::{Context, State};
 use super::crash_watch;
 use super::load_table::{CrashReport, Digest};
-use super::pacing::{DIGEST_INTERVAL_PER_PEER, Round};
+use super::origins;
+use super::pacing::DIGEST_INTERVAL_PER_PEER;
 use super::peer_list::PeerList;
+use super::peer_socket::PeerSocket;
 use super::rate_limits;
 use super::wakeups::WakeupThrottle;
 
@@ -37,18 +39,18 @@
     changed: bool,
     /// The sender, if it was not known before.
     newcomer: Option<SocketAddr>,
+    /// The answer to a question about the origins of streams.
+    answer: Option<OriginMessage>,
 }
 
 /// Sends and receives digests on a UDP socket.
 pub struct PeerExchange {
     ctx: Arc<Context>,
-    socket: UdpSocket,
+    socket: Arc<PeerSocket>,
     /// Unix milliseconds of this process's start, sent in each digest.
     start: u64,
     /// Sequence number of the next digest.
     number: AtomicU64,
-    /// What was sent since the last digest.
-    round: Mutex<Round>,
 }
 
 impl PeerExchange {
@@ -59,14 +61,14 @@
     /// Returns an error with the address if it cannot be bound.
     pub async fn bind(ctx: &Arc<Context>) -> eyre::Result<Self> {
         let addr = ctx.own_address();
-        let socket = UdpSocket::bind(addr).await;
+        let socket = PeerSocket::bind(addr, ctx.telemetry.clone()).await;
         let socket = socket.wrap_err_with(|| format!("cannot bind UDP address {addr}"))?;
+        let socket = Arc::clone(ctx.peer_socket.get_or_init(|| Arc::new(socket)));
         Ok(Self {
             ctx: Arc::clone(ctx),
             socket,
             start: unix_millis(),
             number: AtomicU64::new(1),
-            round: Mutex::default(),
         })
     }
 
@@ -94,7 +96,7 @@
             };
             let wake = wakeups.due();
             tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => {
+                received = self.socket.receive(&mut buffer) => {
                     if let Ok((length, from)) = received {
                         let effect = self.receive(&mut peer_list, from, &buffer[..length]);
                         if effect.changed {
@@ -103,6 +105,9 @@
                         // Without news, a newcomer is told with the next digest what is known.
                         pending |= effect.newcomer.is_some() && self.has_reports();
                         newcomers.extend(effect.newcomer);
+                        if let Some(answer) = effect.answer {
+                            self.socket.send(&answer, &[from]).await;
+                        }
                     }
                 }
                 () = sleep_until(wake.unwrap_or(next_heartbeat)), if wake.is_some() => {
@@ -120,6 +125,7 @@
                     }
                     if heartbeat {
                         newcomers.extend(peer_list.page_targets(self.ctx.now()));
+                        origins::retell(&self.ctx).await;
                     }
                     let newcomers = std::mem::take(&mut newcomers);
                     pending = self.send_crashes(&targets, &newcomers).await;
@@ -177,7 +183,11 @@
         if newcomer.is_some() {
             self.record_fleet(peer_list);
         }
-        Effect { changed, newcomer }
+        Effect {
+            changed,
+            newcomer,
+            answer: None,
+        }
     }
 
     /// Handles a datagram that is no digest.
@@ -192,7 +202,12 @@
             let changed = rate_limits::merge_report(&self.ctx, from, report);
             return Effect {
                 changed,
-                newcomer: None,
+                ..Effect::default()
+            };
+        } else if let Ok(message) = rmp_serde::from_slice::<OriginMessage>(bytes) {
+            return Effect {
+                answer: origins::receive(&self.ctx, from, message),
+                ..Effect::default()
             };
         } else {
             self.ctx.telemetry.count("peer.malformed");
@@ -240,15 +255,7 @@
             digest.peers = peer_list.listed(self.ctx.now());
         }
         digest.stopping = self.ctx.stopping.is_cancelled();
-        let bytes = match rmp_serde::to_vec(&digest) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                let error = error.to_string();
-                log::error!(error = error.as_str(); "digest not encoded");
-                return;
-            }
-        };
-        self.send_to_all(&bytes, targets).await;
+        self.socket.send(&digest, targets).await;
     }
 
     /// Sends the trials and what became known of crashes to all peers, and a page of all that is known
@@ -291,13 +298,7 @@
                 trials: trials.clone(),
                 records,
             };
-            match rmp_serde::to_vec(&report) {
-                Ok(bytes) => self.send_to_all(&bytes, targets).await,
-                Err(error) => {
-                    let error = error.to_string();
-                    log::error!(error = error.as_str(); "digest not encoded");
-                }
-            }
+            self.socket.send(&report, targets).await;
         }
         more
     }
@@ -333,31 +334,15 @@
                 limits,
                 retries,
             };
-            match rmp_serde::to_vec(&report) {
-                Ok(bytes) => self.send_to_all(&bytes, targets).await,
-                Err(error) => {
-                    let error = error.to_string();
-                    log::error!(error = error.as_str(); "digest not encoded");
-                }
-            }
+            self.socket.send(&report, targets).await;
         }
         self.ctx.state().limits.has_updates()
     }
 
     /// Returns the time until the next digest after one to this many peers.
     fn end_round(&self, peers: u32) -> Duration {
-        let mut round = self.round.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut *round).pause(peers, self.ctx.settings().resources.link.0)
-    }
-
-    async fn send_to_all(&self, bytes: &[u8], targets: &[SocketAddr]) {
-        for target in targets {
-            if self.socket.send_to(bytes, target).await.is_err() {
-                self.ctx.telemetry.count("peer.unsent");
-            }
-            let mut round = self.round.lock().unwrap_or_else(PoisonError::into_inner);
-            round.count(bytes.len());
-        }
+        let link = self.ctx.settings().resources.link.0;
+        self.socket.end_round(peers, link)
     }
 
     /// Drops what is no longer true. Returns whether a gateway has gone silent.
--- a/crates/cumindoor/src/gateway/placement.rs
+++ b/crates/cumindoor/src/gateway/placement.rs
@@ -6,6 +6,7 @@
 use border::{Model, Stage};
 use coord::limit::{LimitKey, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
+use coord::origin::BuildKey;
 use coord::time::Time;
 use rand::{Rng, RngExt};
 
@@ -33,6 +34,9 @@
 const MAX_SCORE_GAP: f64 = 0.5;
 /// Score added to an upstream that names a rate limit, so that others are used first.
 const LIMITED_WEIGHT: f64 = 1.0;
+/// Score added to a prefill engine of another build than the decode engine, which imports what it wrote. A
+/// queue of 2,000 prompt tokens adds as much.
+const OTHER_BUILD_WEIGHT: f64 = 0.3;
 /// Requests for each slot of a plain upstream, including those that queue at the upstream.
 const REQUESTS_PER_SLOT: u32 = 2;
 
@@ -96,6 +100,8 @@
     pub service: Service,
     /// Stage that the upstream served; `None` for a plain service.
     pub stage: Option<Stage>,
+    /// Key of the version of its software.
+    pub build: BuildKey,
 }
 
 impl From<&Endpoint> for Choice {
@@ -108,6 +114,7 @@
             data_centre: endpoint.entry.data_centre.clone(),
             service: endpoint.entry.service.clone(),
             stage: endpoint.entry.stage,
+            build: endpoint.build,
         }
     }
 }
@@ -123,6 +130,8 @@
     /// Longest time until a limited upstream takes the request; `None` if there is no time to agree with
     /// other gateways that it does.
     pub patience: Option<Duration>,
+    /// The build at which the stream began, which alone may continue it; `None` before its first event.
+    pub build: Option<BuildKey>,
     /// Data centre whose upstreams are preferred.
     pub preferred: &'a DataCentre,
     /// Time of the decision.
@@ -143,11 +152,19 @@
         self.choose(service, None, tried, has_room, load_score)
     }
 
-    /// Chooses an engine for the prefill of a prompt.
-    pub fn choose_prefill(&mut self, service: &Service, tried: &[Upstream]) -> Option<Choice> {
+    /// Chooses an engine for the prefill of a prompt, preferably of the build of the engine that decodes.
+    pub fn choose_prefill(
+        &mut self,
+        service: &Service,
+        decode: BuildKey,
+        tried: &[Upstream],
+    ) -> Option<Choice> {
         // 1000 prompt tokens add as much to the score as a location in another data centre.
-        let load_score =
-            |_: &Endpoint, load: Load| f64::from(load.unprefilled_tokens) / 1_000.0 * REMOTE_WEIGHT;
+        let load_score = |endpoint: &Endpoint, load: Load| {
+            let queued = f64::from(load.unprefilled_tokens) / 1_000.0 * REMOTE_WEIGHT;
+            let is_other = endpoint.build != decode;
+            queued + if is_other { OTHER_BUILD_WEIGHT } else { 0.0 }
+        };
         self.choose(
             service,
             Some(Stage::Prefill),
@@ -239,7 +256,7 @@
         stage: Option<Stage>,
         tried: &[Upstream],
     ) -> Vec<&'a Endpoint> {
-        let usable = self.directory.usable(service, stage);
+        let usable = self.directory.usable(service, stage, self.build);
         usable
             .filter(|e| !tried.contains(&e.name) && self.pause_left(e).is_none())
             .collect()
@@ -260,7 +277,7 @@
         tried: &[Upstream],
     ) -> Option<(&'a Endpoint, Duration)> {
         let mut first: Option<(&'a Endpoint, Duration)> = None;
-        let usable = self.directory.usable(service, stage);
+        let usable = self.directory.usable(service, stage, self.build);
         for endpoint in usable.filter(|e| !tried.contains(&e.name)) {
             let left = self.pause_left(endpoint)?;
             if first.is_none_or(|(_, least)| left < least) {
--- a/crates/cumindoor/src/gateway/queue.rs
+++ b/crates/cumindoor/src/gateway/queue.rs
@@ -31,6 +31,9 @@
     pub priority: u8,
     /// KV cache that the request needs.
     pub demand: Demand,
+    /// Whether the request resumes a stream, which only upstreams of its build may continue. It takes a
+    /// place there whenever there is one, and keeps nobody from others.
+    pub resumes: bool,
 }
 
 impl Ticket {
@@ -43,9 +46,16 @@
             due: arrived + target.saturating_sub(lead_time),
             priority: 0,
             demand,
+            resumes: false,
         }
     }
 
+    /// Returns the ticket of a request that resumes a stream, or of one that does not.
+    #[must_use]
+    pub fn resuming(self, resumes: bool) -> Self {
+        Self { resumes, ..self }
+    }
+
     /// Returns the ticket with another priority.
     #[must_use]
     pub fn with_priority(self, priority: u8) -> Self {
@@ -74,14 +84,16 @@
         self.waiting.remove(&number);
     }
 
-    /// Returns the number of the request at the head of the queue.
+    /// Returns the number of the request at the head of the queue. Requests that resume streams are not in
+    /// line.
     #[must_use]
     pub fn head(&self, now: Time) -> Option<u64> {
         let rank = |(number, ticket): &(&u64, &Ticket)| {
             let late = ticket.due < now;
             (ticket.priority, late, ticket.arrived, **number)
         };
-        let first = self.waiting.iter().min_by_key(rank);
+        let in_line = self.waiting.iter().filter(|(_, ticket)| !ticket.resumes);
+        let first = in_line.min_by_key(rank);
         first.map(|(number, _)| *number)
     }
 
@@ -92,6 +104,13 @@
     /// from capacity that it cannot use itself.
     #[must_use]
     pub fn may_proceed(&self, now: Time, number: u64) -> bool {
+        if self
+            .waiting
+            .get(&number)
+            .is_some_and(|ticket| ticket.resumes)
+        {
+            return true;
+        }
         let Some(head) = self.head(now) else {
             return false;
         };
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -7,6 +7,7 @@
 use border::{Change, Model, Prompt, Stage, UpstreamEntry};
 use coord::limit::{Rate, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
+use coord::origin::BuildKey;
 use coord::time::Time;
 use cumindoor::gateway::directory::{Directory, UpstreamChange};
 use cumindoor::gateway::health::Outcome;
@@ -33,6 +34,7 @@
 fn entry(stage: Option<Stage>, zone: &str) -> UpstreamEntry {
     UpstreamEntry {
         service: "s".into(),
+        version: "v1".into(),
         address: ([127, 0, 0, 1], 1).into(),
         data_centre: zone.into(),
         slots: 64,
@@ -78,6 +80,7 @@
     loads: LoadTable,
     limits: SharedLimits<SocketAddr>,
     rng: ChaCha8Rng,
+    build: Option<BuildKey>,
     rank: Option<usize>,
 }
 
@@ -88,6 +91,7 @@
             loads: LoadTable::default(),
             limits: SharedLimits::new(peer(1)),
             rng: ChaCha8Rng::seed_from_u64(1),
+            build: None,
             rank: None,
         }
     }
@@ -98,6 +102,7 @@
             loads: &self.loads,
             limits: &self.limits,
             patience: Some(Duration::ZERO),
+            build: self.build,
             preferred,
             now,
             rng: &mut self.rng,
