Recognise a stream whose caller names no attempt by its content

Change: each stream has a second record, by its caller's address and the request's fingerprint. If all streams of the caller with this content began at one build, an unnamed one goes on there; if they began at several, it is refused. Records of one content go to the same keepers, in one datagram.

--- a/crates/coord/src/origin.rs
+++ b/crates/coord/src/origin.rs
@@ -3,7 +3,7 @@
 //! Builds are versions of an upstream's software. Several of them may serve side by side, and what two
 //! of them write does not fit together, so a stream may go on only at the build that began it. A caller
 //! that takes a stream up comes to any VM, within milliseconds of the first event. Each VM therefore tells
-//! the build of the streams that it relays to a few others, which all VMs compute from the stream's key
+//! the build of the streams that it relays to a few others, which all VMs compute from the request's content
 //! ([`crate::owner`]), and a VM that does not know a stream asks these. Neither grows with the fleet. What
 //! nobody knows is not guessed. See `docs/design.md`, section 6.12.
 //!
@@ -17,13 +17,14 @@
 //! use coord::time::Time;
 //!
 //! let (now, build) = (Time::ZERO, build_key("summaries", "v2"));
-//! let stream = stream_key("attempt-1", 17);
+//! let content = 17;
+//! let stream = stream_key("attempt-1", content);
 //! let others: Owners = [("vm-1", "east"), ("vm-2", "east")]
 //!     .into_iter()
 //!     .map(|(vm, data_centre)| (vm.into(), data_centre.into()))
 //!     .collect();
 //! let mut origins = Origins::default();
-//! origins.begin_lookup(now, stream);
+//! origins.begin_lookup(now, (stream, content));
 //! let Step::Ask { targets, .. } = origins.next_step(now, stream, &others, true) else {
 //!     panic!("nobody was asked");
 //! };
@@ -67,6 +68,9 @@
 /// Stands for a stream.
 pub type StreamKey = u128;
 
+/// A fingerprint of what stays the same in all attempts of a caller. It decides which VMs keep the origin.
+pub type ContentKey = u128;
+
 /// Returns the key of a version of a service.
 #[must_use]
 pub fn build_key(service: &str, version: &str) -> BuildKey {
@@ -74,11 +78,18 @@
     hash64(format!("{length}|{service}|{version}").as_bytes())
 }
 
-/// Returns the key of the stream that the attempt `id` of a caller began. `content` is a fingerprint of what
-/// stays the same in all attempts, so that the id of another stream leads to nothing.
+/// Returns the key of the stream that the attempt `id` of a caller began. The id of a stream of other content
+/// leads to nothing.
+#[must_use]
+pub fn stream_key(id: &str, content: ContentKey) -> StreamKey {
+    hash128_of([&[0], id.as_bytes(), &content.to_be_bytes()[..]])
+}
+
+/// Returns the key of the streams that a caller began with this content, for one that names no attempt. If
+/// several began at different builds, none is believed.
 #[must_use]
-pub fn stream_key(id: &str, content: u128) -> StreamKey {
-    hash128_of([id.as_bytes(), &content.to_be_bytes()[..]])
+pub fn caller_key(caller: &str, content: ContentKey) -> StreamKey {
+    hash128_of([&[1], caller.as_bytes(), &content.to_be_bytes()[..]])
 }
 
 /// The origin of a stream, as sent from one VM to another.
@@ -137,6 +148,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     build: BuildKey,
+    content: ContentKey,
     until: Time,
     /// Number of attempts that relay the stream here.
     attempts: usize,
@@ -181,11 +193,12 @@
     }
 
     /// Records that this VM begins to relay a stream whose caller may come back for `retention`. Returns what
-    /// to tell the [`keepers`] of the stream before its first event is sent to the caller.
+    /// to tell the [`keepers`] of its content before its first event is sent to the caller.
     pub fn begin(
         &mut self,
         now: Time,
-        (stream, build): (StreamKey, BuildKey),
+        (stream, content): (StreamKey, ContentKey),
+        build: BuildKey,
         retention: Duration,
     ) -> OriginRecord {
         let record = OriginRecord::new(stream, Some(build), retention);
@@ -193,6 +206,7 @@
         let until = now + retention.min(MAX_RETENTION);
         let running = self.running.entry(stream).or_insert(Running {
             build,
+            content,
             until,
             attempts: 0,
         });
@@ -218,7 +232,7 @@
         for (stream, running) in &self.running {
             let left = running.until.since(now);
             let record = OriginRecord::new(*stream, Some(running.build), left);
-            for keeper in keepers(others, *stream) {
+            for keeper in keepers(others, running.content) {
                 told.entry(keeper).or_default().push(record);
             }
         }
@@ -275,9 +289,9 @@
     }
 
     /// Begins to look for the origin of a stream, or joins another lookup for it.
-    pub fn begin_lookup(&mut self, now: Time, stream: StreamKey) {
+    pub fn begin_lookup(&mut self, now: Time, (stream, content): (StreamKey, ContentKey)) {
         let lookup = self.lookups.entry(stream);
-        lookup.or_insert_with(|| Lookup::new(now)).join();
+        lookup.or_insert_with(|| Lookup::new(now, content)).join();
     }
 
     /// Ends a lookup, whatever it found.
@@ -302,7 +316,7 @@
             Some(record) => record.build.map_or(Step::Unknown, Step::Known),
             None if !expects_others && others.is_empty() => Step::Unknown,
             None => match self.lookups.get_mut(&stream) {
-                Some(lookup) => lookup.next_step(now, stream, others),
+                Some(lookup) => lookup.next_step(now, others),
                 None => Step::Unknown,
             },
         }
@@ -332,13 +346,13 @@
     }
 }
 
-/// Returns the VMs to which the origin of a stream is told, among those that a VM hears.
+/// Returns the VMs to which the origins of streams of this content are told, among those that a VM hears.
 #[must_use]
-pub fn keepers(others: &Owners, stream: StreamKey) -> Vec<VmName> {
-    nearest(others, stream, COPIES)
+pub fn keepers(others: &Owners, content: ContentKey) -> Vec<VmName> {
+    nearest(others, content, COPIES)
 }
 
-fn nearest(others: &Owners, stream: StreamKey, count: usize) -> Vec<VmName> {
-    let key = hash64(&stream.to_be_bytes());
+fn nearest(others: &Owners, content: ContentKey, count: usize) -> Vec<VmName> {
+    let key = hash64(&content.to_be_bytes());
     others.owners(key, count).into_iter().cloned().collect()
 }
--- a/crates/coord/src/origin/lookup.rs
+++ b/crates/coord/src/origin/lookup.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{BuildKey, COPIES, StreamKey, nearest};
+use super::{BuildKey, COPIES, ContentKey, nearest};
 use crate::name::VmName;
 use crate::owner::Owners;
 use crate::time::Time;
@@ -47,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Lookup {
     since: Time,
+    content: ContentKey,
     waiting: usize,
     /// Number of questions so far.
     asked: usize,
@@ -55,9 +56,10 @@
 }
 
 impl Lookup {
-    pub(super) fn new(now: Time) -> Self {
+    pub(super) fn new(now: Time, content: ContentKey) -> Self {
         Self {
             since: now,
+            content,
             waiting: 0,
             asked: 0,
             denials: BTreeMap::new(),
@@ -82,13 +84,13 @@
         }
     }
 
-    pub(super) fn next_step(&mut self, now: Time, stream: StreamKey, others: &Owners) -> Step {
+    pub(super) fn next_step(&mut self, now: Time, others: &Owners) -> Step {
         let limit = self.since + LOOKUP_LIMIT;
         if now >= limit {
             return Step::Unknown;
         }
         let count = if self.asked == 0 { COPIES } else { WIDE };
-        let mut targets = nearest(others, stream, count);
+        let mut targets = nearest(others, self.content, count);
         let settled = |vm: &VmName| self.denials.get(vm).is_some_and(|r| *r >= SETTLED_ROUND);
         let known = targets.len();
         targets.retain(|vm| !settled(vm));
--- a/crates/cumindoor/src/gateway/exchange/origin.rs
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use border::RouteKind;
-use coord::origin::{BuildKey, StreamKey, stream_key};
+use coord::origin::{BuildKey, StreamKey, caller_key, stream_key};
 
 use super::{CallerRequest, millis};
 use crate::gateway::answer::{Reason, Refusal};
@@ -24,20 +24,20 @@
     if !req.kind().is_stream() || !resumes {
         return Ok(());
     }
-    let name = match &req.meta.resumes {
-        Some(Ok(name)) => name,
+    let content = req.content.run;
+    let (name, stream) = match &req.meta.resumes {
+        Some(Ok(name)) => (&**name, stream_key(name, content)),
         Some(Err(error)) => return Err(refuse(req, &error.to_string())),
-        None => return Err(refuse(req, "the caller names no attempt")),
+        None => ("", unnamed(req)),
     };
-    let stream = stream_key(name, req.content.run);
-    let Some(build) = origins::find(&req.ctx, stream).await else {
-        return Err(refuse(req, "no gateway knows the attempt"));
+    let Some(build) = origins::find(&req.ctx, (stream, content)).await else {
+        return Err(refuse(req, "no gateway knows the stream"));
     };
     req.build.get_or_init(|| build);
     let waited_ms = millis(req.started.elapsed());
     let version = version(req, build);
-    let (id, resumes, version) = (&*req.meta.id, &**name, version.as_deref().unwrap_or(""));
-    log::info!(id, resumes, version, waited_ms; "origin found");
+    let (id, version) = (&*req.meta.id, version.as_deref().unwrap_or(""));
+    log::info!(id, resumes = name, version, waited_ms; "origin found");
     req.ctx.telemetry.count("origin.found");
     if !req.has_upstream_of_build(&req.ctx.state().directory) {
         return Err(Refusal::new(Reason::VersionGone));
@@ -69,16 +69,23 @@
     }
     let limit = req.meta.timeout.unwrap_or(req.route.timeout);
     let retention = limit.saturating_sub(req.started.elapsed()) + RETENTION_MARGIN;
-    Some(origins::begin(&req.ctx, &streams(req), build, retention).await)
+    let streams = streams(req);
+    let key = (&streams[..], req.content.run);
+    Some(origins::begin(&req.ctx, key, build, retention).await)
 }
 
 /// Returns the keys under which the caller may take the stream up: by the attempt that began it, which it
-/// should name, and by this one.
+/// should name, by this one, and by its address if it names none.
 fn streams(req: &CallerRequest) -> Vec<StreamKey> {
     let own = stream_key(&req.meta.id, req.content.run);
     let first = match &req.meta.resumes {
         Some(Ok(name)) => Some(stream_key(name, req.content.run)),
         _ => None,
     };
-    std::iter::once(own).chain(first).collect()
+    [own, unnamed(req)].into_iter().chain(first).collect()
+}
+
+/// Returns the key of what the caller streamed lately, for callers that do not name the attempt.
+fn unnamed(req: &CallerRequest) -> StreamKey {
+    caller_key(&req.content.caller.to_string(), req.content.run)
 }
--- a/crates/cumindoor/src/gateway/origins.rs
+++ b/crates/cumindoor/src/gateway/origins.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use coord::name::{DataCentre, VmName};
-use coord::origin::{BuildKey, MAX_BATCH, OriginMessage, OriginRecord, Step, StreamKey, keepers};
+use coord::origin::{
+    BuildKey, ContentKey, MAX_BATCH, OriginMessage, OriginRecord, Step, StreamKey, keepers,
+};
 use coord::owner::Owners;
 use tokio::time::{sleep, timeout};
 
@@ -34,29 +36,26 @@
 /// Records the origin of a stream, under each of its keys, and tells other gateways.
 pub async fn begin(
     ctx: &Arc<Context>,
-    streams: &[StreamKey],
+    (streams, content): (&[StreamKey], ContentKey),
     build: BuildKey,
     retention: Duration,
 ) -> RunningStream {
-    let told = {
+    let (keepers, message) = {
         let now = ctx.now();
         let mut state = ctx.state();
-        let others = others(&state);
-        let mut told = Vec::new();
-        for stream in streams {
-            let record = state.origins.begin(now, (*stream, build), retention);
-            let keepers = keepers(&others, *stream);
-            told.extend(keepers.into_iter().map(|keeper| (keeper, record)));
-        }
-        told
+        let keepers = keepers(&others(&state), content);
+        let origins = &mut state.origins;
+        let begun = streams.iter();
+        let begun = begun.map(|stream| origins.begin(now, (*stream, content), build, retention));
+        (keepers, OriginMessage::Told(begun.collect()))
     };
     let running = RunningStream {
         ctx: Arc::clone(ctx),
         streams: streams.to_vec(),
     };
     let telling = async {
-        for (keeper, record) in told {
-            send(ctx, &keeper, &OriginMessage::Told(vec![record])).await;
+        for keeper in &keepers {
+            send(ctx, keeper, &message).await;
         }
     };
     if timeout(TELL_TIME, telling).await.is_err() {
@@ -66,8 +65,11 @@
 }
 
 /// Returns the build at which a stream began, or `None` if no gateway that can be reached knows it.
-pub async fn find(ctx: &Arc<Context>, stream: StreamKey) -> Option<BuildKey> {
-    let lookup = OngoingLookup::begin(ctx, stream);
+pub async fn find(
+    ctx: &Arc<Context>,
+    (stream, content): (StreamKey, ContentKey),
+) -> Option<BuildKey> {
+    let lookup = OngoingLookup::begin(ctx, (stream, content));
     loop {
         let heard = ctx.origin_heard.notified();
         let mut heard = std::pin::pin!(heard);
@@ -112,10 +114,10 @@
 }
 
 impl<'a> OngoingLookup<'a> {
-    fn begin(ctx: &'a Context, stream: StreamKey) -> Self {
+    fn begin(ctx: &'a Context, key: (StreamKey, ContentKey)) -> Self {
         let now = ctx.now();
-        ctx.state().origins.begin_lookup(now, stream);
-        Self { ctx, stream }
+        ctx.state().origins.begin_lookup(now, key);
+        Self { ctx, stream: key.0 }
     }
 }
 
