Keep the last decode engine of a version at its stage

Cause: an order took the idlest decode engine to the other stage. During a rollout that is the newest one, perhaps the only decode engine of its version, and the streams that began there could go on nowhere.

Change: of each build one decode engine stays. An order that finds none to spare is not given.

--- a/crates/cumindoor/src/gateway/balance.rs
+++ b/crates/cumindoor/src/gateway/balance.rs
@@ -4,9 +4,11 @@
 //! or the reverse. An engine that switches its stage serves no requests for some seconds, so a
 //! switch has to bring a clear gain, and switches are rare.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use border::Stage;
+use coord::origin::BuildKey;
 use coord::time::Time;
 
 /// Time constant of the usage average: longer than a burst of one second, and shorter than the
@@ -143,3 +145,23 @@
         self.last_change = Some(now);
     }
 }
+
+/// Returns those of the engines, in their order, that may leave a stage together. Of each build one engine
+/// stays, because a stream that began at a build can go on nowhere else. `all` has the build of each engine
+/// of the stage.
+pub fn sparable<T>(engines: Vec<T>, all: &[BuildKey], build: impl Fn(&T) -> BuildKey) -> Vec<T> {
+    let mut left: BTreeMap<BuildKey, usize> = BTreeMap::new();
+    for build in all {
+        *left.entry(*build).or_default() += 1;
+    }
+    let mut may_leave = |engine: &T| {
+        let left = left.entry(build(engine)).or_default();
+        let spare = *left > 1;
+        *left -= usize::from(spare);
+        spare
+    };
+    engines
+        .into_iter()
+        .filter(|engine| may_leave(engine))
+        .collect()
+}
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -13,10 +13,11 @@
 use border::{OrderAnswer, Stage, StageOrder};
 use coord::fence::FencingToken;
 use coord::name::{Service, Upstream};
+use coord::origin::BuildKey;
 use coord::time::Time;
 use tokio::time::{sleep, timeout};
 
-use super::balance::{StageBalancer, StageCounts, StageUsage};
+use super::balance::{self, StageBalancer, StageCounts, StageUsage};
 use super::context::{Context, State};
 use super::directory::Endpoint;
 use super::leadership::{FleetView, Leadership};
@@ -126,6 +127,11 @@
             engines(from).filter(|endpoint| !endpoint.health.is_ejected(now) && !paused(endpoint));
         let mut idle: Vec<&Endpoint> = healthy.collect();
         idle.sort_by_key(|endpoint| (load(endpoint).kv_tokens, load(endpoint).unprefilled_tokens));
+        let all: Vec<BuildKey> = engines(from).map(|endpoint| endpoint.build).collect();
+        let idle = match from {
+            Stage::Decode => balance::sparable(idle, &all, |endpoint| endpoint.build),
+            Stage::Prefill => idle,
+        };
         let chosen = idle.into_iter().take(moved as usize);
         wanted.extend(chosen.map(|endpoint| (service.clone(), endpoint.clone(), wanted_stage)));
     }
