Check the version of an engine when its bytes arrive, and the service of a shared route

Cause: an engine may start anew under its id and address with another version while a request is on its way to it, and the store tells later. And a request that takes a stream up was given to any of the services among which its route is shared out.

Change: the first bytes of an engine whose entry has another version by now are dropped, and the attempt is lost; if some were relayed, the stream is cut and its origin becomes unknown. A resumed stream goes to the service of its route that has its build.

--- a/crates/coord/src/origin.rs
+++ b/crates/coord/src/origin.rs
@@ -214,6 +214,19 @@
         record
     }
 
+    /// Records that nobody can know the origin of a stream that this VM relays. Returns what to tell its
+    /// keepers, or `None` if it is not known here.
+    pub fn dispute(&mut self, now: Time, stream: StreamKey) -> Option<OriginRecord> {
+        let known = self.get(now, stream)?;
+        let disputed = OriginRecord {
+            build: None,
+            ..known
+        };
+        self.record(now, &disputed);
+        self.running.remove(&stream);
+        Some(disputed)
+    }
+
     /// Records that an attempt no longer relays a stream. Its origin stays known.
     pub fn end(&mut self, stream: StreamKey) {
         if let Some(running) = self.running.get_mut(&stream) {
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -179,12 +179,12 @@
         })
     }
 
-    /// Returns whether the upstream is known to have started anew since a choice, so that what it sends may
-    /// come from another version of its software. One that has disappeared has not.
+    /// Returns whether the upstream is known to have started anew with another version of its software since
+    /// a choice. One that has disappeared has not.
     #[must_use]
-    pub fn has_restarted(&self, choice: &Choice) -> bool {
+    pub fn has_other_build(&self, choice: &Choice) -> bool {
         let endpoint = self.upstreams.get(&choice.name);
-        endpoint.is_some_and(|endpoint| endpoint.limit_key != choice.limit_key)
+        endpoint.is_some_and(|endpoint| endpoint.build != choice.build)
     }
 
     /// Returns whether an upstream is leaving, by its entry or by its own statement.
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -235,7 +235,7 @@
     let answered = match read_request(&ctx, caller, (parts, body), (arrived, started)).await {
         Ok(req) => {
             content = Some(req.content.clone());
-            run(Arc::new(req)).await
+            run(req).await
         }
         Err(refusal) => Err(refusal),
     };
@@ -436,10 +436,13 @@
 }
 
 /// Sends a request to its upstreams, until the deadline.
-async fn run(req: Arc<CallerRequest>) -> Result<Response<BoxedBody>, Refusal> {
+async fn run(mut req: CallerRequest) -> Result<Response<BoxedBody>, Refusal> {
+    let late = req.refusal(Reason::Late, Reason::TimedOut, BUSY_RETRY_AFTER);
+    let found = timeout_at(req.deadline, origin::find(&mut req)).await;
+    found.unwrap_or(Err(late))?;
+    let req = Arc::new(req);
     let running = async {
         req.refuse_poison()?;
-        origin::find(&req).await?;
         if req.def.model.is_some() && req.meta.prompt.is_some() {
             model::run(&req).await
         } else {
--- a/crates/cumindoor/src/gateway/exchange/origin.rs
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use border::RouteKind;
+use coord::name::Service;
 use coord::origin::{BuildKey, StreamKey, caller_key, stream_key};
 
 use super::{CallerRequest, millis};
@@ -19,11 +20,22 @@
 
 /// Binds a request that resumes a stream to the build at which it began. Refuses it if nobody knows that
 /// build, because any other one would write something that does not fit.
-pub(super) async fn find(req: &CallerRequest) -> Result<(), Refusal> {
+pub(super) async fn find(req: &mut CallerRequest) -> Result<(), Refusal> {
     let resumes = req.meta.last_event_id.is_some() || req.meta.resumes.is_some();
     if !req.kind().is_stream() || !resumes {
         return Ok(());
     }
+    let build = look_up(req).await?;
+    req.build.get_or_init(|| build);
+    choose_service(req);
+    if !req.has_upstream_of_build(&req.ctx.state().directory) {
+        return Err(Refusal::new(Reason::VersionGone));
+    }
+    Ok(())
+}
+
+/// Returns the build at which the stream began that a request resumes.
+async fn look_up(req: &CallerRequest) -> Result<BuildKey, Refusal> {
     let content = req.content.run;
     let (name, stream) = match &req.meta.resumes {
         Some(Ok(name)) => (&**name, stream_key(name, content)),
@@ -33,16 +45,37 @@
     let Some(build) = origins::find(&req.ctx, (stream, content)).await else {
         return Err(refuse(req, "no gateway knows the stream"));
     };
-    req.build.get_or_init(|| build);
     let waited_ms = millis(req.started.elapsed());
     let version = version(req, build);
     let (id, version) = (&*req.meta.id, version.as_deref().unwrap_or(""));
     log::info!(id, resumes = name, version, waited_ms; "origin found");
     req.ctx.telemetry.count("origin.found");
-    if !req.has_upstream_of_build(&req.ctx.state().directory) {
-        return Err(Refusal::new(Reason::VersionGone));
+    Ok(build)
+}
+
+/// Sends a request that resumes a stream to the service that began it, if its route shares the requests out
+/// among several.
+fn choose_service(req: &mut CallerRequest) {
+    let found = {
+        let state = req.ctx.state();
+        let has_build = |service: &&Service| {
+            let mut all = state.directory.not_draining(service);
+            all.any(|endpoint| Some(endpoint.build) == req.build())
+        };
+        let targets = req.route.targets.iter();
+        let mut used = targets
+            .filter(|(_, weight)| *weight > 0)
+            .map(|(service, _)| service);
+        let service = used.find(has_build).cloned();
+        let routing = state.routing.clone();
+        service.and_then(|service| {
+            let def = routing?.services.get(&service).cloned()?;
+            Some((service, def))
+        })
+    };
+    if let Some((service, def)) = found {
+        (req.service, req.def) = (service, def);
     }
-    Ok(())
 }
 
 fn refuse(req: &CallerRequest, why: &str) -> Refusal {
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -136,7 +136,7 @@
     let status = answer.head.status;
     let response = buffer_small(req, choice, answer).await?;
     if req.kind().is_stream() && status.is_success() {
-        if req.ctx.state().directory.has_restarted(choice) {
+        if req.ctx.state().directory.has_other_build(choice) {
             return Err(send::record_lost(req, choice, relay::RESTARTED));
         }
         // The answer is there, so its origin need not be told again.
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -33,8 +33,8 @@
 /// Time before a stream is sent to another engine after one did not take it.
 const RESUME_DELAY: Duration = Duration::from_millis(20);
 
-/// Text of the failure of an engine that started anew under its name before its first bytes arrived.
-pub(super) const RESTARTED: &str = "the engine started anew";
+/// Text of the failure of an engine that started anew under its name.
+pub(super) const RESTARTED: &str = "the engine started anew with another version";
 
 /// A request that was accepted by a decode engine.
 pub(super) struct DecodeRun {
@@ -123,7 +123,7 @@
     run: Option<DecodeRun>,
     source: Option<(Incoming, Lease, AttemptGuard)>,
     events: EventBuffer,
-    /// Whether the current engine was the one that had been chosen when its first bytes arrived.
+    /// Whether bytes of the current engine have arrived.
     engine_checked: bool,
     /// The stream as other gateways know it, from its first event on.
     origin: Option<RunningStream>,
@@ -140,6 +140,8 @@
     Events(Bytes),
     End,
     Broken(String),
+    /// The engine has another version by now, so it is not certain which one wrote the events so far.
+    Disputed,
     /// The engine was silent for long, and another one has a place.
     Replaced(Place),
     TimedOut,
@@ -173,6 +175,12 @@
                         return Some(Err(error));
                     }
                 }
+                Received::Disputed => {
+                    if let Some(origin) = self.origin.take() {
+                        origin.dispute().await;
+                    }
+                    return Some(Err(self.abort("disputed", RESTARTED)));
+                }
                 Received::TimedOut => {
                     return Some(Err(
                         self.abort("timed-out", "the request's deadline has passed")
@@ -203,11 +211,15 @@
         match frame {
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
-                    guard.record_output();
-                    let checked = std::mem::replace(&mut self.engine_checked, true);
-                    if !checked && req.ctx.state().directory.has_restarted(&run.choice) {
-                        return Received::Broken(RESTARTED.to_owned());
+                    let is_first = !std::mem::replace(&mut self.engine_checked, true);
+                    if req.ctx.state().directory.has_other_build(&run.choice) {
+                        return if is_first {
+                            Received::Broken(RESTARTED.to_owned())
+                        } else {
+                            Received::Disputed
+                        };
                     }
+                    guard.record_output();
                     let ended = self.events.ended();
                     let pushed = self.events.push(&data);
                     if self.events.ended() > ended {
--- a/crates/cumindoor/src/gateway/origins.rs
+++ b/crates/cumindoor/src/gateway/origins.rs
@@ -22,6 +22,27 @@
 pub struct RunningStream {
     ctx: Arc<Context>,
     streams: Vec<StreamKey>,
+    content: ContentKey,
+}
+
+impl RunningStream {
+    /// Makes the origin unknown, because it is not certain which build wrote the events.
+    pub async fn dispute(&self) {
+        let (keepers, records) = {
+            let now = self.ctx.now();
+            let mut state = self.ctx.state();
+            let records: Vec<OriginRecord> = self
+                .streams
+                .iter()
+                .filter_map(|stream| state.origins.dispute(now, *stream))
+                .collect();
+            (keepers(&others(&state), self.content), records)
+        };
+        let message = OriginMessage::Told(records);
+        for keeper in &keepers {
+            send(&self.ctx, keeper, &message).await;
+        }
+    }
 }
 
 impl Drop for RunningStream {
@@ -52,6 +73,7 @@
     let running = RunningStream {
         ctx: Arc::clone(ctx),
         streams: streams.to_vec(),
+        content,
     };
     let telling = async {
         for keeper in &keepers {
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -7,15 +7,16 @@
 use border::{Change, Model, Prompt, Stage, UpstreamEntry};
 use coord::limit::{Rate, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
-use coord::origin::BuildKey;
+use coord::origin::{BuildKey, build_key};
 use coord::time::Time;
+use cumindoor::gateway::balance::sparable;
 use cumindoor::gateway::directory::{Directory, UpstreamChange};
 use cumindoor::gateway::health::Outcome;
 use cumindoor::gateway::load_table::{
     Digest, Key, Load, LoadTable, Waiting, service_key, upstream_key,
 };
 use cumindoor::gateway::peer_list::PeerList;
-use cumindoor::gateway::placement::{Demand, Placer, usable_tokens};
+use cumindoor::gateway::placement::{Choice, Demand, Placer, usable_tokens};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -527,3 +528,99 @@
     let chosen = patient.choose_plain(&service, &[]);
     assert_eq!(chosen.map(|choice| choice.name), Some("a".into()));
 }
+
+/// Returns a directory with upstreams of these versions, named `a`, `b` and so on.
+fn versions(versions: &[&str], stage: Option<Stage>) -> Directory {
+    let mut directory = Directory::default();
+    for (name, version) in ["a", "b", "c", "d"].iter().zip(versions) {
+        let entry = UpstreamEntry {
+            version: (*version).into(),
+            ..entry(stage, "z")
+        };
+        directory.apply(Time::ZERO, Change::Upstream((*name).into(), Ok(entry)));
+    }
+    directory
+}
+
+/// Guards against a stream that is placed at another version, at any stage and however empty that is.
+#[rstest]
+#[case::decode(Some(Stage::Decode))]
+#[case::prefill(Some(Stage::Prefill))]
+#[case::plain(None)]
+fn a_stream_that_has_begun_is_placed_at_its_version(#[case] stage: Option<Stage>) {
+    let mut fixture = Fixture::new(&[], stage);
+    fixture.directory = versions(&["v1", "v2", "v2"], stage);
+    fixture.build = Some(build_key("s", "v1"));
+    fixture
+        .loads
+        .reserve(upstream_key(&"a".into()), kv_load(40_000));
+    let demand = Demand {
+        prompt_tokens: 100,
+        kv_tokens: 100,
+    };
+    let preferred = DataCentre::from("z");
+    let service = Service::from("s");
+
+    for _ in 0..20 {
+        let mut placer = fixture.placer(&preferred, ms(1));
+        let chosen = match stage {
+            None => placer.choose_plain(&service, &[]),
+            Some(Stage::Prefill) => placer.choose_prefill(&service, build_key("s", "v2"), &[]),
+            Some(Stage::Decode) => placer.choose_decode(&service, &model(), demand, &[]),
+        };
+        assert_eq!(chosen.map(|choice| choice.name), Some("a".into()));
+        let tried = ["a".into()];
+        assert_eq!(placer.choose_plain(&service, &tried), None);
+    }
+}
+
+/// Guards against prefill results of another version while engines of the same one are as free.
+#[test]
+fn a_prefill_engine_of_the_version_that_decodes_is_preferred() {
+    let mut fixture = Fixture::new(&[], None);
+    fixture.directory = versions(&["v1", "v2"], Some(Stage::Prefill));
+    let preferred = DataCentre::from("z");
+    let service = Service::from("s");
+    let prefill = |fixture: &mut Fixture| {
+        let mut placer = fixture.placer(&preferred, ms(1));
+        let chosen = placer.choose_prefill(&service, build_key("s", "v2"), &[]);
+        chosen.unwrap().name
+    };
+
+    assert_eq!(prefill(&mut fixture), "b".into());
+    let queued = Load {
+        requests: 1,
+        unprefilled_tokens: 8_000,
+        kv_tokens: 0,
+    };
+    fixture.loads.reserve(upstream_key(&"b".into()), queued);
+    assert_eq!(prefill(&mut fixture), "a".into());
+}
+
+/// Guards against a version that is taken for that of the engine's start before.
+#[test]
+fn an_entry_with_another_version_is_another_start() {
+    let mut directory = versions(&["v1"], None);
+    let before = Choice::from(directory.get(&"a".into()).unwrap());
+    let next = UpstreamEntry {
+        version: "v2".into(),
+        ..entry(None, "z")
+    };
+
+    let change = directory.apply(ms(1), Change::Upstream("a".into(), Ok(next)));
+
+    assert_eq!(change, Some(("a".into(), UpstreamChange::Restarted)));
+    assert!(!directory.is_current(&before));
+    assert!(directory.has_other_build(&before));
+}
+
+/// Guards against an order that takes the last decode engine of a version, at which its streams go on.
+#[rstest]
+#[case::one_version(&[1, 1, 1], &[1, 1])]
+#[case::last_of_each(&[1, 2, 3], &[])]
+#[case::newest_is_idle(&[2, 1, 1, 1], &[1, 1])]
+fn the_last_engine_of_a_version_keeps_its_stage(#[case] idle: &[u64], #[case] expected: &[u64]) {
+    let spare = sparable(idle.to_vec(), idle, |build| *build);
+
+    assert_eq!(spare, expected);
+}
--- a/crates/cumindoor/tests/gateway_queue.rs
+++ b/crates/cumindoor/tests/gateway_queue.rs
@@ -53,6 +53,22 @@
     assert!(on_time * 10 >= placed * 9, "{on_time} of {placed} on time");
 }
 
+/// Guards against a stream that waits for its version at the head of the queue and holds up all others.
+#[test]
+fn a_request_that_resumes_a_stream_is_not_in_line() {
+    let mut queue = Queue::default();
+    let resuming = queue.enter(ticket(0, 100).resuming(true));
+    let first = queue.enter(ticket(10, 100));
+    let second = queue.enter(ticket(20, 100));
+
+    let now = ms(800);
+
+    assert_eq!(queue.head(now), Some(first));
+    let may = [resuming, first, second].map(|number| queue.may_proceed(now, number));
+    assert_eq!(may, [true, true, false]);
+    assert_eq!(queue.waiting(now).requests, 3);
+}
+
 /// Guards against an overload in which every request is late. Requests that can still meet their
 /// target go first, oldest first.
 #[test]
--- a/crates/cumindoor/tests/gateway_versions.rs
+++ b/crates/cumindoor/tests/gateway_versions.rs
@@ -15,6 +15,10 @@
 mod fleet;
 
 #[path = "../../../platform/tests/support/versions.rs"]
+#[expect(
+    dead_code,
+    reason = "the tests of the adapter use the other parts of this module"
+)]
 mod versions;
 
 use std::collections::BTreeSet;
