Let a stream whose engine changes its version stay with that engine

One connection belongs to one start of an engine, so a stream that one engine wrote alone holds one version; only its attribution is in doubt. And each answer about an origin woke all requests that waited for one, and a gateway that stops heard nobody after 3 s, so it told the origins of its last streams to nobody.

Change: such a stream goes on, is not moved, and its origin becomes unknown; it is cut only if another engine began it. Answers wake the requests that asked. A gateway that stops tells those that it heard when it began to.

--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -8,7 +8,7 @@
 use border::{Catalogue, Dialect, Routing};
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
-use coord::origin::Origins;
+use coord::origin::{Origins, StreamKey};
 use coord::poison::{PartSuspects, Suspects};
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
@@ -71,6 +71,9 @@
     pub limits: SharedLimits<SocketAddr>,
     /// Where streams began that callers may take up.
     pub origins: Origins,
+    /// Requests that wait until it is known where their stream began. A wake-up of all of them by each answer
+    /// would cost the square of their number.
+    pub origin_waiters: BTreeMap<StreamKey, Arc<Notify>>,
     /// Observed service times of model services.
     pub service_times: BTreeMap<Service, ServiceTimes>,
     /// When the store last answered.
@@ -121,8 +124,6 @@
     pub capacity_freed: Notify,
     /// Notified when a change has to be sent to other gateways.
     pub digest_due: Notify,
-    /// Notified when another gateway has answered where a stream began.
-    pub origin_heard: Notify,
     /// Sends datagrams to other gateways, once it is bound.
     pub peer_socket: OnceLock<Arc<PeerSocket>>,
     /// Notified when a probe of an upstream has ended.
@@ -163,6 +164,7 @@
             trials: Trials::default(),
             limits: SharedLimits::new(settings.fleet.address.0),
             origins: Origins::default(),
+            origin_waiters: BTreeMap::new(),
             service_times: BTreeMap::new(),
             store_contact: Time::ZERO,
             seen: Seen::default(),
@@ -178,7 +180,6 @@
             telemetry: Telemetry::in_memory(),
             capacity_freed: Notify::new(),
             digest_due: Notify::new(),
-            origin_heard: Notify::new(),
             peer_socket: OnceLock::new(),
             probe_ended: Notify::new(),
             stopping: CancellationToken::new(),
--- a/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
+++ b/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
@@ -90,6 +90,12 @@
         self.succeeds = true;
     }
 
+    /// Returns whether output has arrived.
+    #[must_use]
+    pub fn has_output(&self) -> bool {
+        self.first_output.is_some()
+    }
+
     /// Records that output arrived. After some time with output, the parts of the prompt are cleared: they
     /// would have crashed the upstream when it began to write.
     pub fn record_output(&mut self) {
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -123,6 +123,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns whether the caller takes up a stream that an earlier attempt of it began.
+    fn resumes(&self) -> bool {
+        let named = self.meta.last_event_id.is_some() || self.meta.resumes.is_some();
+        self.kind().is_stream() && named
+    }
+
     /// Returns the build to which the stream is bound, or `None` if it is free to begin at any.
     fn build(&self) -> Option<BuildKey> {
         self.build.get().copied()
--- a/crates/cumindoor/src/gateway/exchange/origin.rs
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -21,8 +21,7 @@
 /// Binds a request that resumes a stream to the build at which it began. Refuses it if nobody knows that
 /// build, because any other one would write something that does not fit.
 pub(super) async fn find(req: &mut CallerRequest) -> Result<(), Refusal> {
-    let resumes = req.meta.last_event_id.is_some() || req.meta.resumes.is_some();
-    if !req.kind().is_stream() || !resumes {
+    if !req.resumes() {
         return Ok(());
     }
     let build = look_up(req).await?;
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -136,11 +136,14 @@
     let status = answer.head.status;
     let response = buffer_small(req, choice, answer).await?;
     if req.kind().is_stream() && status.is_success() {
-        if req.ctx.state().directory.has_other_build(choice) {
+        let has_other_build = req.ctx.state().directory.has_other_build(choice);
+        if has_other_build && req.build().is_some() {
             return Err(send::record_lost(req, choice, relay::RESTARTED));
         }
-        // The answer is there, so its origin need not be told again.
-        drop(origin::bind(req, choice).await);
+        if !has_other_build {
+            // The answer is there, so its origin need not be told again.
+            drop(origin::bind(req, choice).await);
+        }
     }
     let ms = millis(req.started.elapsed());
     let (id, upstream) = (&*req.meta.id, choice.name.as_str());
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -75,7 +75,7 @@
         run: Some(run),
         source: Some((body, lease, guard)),
         events: EventBuffer::after(req.meta.last_event_id),
-        engine_checked: false,
+        dispute: Dispute::Absent,
         origin: None,
         attempts: 1,
         awaiting_first: true,
@@ -123,8 +123,7 @@
     run: Option<DecodeRun>,
     source: Option<(Incoming, Lease, AttemptGuard)>,
     events: EventBuffer,
-    /// Whether bytes of the current engine have arrived.
-    engine_checked: bool,
+    dispute: Dispute,
     /// The stream as other gateways know it, from its first event on.
     origin: Option<RunningStream>,
     attempts: u32,
@@ -135,13 +134,20 @@
     caller_guard: CallerGuard,
 }
 
+/// Whether the engine has another version by now, so that nobody can tell which one wrote the events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Dispute {
+    Absent,
+    /// Other gateways still have to be told.
+    Open,
+    Settled,
+}
+
 /// Result of a read from the engine's connection.
 enum Received {
     Events(Bytes),
     End,
     Broken(String),
-    /// The engine has another version by now, so it is not certain which one wrote the events so far.
-    Disputed,
     /// The engine was silent for long, and another one has a place.
     Replaced(Place),
     TimedOut,
@@ -154,7 +160,11 @@
             self.last_event = Instant::now();
         }
         while !self.ended {
-            match self.receive().await {
+            let received = self.receive().await;
+            if let Err(error) = self.settle_dispute().await {
+                return Some(Err(error));
+            }
+            match received {
                 Received::Events(bytes) if bytes.is_empty() => {}
                 Received::Events(bytes) => {
                     self.record_first_event().await;
@@ -175,12 +185,6 @@
                         return Some(Err(error));
                     }
                 }
-                Received::Disputed => {
-                    if let Some(origin) = self.origin.take() {
-                        origin.dispute().await;
-                    }
-                    return Some(Err(self.abort("disputed", RESTARTED)));
-                }
                 Received::TimedOut => {
                     return Some(Err(
                         self.abort("timed-out", "the request's deadline has passed")
@@ -196,7 +200,9 @@
             return Received::Broken("no engine is connected".to_owned());
         };
         let req = &*self.req;
-        let may_change = req.kind().is_retryable() && self.attempts < req.route.max_attempts;
+        let may_change = req.kind().is_retryable()
+            && self.attempts < req.route.max_attempts
+            && self.dispute == Dispute::Absent;
         let tried = std::slice::from_ref(&run.choice.name);
         let model = req.def.model.as_ref().filter(|_| may_change);
         let successor = model.map(|model| Successor::Decode(model, run.demand, tried));
@@ -211,13 +217,14 @@
         match frame {
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
-                    let is_first = !std::mem::replace(&mut self.engine_checked, true);
+                    let nothing_relayed = self.awaiting_first || !guard.has_output();
                     if req.ctx.state().directory.has_other_build(&run.choice) {
-                        return if is_first {
-                            Received::Broken(RESTARTED.to_owned())
-                        } else {
-                            Received::Disputed
-                        };
+                        if nothing_relayed {
+                            return Received::Broken(RESTARTED.to_owned());
+                        }
+                        if self.dispute == Dispute::Absent {
+                            self.dispute = Dispute::Open;
+                        }
                     }
                     guard.record_output();
                     let ended = self.events.ended();
@@ -238,6 +245,23 @@
         }
     }
 
+    /// Tells other gateways that the origin of the stream is unknown, once it is disputed. One engine may go on alone, because its
+    /// connection belongs to one start; events that other engines wrote before may be of another version, so
+    /// such a stream ends with the error that is returned.
+    async fn settle_dispute(&mut self) -> Result<(), BodyError> {
+        if self.dispute != Dispute::Open {
+            return Ok(());
+        }
+        self.dispute = Dispute::Settled;
+        if let Some(origin) = self.origin.take() {
+            origin.dispute().await;
+        }
+        if self.attempts > 1 || self.req.resumes() {
+            return Err(self.abort("disputed", RESTARTED));
+        }
+        Ok(())
+    }
+
     async fn record_first_event(&mut self) {
         if !std::mem::replace(&mut self.awaiting_first, false) {
             return;
@@ -349,6 +373,9 @@
         if !req.kind().is_retryable() {
             return Err("the route allows no resumption");
         }
+        if self.dispute != Dispute::Absent {
+            return Err("nobody knows the stream's version");
+        }
         let demand = Demand::new(&prompt, model);
         let successor = Successor::Decode(model, demand, &[]);
         while self.attempts < req.route.max_attempts {
@@ -421,7 +448,6 @@
             demand,
         });
         self.source = Some((answer.body, answer.lease, answer.guard));
-        self.engine_checked = false;
         Ok(())
     }
 }
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -160,6 +160,8 @@
     own: BTreeMap<Key, Load>,
     waiting: BTreeMap<Key, Waiting>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// The gateways that were heard when this one began to stop.
+    heard_at_stop: Option<Vec<SocketAddr>>,
     /// The gateways among which a limit of the whole fleet is divided.
     fleet: FleetSize,
     /// Highest fencing number seen from any gateway.
@@ -305,9 +307,18 @@
         self.peers.contains_key(&addr)
     }
 
-    /// Returns the addresses of the other live gateways.
-    pub fn live_gateways(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.keys().copied()
+    /// Records that this gateway begins to stop. The others send it no more digests from then on.
+    pub fn begin_stop(&mut self) {
+        let heard = || self.peers.keys().copied().collect();
+        self.heard_at_stop.get_or_insert_with(heard);
+    }
+
+    /// Returns the addresses of the other gateways that live, as far as is known: while this one stops, those
+    /// that it heard when it began to.
+    #[must_use]
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let heard = || self.peers.keys().copied().collect();
+        self.heard_at_stop.clone().unwrap_or_else(heard)
     }
 
     /// Returns the number of live gateways, including this one.
--- a/crates/cumindoor/src/gateway/origins.rs
+++ b/crates/cumindoor/src/gateway/origins.rs
@@ -9,6 +9,7 @@
     BuildKey, ContentKey, MAX_BATCH, OriginMessage, OriginRecord, Step, StreamKey, keepers,
 };
 use coord::owner::Owners;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use super::context::{Context, State};
@@ -38,10 +39,7 @@
                 .collect();
             (keepers(&others(&state), self.content), records)
         };
-        let message = OriginMessage::Told(records);
-        for keeper in &keepers {
-            send(&self.ctx, keeper, &message).await;
-        }
+        send(&self.ctx, &keepers, &OriginMessage::Told(records)).await;
     }
 }
 
@@ -76,9 +74,7 @@
         content,
     };
     let telling = async {
-        for keeper in &keepers {
-            send(ctx, keeper, &message).await;
-        }
+        send(ctx, &keepers, &message).await;
     };
     if timeout(TELL_TIME, telling).await.is_err() {
         ctx.telemetry.count("origin.untold");
@@ -93,7 +89,7 @@
 ) -> Option<BuildKey> {
     let lookup = OngoingLookup::begin(ctx, (stream, content));
     loop {
-        let heard = ctx.origin_heard.notified();
+        let heard = lookup.heard.notified();
         let mut heard = std::pin::pin!(heard);
         heard.as_mut().enable();
         let now = ctx.now();
@@ -115,9 +111,7 @@
             } => {
                 let streams = vec![stream];
                 let question = OriginMessage::Asked { round, streams };
-                for target in &targets {
-                    send(ctx, target, &question).await;
-                }
+                send(ctx, &targets, &question).await;
                 until
             }
             Step::Wait { until } => until,
@@ -133,31 +127,48 @@
 struct OngoingLookup<'a> {
     ctx: &'a Context,
     stream: StreamKey,
+    /// Notified when an answer about the stream has arrived.
+    heard: Arc<Notify>,
 }
 
 impl<'a> OngoingLookup<'a> {
     fn begin(ctx: &'a Context, key: (StreamKey, ContentKey)) -> Self {
         let now = ctx.now();
-        ctx.state().origins.begin_lookup(now, key);
-        Self { ctx, stream: key.0 }
+        let mut state = ctx.state();
+        state.origins.begin_lookup(now, key);
+        let heard = Arc::clone(state.origin_waiters.entry(key.0).or_default());
+        drop(state);
+        Self {
+            ctx,
+            stream: key.0,
+            heard,
+        }
     }
 }
 
 impl Drop for OngoingLookup<'_> {
     fn drop(&mut self) {
-        self.ctx.state().origins.end_lookup(self.stream);
+        let mut state = self.ctx.state();
+        state.origins.end_lookup(self.stream);
+        // The other reference is that of the table.
+        if Arc::strong_count(&self.heard) <= 2 {
+            state.origin_waiters.remove(&self.stream);
+        }
     }
 }
 
 /// Handles a message of another gateway, and returns the answer to it.
 pub fn receive(ctx: &Context, from: SocketAddr, message: OriginMessage) -> Option<OriginMessage> {
     let now = ctx.now();
-    let is_answer = matches!(message, OriginMessage::Answered { .. });
-    let answer = ctx.state().origins.receive(now, &name(from), message);
-    if is_answer {
-        ctx.origin_heard.notify_waiters();
+    let mut state = ctx.state();
+    if let OriginMessage::Answered { known, unknown, .. } = &message {
+        let answered = known.iter().map(|record| &record.stream).chain(unknown);
+        for waiter in answered.filter_map(|stream| state.origin_waiters.get(stream)) {
+            waiter.notify_waiters();
+        }
     }
-    answer
+    // The waiters look again only when the state is no longer locked.
+    state.origins.receive(now, &name(from), message)
 }
 
 /// Tells the origins of the streams that this gateway relays again.
@@ -169,24 +180,27 @@
     };
     for (keeper, records) in told {
         for batch in records.chunks(MAX_BATCH) {
-            let batch: Vec<OriginRecord> = batch.to_vec();
-            send(ctx, &keeper, &OriginMessage::Told(batch)).await;
+            let message = OriginMessage::Told(batch.to_vec());
+            send(ctx, std::slice::from_ref(&keeper), &message).await;
         }
     }
 }
 
-async fn send(ctx: &Context, to: &VmName, message: &OriginMessage) {
-    let (Some(socket), Ok(address)) = (ctx.peer_socket.get(), to.as_str().parse()) else {
+async fn send(ctx: &Context, to: &[VmName], message: &OriginMessage) {
+    let Some(socket) = ctx.peer_socket.get() else {
         return;
     };
-    socket.send(message, &[address]).await;
+    // The names were made of addresses.
+    let targets = to.iter().filter_map(|vm| vm.as_str().parse().ok());
+    let targets: Vec<SocketAddr> = targets.collect();
+    socket.send(message, &targets).await;
 }
 
-/// Returns the gateways that this one hears. Digests do not name data centres, so all count as one.
+/// Returns the gateways that keep origins for this one, and answer it. Digests do not name data centres, so all count as one.
 fn others(state: &State) -> Owners {
     let fleet = DataCentre::from("fleet");
-    let live = state.loads.live_gateways();
-    live.map(|addr| (name(addr), fleet.clone())).collect()
+    let others = state.loads.others().into_iter();
+    others.map(|addr| (name(addr), fleet.clone())).collect()
 }
 
 fn name(gateway: SocketAddr) -> VmName {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -255,6 +255,9 @@
             digest.peers = peer_list.listed(self.ctx.now());
         }
         digest.stopping = self.ctx.stopping.is_cancelled();
+        if digest.stopping {
+            self.ctx.state().loads.begin_stop();
+        }
         self.socket.send(&digest, targets).await;
     }
 
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -624,3 +624,18 @@
 
     assert_eq!(spare, expected);
 }
+
+/// Guards against origins that are told to nobody while a gateway ends its last streams.
+#[test]
+fn a_gateway_that_stops_knows_the_others_although_they_fall_silent() {
+    let mut loads = LoadTable::default();
+    for number in [2, 3] {
+        loads.apply_digest(ms(0), peer(number), digest(1, &[]));
+    }
+
+    loads.begin_stop();
+    loads.expire(ms(10_000));
+
+    assert!(!loads.is_live(peer(2)));
+    assert_eq!(loads.others(), [peer(2), peer(3)]);
+}
