Tell the origin of a stream as it is known, also if it is in doubt

Cause: a stream whose records contradict each other was told again with the build of its first attempt at the gateway, so a keeper that started anew could take a doubtful origin for certain. It concerns callers that name no attempt and send the same request twice at once.

Change: what is told is what is known; a later attempt prolongs the time for which it is told.

--- a/crates/coord/src/origin.rs
+++ b/crates/coord/src/origin.rs
@@ -211,7 +211,8 @@
             attempts: 0,
         });
         running.attempts += 1;
-        record
+        running.until = running.until.max(until);
+        self.get(now, stream).unwrap_or(record)
     }
 
     /// Records that nobody can know the origin of a stream that this VM relays. Returns what to tell its
@@ -244,7 +245,10 @@
         let mut told: BTreeMap<VmName, Vec<OriginRecord>> = BTreeMap::new();
         for (stream, running) in &self.running {
             let left = running.until.since(now);
-            let record = OriginRecord::new(*stream, Some(running.build), left);
+            // Another VM may have reported another build meanwhile.
+            let known = self.get(now, *stream);
+            let build = known.map_or(Some(running.build), |known| known.build);
+            let record = OriginRecord::new(*stream, build, left);
             for keeper in keepers(others, running.content) {
                 told.entry(keeper).or_default().push(record);
             }
--- a/crates/coord/tests/origin.rs
+++ b/crates/coord/tests/origin.rs
@@ -438,6 +438,24 @@
     assert!(world.gateways[0].origins.get(world.now(), stream).is_some());
 }
 
+/// Guards against a doubtful origin that is told as certain to VMs that missed the doubt.
+#[test]
+fn an_origin_that_is_in_doubt_is_told_again_as_such() {
+    let mut world = World::new(CALM, 1);
+    let stream = (stream_key("attempt", 1), 1);
+    world.begin(0, stream, build_key("s", "v1"));
+
+    let now = world.now();
+    let origins = &mut world.gateways[0].origins;
+    let second = origins.begin(now, stream, build_key("s", "v2"), RETENTION);
+    let gateway = &world.gateways[0];
+    let told = gateway.origins.retold(world.now(), &gateway.others);
+
+    let builds: BTreeSet<_> = told.values().flatten().map(|r| r.build).collect();
+    assert_eq!(second.build, None);
+    assert_eq!(builds, BTreeSet::from([None]));
+}
+
 #[test]
 fn two_origins_of_one_stream_are_both_not_believed() {
     let mut origins = Origins::default();
