--- a/crates/cumindoor/src/gateway/forward.rs
+++ b/crates/cumindoor/src/gateway/forward.rs
@@ -39,6 +39,9 @@
 const MAX_HELPERS: usize = 3;
 /// Time for which a gateway that did not forward a request is not asked again.
 const AVOIDANCE: Duration = Duration::from_secs(1);
+/// Time for which the word of a gateway counts that it reaches upstreams. Those that have lost their links at the
+/// same moment have found out by then and say so in their digests.
+const CONFIRMATION: Duration = Duration::from_secs(2);
 /// Time limit for the answer to the question whether upstreams are reached: the time for their answers, and a
 /// margin.
 const ASK_TIME: Duration = Duration::from_millis(550);
@@ -117,15 +120,26 @@
     open: BTreeMap<SocketAddr, u32>,
     /// Until when gateways are not used.
     avoided: BTreeMap<SocketAddr, Time>,
+    /// When gateways last said that they reach upstreams.
+    confirmed: BTreeMap<SocketAddr, Time>,
 }
 
 impl Helpers {
-    /// Returns the gateway with the fewest requests on their way; `tie` from 0 to 1 decides among equals.
+    /// Returns the gateway with the fewest requests on their way, of those that said a short time ago that they
+    /// reach upstreams if there are any: others may have lost their links at the same moment and not know it
+    /// yet. `tie` from 0 to 1 decides among equals.
     #[must_use]
     pub fn choose(&self, now: Time, fit: &[SocketAddr], tie: f64) -> Option<SocketAddr> {
         let is_open = |addr: &&SocketAddr| self.avoided.get(addr).is_none_or(|until| now >= *until);
         let open = |addr: &SocketAddr| self.open.get(addr).copied().unwrap_or_default();
-        let fit: Vec<&SocketAddr> = fit.iter().filter(is_open).collect();
+        let mut fit: Vec<&SocketAddr> = fit.iter().filter(is_open).collect();
+        let is_confirmed = |addr: &SocketAddr| {
+            let confirmed = self.confirmed.get(addr);
+            confirmed.is_some_and(|at| now.since(*at) < CONFIRMATION)
+        };
+        if fit.iter().any(|addr| is_confirmed(addr)) {
+            fit.retain(|addr| is_confirmed(addr));
+        }
         let least = fit.iter().map(|addr| open(addr)).min()?;
         let equal: Vec<&SocketAddr> = fit.into_iter().filter(|a| open(a) == least).collect();
         #[expect(
@@ -138,6 +152,12 @@
         equal.get(index).or(equal.last()).map(|addr| **addr)
     }
 
+    /// Records that a gateway said that it reaches upstreams.
+    pub fn confirm(&mut self, now: Time, addr: SocketAddr) {
+        self.confirmed.retain(|_, at| now.since(*at) < CONFIRMATION);
+        self.confirmed.insert(addr, now);
+    }
+
     /// Records that a gateway did not forward a request.
     pub fn avoid(&mut self, now: Time, addr: SocketAddr) {
         self.avoided.retain(|_, until| now < *until);
@@ -262,7 +282,12 @@
         release(answer).await;
         Some(reached)
     };
-    timeout(ASK_TIME, asked).await.ok().flatten() == Some(true)
+    let reached = timeout(ASK_TIME, asked).await.ok().flatten() == Some(true);
+    if reached {
+        let now = ctx.now();
+        ctx.state().helpers.confirm(now, peer);
+    }
+    reached
 }
 
 /// Reads the rest of a short answer, so that its connection can be used again.
--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/forward/listener.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::TaskTracker;
 
 use super::{ATTEMPT, Attempt, FAILURE, Failure, SERVICE, note};
@@ -34,6 +34,8 @@
 use crate::serve::engine::{BoxedBody, PooledResponse, SendError, full_body};
 use crate::serve::headers;
 
+/// Longest wait for a check of the own links. A check that finds an upstream ends within ms.
+const CHECK_WAIT: Duration = Duration::from_millis(100);
 /// Delay after a failed accept or bind.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a connection of another gateway may be idle.
@@ -197,6 +199,11 @@
         yield_now().await;
     }
     let choice = check_upstream(ctx, attempt)?;
+    let settled = links::settled(ctx, &choice.service);
+    let settled = timeout(CHECK_WAIT, settled).await;
+    if settled.is_err() || ctx.state().links.is_unreachable(&choice.service) {
+        return Err(Failure::NoPath);
+    }
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.map(str::to_owned).unwrap_or_default();
     let content = Content::new((peer.ip(), &host), &parts, &body, shared_parts(ctx, &meta));
@@ -287,9 +294,6 @@
     if endpoint.build != attempt.build || directory.is_leaving(endpoint) {
         return Err(Failure::Withdrawn);
     }
-    if state.links.is_lost(&endpoint.entry.service) {
-        return Err(Failure::NoPath);
-    }
     match directory.statements.pause_left(now, endpoint.limit_key) {
         Some(left) => Err(Failure::Paused(
             u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
--- a/crates/cumindoor/src/gateway/links.rs
+++ b/crates/cumindoor/src/gateway/links.rs
@@ -20,7 +20,7 @@
 /// at once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after an answer of an upstream within which its service counts as reached.
-const ANSWER_LIFETIME: Duration = Duration::from_millis(300);
+const ANSWER_LIFETIME: Duration = Duration::from_millis(100);
 /// Consecutive answers after which links that were lost are used again.
 const ANSWERS_TO_RETURN: u32 = 2;
 /// Time after a return within which another loss makes the next return take twice as many answers.
@@ -106,6 +106,8 @@
             return false;
         }
         link.checking = true;
+        // What raised the doubt came later.
+        link.heard = None;
         true
     }
 
@@ -166,6 +168,13 @@
         Some(now.since(since))
     }
 
+    /// Returns whether no upstream of the service answered when some were last asked.
+    #[must_use]
+    pub fn is_unreachable(&self, service: &Service) -> bool {
+        let link = self.services.get(service);
+        link.is_some_and(|link| link.unanswered || link.lost.is_some())
+    }
+
     /// Returns the services of which no upstream answers, for the digest.
     #[must_use]
     pub fn unreachable(&self) -> Vec<Key> {
--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -6,6 +6,7 @@
 
 use coord::name::{Service, Upstream};
 use futures::FutureExt;
+use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt};
 use hyper::Request;
 use rand::seq::SliceRandom;
@@ -32,6 +33,8 @@
 /// Rounds of such questions. The first one may meet gateways only that have lost their links as well; they have
 /// said so by the next one.
 const ASKING_ROUNDS: u32 = 4;
+/// Gateways that are asked once links are lost.
+const MAX_CONFIRMED: usize = 16;
 /// Time between two probes of links that are lost.
 const RETURN_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a request for a check.
@@ -61,7 +64,10 @@
         ctx.digest_due.notify_one();
         ctx.links_checked.notify_waiters();
         if finding == Finding::Lost {
-            until_returned(&ctx, &service).await;
+            tokio::join!(
+                until_returned(&ctx, &service),
+                confirm_helpers(&ctx, &service)
+            );
         }
     });
 }
@@ -244,6 +250,20 @@
     }
 }
 
+/// Asks more gateways whether they reach upstreams of the service, so that not the first one gets all requests.
+async fn confirm_helpers(ctx: &Context, service: &Service) {
+    let helpers = {
+        let now = ctx.now();
+        let mut state = ctx.state();
+        let mut helpers = state.loads.helpers(now, service_key(service));
+        helpers.shuffle(&mut state.rng);
+        helpers.truncate(MAX_CONFIRMED);
+        helpers
+    };
+    let questions = helpers.iter().map(|peer| forward::ask(ctx, *peer, service));
+    join_all(questions).await;
+}
+
 /// Waits until upstreams of the service answer over own links again.
 async fn until_returned(ctx: &Arc<Context>, service: &Service) {
     loop {
--- a/crates/cumindoor/tests/gateway_cuts.rs
+++ b/crates/cumindoor/tests/gateway_cuts.rs
@@ -22,10 +22,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::{Crash, CrashingEngine, EngineOptions, Fleet};
+use fleet::pause::Pause;
+use fleet::{Answering, Crash, CrashingEngine, EngineOptions, Fleet};
 use links::{Link, LinkState};
 use rstest::rstest;
-use support::{FakeStore, config, events};
+use support::{FakeStore, config, events, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -67,6 +70,11 @@
 impl LinkedFleet {
     /// Starts gateways and nine engines, and waits until each gateway has served a request of each kind.
     async fn start(gateways: u8) -> Arc<Self> {
+        Self::start_with(gateways, "").await
+    }
+
+    /// Does the same as [`Self::start`] with further sections of the settings.
+    async fn start_with(gateways: u8, settings: &str) -> Arc<Self> {
         let registry = FakeStore::default();
         let mut engines = Vec::new();
         for (options, count) in [(PLAIN, 3), (PREFILL, 2), (DECODE, 4)] {
@@ -92,7 +100,7 @@
         }
         let program = Path::new(env!("CARGO_BIN_EXE_cumindoor"));
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let fleet = Fleet::spawn_on((program, directory), gateways, (registry, stores), "");
+        let fleet = Fleet::spawn_on((program, directory), gateways, (registry, stores), settings);
         let started = Arc::new(Self {
             fleet,
             engines,
@@ -159,14 +167,30 @@
         asked.join_all().await
     }
 
-    /// Returns how often the attempts that ran at most once are known to have reached engines.
-    fn once_only_arrivals(&self) -> BTreeMap<String, usize> {
-        let mut counts = BTreeMap::new();
-        let arrivals = self.engines.iter().flat_map(CrashingEngine::arrivals);
-        for arrival in arrivals.filter(|arrival| arrival.body.starts_with(b"Once")) {
-            *counts.entry(arrival.id).or_default() += 1;
+    /// Asserts that no attempt that may run only once reached engines more often, apart from its prefill.
+    fn assert_run_once(&self) {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        let engines = self.engines.iter().filter(|engine| !engine.is_prefill());
+        for arrival in engines.flat_map(CrashingEngine::arrivals) {
+            let once = [Kind::Once, Kind::Stream].map(|kind| format!("{kind:?} "));
+            if once
+                .iter()
+                .any(|kind| arrival.body.starts_with(kind.as_bytes()))
+            {
+                *counts.entry(arrival.id).or_default() += 1;
+            }
         }
-        counts
+        counts.retain(|_, count| *count > 1);
+        assert!(counts.is_empty(), "sent more than once: {counts:?}");
+    }
+
+    /// Returns how many log lines with this event each gateway has.
+    fn events(&self, event: &str) -> Vec<usize> {
+        let gateways = self.fleet.gateways.iter();
+        let has_event = |line: &&String| line.contains(&format!(r#""event":"{event}""#));
+        gateways
+            .map(|gateway| gateway.log.lock().unwrap().iter().filter(has_event).count())
+            .collect()
     }
 }
 
@@ -243,6 +267,8 @@
 #[case::all_but_one_silent(8, 7, LinkState::Silent)]
 #[case::two_of_three_reset(3, 2, LinkState::Reset)]
 #[case::two_of_three_silent(3, 2, LinkState::Silent)]
+#[case::most_lossy(8, 5, LinkState::Lossy)]
+#[case::all_of_three_refused_but_one(3, 2, LinkState::Refused)]
 #[case::forty_of_sixty_reset(60, 40, LinkState::Reset)]
 #[case::forty_of_sixty_silent(60, 40, LinkState::Silent)]
 #[tokio::test]
@@ -257,7 +283,184 @@
     let played = fleet.play(STABLE_WINDOW * 2).await;
 
     assert_served(&played, &(0..lost));
-    let twice = fleet.once_only_arrivals();
-    let twice: Vec<_> = twice.iter().filter(|(_, count)| **count > 1).collect();
-    assert!(twice.is_empty(), "sent more than once: {twice:?}");
+    fleet.assert_run_once();
+}
+
+/// Guards against links that are not used again after their return, that flap, or that are not missed when they are
+/// lost a second time.
+#[rstest]
+#[case::reset(LinkState::Reset)]
+#[case::silent(LinkState::Silent)]
+#[case::refused(LinkState::Refused)]
+#[tokio::test]
+async fn links_that_return_are_used_again(#[case] state: LinkState) {
+    let fleet = LinkedFleet::start(8).await;
+
+    for round in 1..=2 {
+        fleet.set_links(0..5, state);
+        let played = fleet.play(STABLE_WINDOW + STABLE_WINDOW / 2).await;
+        assert_served(&played, &(0..5));
+        fleet.set_links(0..5, LinkState::Open);
+        wait_until("the links are used again", || {
+            fleet.events("links returned")[..5]
+                .iter()
+                .all(|count| *count == 2 * round)
+        })
+        .await;
+        let forwarded = fleet.events("request forwarded");
+        let played = fleet.play(Duration::from_secs(1)).await;
+
+        assert_eq!(Tries::count(played.iter()).served, played.len());
+        assert_eq!(fleet.events("request forwarded"), forwarded);
+        let lost = fleet.events("links lost");
+        // There are two services.
+        assert_eq!(
+            lost,
+            [2, 2, 2, 2, 2, 0, 0, 0].map(|count: usize| count * round)
+        );
+    }
+    fleet.assert_run_once();
+}
+
+/// Guards against gateways that take a pause of sound engines for the loss of their links.
+#[rstest]
+#[case::one_engine(1)]
+#[case::all_engines(usize::MAX)]
+#[tokio::test]
+async fn a_pause_of_engines_is_no_loss_of_links(#[case] engines: usize) {
+    let fleet = LinkedFleet::start(4).await;
+
+    let playing = tokio::spawn({
+        let fleet = Arc::clone(&fleet);
+        async move { fleet.play(Duration::from_secs(5)).await }
+    });
+    for _ in 0..3 {
+        sleep(Duration::from_millis(400)).await;
+        for own in &fleet.links {
+            own.iter()
+                .take(engines)
+                .for_each(|link| link.set(LinkState::Silent));
+        }
+        sleep(Duration::from_secs(1)).await;
+        fleet.set_links(0..4, LinkState::Open);
+    }
+    playing.await.unwrap();
+
+    assert_eq!(fleet.events("links lost"), [0; 4]);
+    fleet.assert_run_once();
+}
+
+/// Guards against gateways that go on relying on others that died, stop or were frozen while they forwarded, and
+/// against once-only requests that run again because of that.
+#[rstest]
+#[case::killed("KILL")]
+#[case::stopped("TERM")]
+#[case::frozen("STOP")]
+#[tokio::test]
+async fn the_loss_of_gateways_that_forward_costs_only_what_they_had(#[case] signal: &str) {
+    let fleet = LinkedFleet::start(8).await;
+
+    fleet.set_links(0..5, LinkState::Reset);
+    let playing = tokio::spawn({
+        let fleet = Arc::clone(&fleet);
+        async move { fleet.play(STABLE_WINDOW * 2).await }
+    });
+    sleep(STABLE_WINDOW + Duration::from_millis(300)).await;
+    for helper in [5, 6] {
+        fleet.fleet.signal(helper, signal);
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    if signal == "STOP" {
+        for helper in [5, 6] {
+            fleet.fleet.signal(helper, "CONT");
+        }
+    }
+    let mut played = playing.await.unwrap();
+
+    played.retain(|(_, gateway, _)| ![5, 6].contains(gateway));
+    assert_served(&played, &(0..5));
+    fleet.assert_run_once();
+}
+
+/// Guards against streams in progress that end when the links are lost, although they may go on at another engine.
+#[rstest]
+#[case::reset(LinkState::Reset)]
+#[case::silent(LinkState::Silent)]
+#[tokio::test]
+async fn streams_in_progress_go_on_when_links_are_lost(#[case] state: LinkState) {
+    // A new fleet's retry budget has room for a few of these streams only.
+    let fleet = LinkedFleet::start_with(8, "\n[repeats]\nslack = 4000\n").await;
+    for engine in fleet.engines.iter().filter(|engine| engine.is_decode()) {
+        engine.answer_with(Answering::Paused(
+            Pause::Spread,
+            Duration::from_millis(1_600),
+        ));
+    }
+
+    let mut streams = JoinSet::new();
+    for gateway in 0..5 {
+        for number in 0..4 {
+            let fleet = Arc::clone(&fleet);
+            streams.spawn(async move {
+                let body = format!("Resumable {gateway} {number}");
+                let reply = fleet.fleet.exchange(gateway, 7, ("/resume/x", &body)).await;
+                reply.is_some_and(|reply| reply.body == events(1, 5))
+            });
+        }
+    }
+    sleep(Duration::from_millis(800)).await;
+    fleet.set_links(0..5, state);
+
+    let whole = streams.join_all().await;
+    let cut = fleet.fleet.events("stream not resumed");
+    assert_eq!(whole, [true; 20], "{cut:?}");
+    fleet.assert_run_once();
+}
+
+/// Guards against a gateway that keeps an engine's rest for its own requests and forwards those of others.
+#[tokio::test]
+async fn an_engine_at_rest_gets_nothing_for_other_gateways() {
+    const REST: Duration = Duration::from_secs(3);
+    let fleet = LinkedFleet::start(3).await;
+    fleet.set_links(0..2, LinkState::Refused);
+    fleet.play(STABLE_WINDOW).await;
+
+    let plain = || fleet.engines.iter().filter(|engine| engine.is_plain());
+    for engine in plain() {
+        engine.answer_with(Answering::Refused);
+        engine.add_header("retry-after", "3");
+    }
+    let began = Instant::now();
+    fleet.play(REST).await;
+
+    for engine in plain() {
+        let arrivals: Vec<_> = engine.arrivals().iter().map(|a| a.at).collect();
+        let asked = arrivals.iter().copied().find(|at| *at > began).unwrap();
+        let rest = asked + Duration::from_millis(500)..asked + REST;
+        let arrived = arrivals.iter().filter(|at| rest.contains(at)).count();
+        assert!(arrived <= 2, "{arrived} requests reached an engine at rest");
+    }
+}
+
+/// Guards against a port that sends requests to engines for anybody who connects.
+#[tokio::test]
+async fn requests_of_strangers_are_not_forwarded() {
+    let fleet = LinkedFleet::start(3).await;
+    let arrivals = || -> usize { fleet.engines.iter().map(|e| e.arrivals().len()).sum() };
+    let before = arrivals();
+
+    let mut stranger = TcpStream::connect(fleet.fleet.peer_address(0))
+        .await
+        .unwrap();
+    let attempt = r#"{"upstream":"i-0-1","build":0,"left_ms":5000,"idle_ms":0,"prefill":false,"on_trial":false}"#;
+    let request = format!(
+        "POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-cumindoor-request-id: s\r\nforward-attempt: {attempt}\r\n\r\n"
+    );
+    let mut answer = Vec::new();
+    // The connection may be closed before the request is written.
+    let _ = stranger.write_all(request.as_bytes()).await;
+    let _ = stranger.read_to_end(&mut answer).await;
+
+    assert!(answer.is_empty(), "{}", String::from_utf8_lossy(&answer));
+    assert_eq!(arrivals(), before);
 }
