Keep the start of an upstream whose entry is written without it

An engine that had asked for 30 s of rest got the next request when its entry was written without the time of its start, as another writer may.

Cause: statements belong to one start of an upstream, and an entry without that time counted as another start. Class: the absence of a value taken for a new value.

Figures: an_entry_without_the_time_of_its_start_is_no_new_start failed before (2 requests instead of 1) and passes; the other 18 tests of statements but the one that is listed pass.

--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -277,7 +277,7 @@
         self.upstreams.values()
     }
 
-    fn insert(&mut self, name: &Upstream, entry: UpstreamEntry) -> Option<UpstreamChange> {
+    fn insert(&mut self, name: &Upstream, mut entry: UpstreamEntry) -> Option<UpstreamChange> {
         let Some(endpoint) = self.upstreams.get_mut(name) else {
             let endpoint = Endpoint {
                 key: upstream_key(name),
@@ -294,6 +294,8 @@
             return Some(UpstreamChange::New);
         };
         endpoint.missing_since = None;
+        // An entry that lacks the time of the start, such as that of another writer, tells of no new one.
+        entry.start_ms = entry.start_ms.or(endpoint.entry.start_ms);
         if endpoint.entry == entry {
             return None;
         }
