Free no prefill result at an engine that takes nothing, and read what it states in other answers

An engine that had refused a request and asked for rest got the calls that free prefill results.

Class: a rule for requests that is kept on the main path only.

Change: no such call goes to an engine that takes nothing for a while, or whose links are lost; results lapse by themselves within their holding time. The answers to these calls and to the check's questions are read for statements.

That statements in answers to the check's questions count is not tested by itself.

Orders were looked at: they skip such engines and record statements.

--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -24,6 +24,7 @@
 use crate::gateway::fetch::fetch;
 use crate::gateway::health::Outcome;
 use crate::gateway::placement::{Choice, Demand};
+use crate::gateway::statements;
 use crate::serve::engine::BoxedBody;
 
 /// Maximum number of prefill attempts for one request. Attempts that did not reach an engine are
@@ -160,7 +161,7 @@
 struct HeldPrefill {
     ctx: Arc<Context>,
     source: KvSource,
-    engine: Upstream,
+    engine: Choice,
     created: Time,
     /// Number of decode engines that refused to import the result.
     refusals: u32,
@@ -180,18 +181,38 @@
             return;
         }
         let (ctx, source) = (Arc::clone(&self.ctx), self.source.clone());
+        let engine = self.engine.clone();
         self.ctx.tasks.spawn(async move {
+            if !may_release(&ctx, &engine) {
+                return;
+            }
             let (method, path) = ctx.dialect.release_call(&source.handle);
             ctx.telemetry.count("prefill.freed");
             let released = fetch(&ctx.pool, source.address, (method, &path), RELEASE_TIMEOUT).await;
-            if let Err(error) = released {
-                let error = error.to_string();
-                log::info!(error = error.as_str(); "prefill not freed");
+            match released {
+                Ok((head, _)) => {
+                    let reply = ctx.dialect.parse_reply(head.status, &head.headers);
+                    statements::record(&ctx, &engine, &reply.statement);
+                }
+                Err(error) => {
+                    let error = error.to_string();
+                    log::info!(error = error.as_str(); "prefill not freed");
+                }
             }
         });
     }
 }
 
+/// Returns whether an engine may be told to release a result, which lapses by itself soon: not while it takes nothing
+/// from this gateway, or cannot be reached.
+fn may_release(ctx: &Context, engine: &Choice) -> bool {
+    let now = ctx.now();
+    let state = ctx.state();
+    let statements = &state.directory.statements;
+    let paused = statements.pause_left(now, engine.limit_key).is_some();
+    !paused && !state.links.is_lost(&engine.service)
+}
+
 /// Runs the prefill of a request.
 struct PrefillRunner<'a> {
     req: &'a CallerRequest,
@@ -226,8 +247,10 @@
             return;
         }
         if fresh {
-            self.req.ctx.record_outcome(&held.engine, Outcome::Failed);
-            self.tried.push(held.engine.clone());
+            self.req
+                .ctx
+                .record_outcome(&held.engine.name, Outcome::Failed);
+            self.tried.push(held.engine.name.clone());
         }
     }
 
@@ -336,7 +359,7 @@
                 address: choice.address,
                 handle: prefilled.handle,
             },
-            engine: choice.name.clone(),
+            engine: choice.clone(),
             created: ctx.now(),
             refusals: 0,
             release_on_drop: true,
--- a/crates/cumindoor/src/gateway/fetch.rs
+++ b/crates/cumindoor/src/gateway/fetch.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Request, StatusCode};
+use hyper::http::response::Parts;
+use hyper::{Method, Request};
 use tokio::time::timeout;
 
 use crate::serve::engine::{Pool, SendError, full_body};
@@ -31,7 +32,7 @@
     }
 }
 
-/// Sends a call without a body and reads the complete answer.
+/// Sends a call without a body and reads the head and the body of the complete answer.
 ///
 /// # Errors
 ///
@@ -41,7 +42,7 @@
     addr: SocketAddr,
     call: (Method, &str),
     limit: Duration,
-) -> Result<(StatusCode, Bytes), FetchError> {
+) -> Result<(Parts, Bytes), FetchError> {
     let (method, path) = call;
     let request = Request::builder().method(method).uri(path);
     let request = request
@@ -53,7 +54,7 @@
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let whole = whole.map_err(|error| FetchError::Failed(error.to_string()))?;
         connected.lease.release();
-        Ok((head.status, whole.to_bytes()))
+        Ok((head, whole.to_bytes()))
     };
     timeout(limit, exchange)
         .await
--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -17,6 +17,7 @@
 use crate::gateway::forward;
 use crate::gateway::load_table::service_key;
 use crate::gateway::placement::Choice;
+use crate::gateway::statements;
 use crate::serve::engine::full_body;
 
 /// Number of upstreams that are asked before links count as lost. One that is dead, or two, are not taken for
@@ -194,11 +195,18 @@
 
 /// Asks an upstream a question over a new connection. A connection alone shows little: it may be reset or fall
 /// silent once it is established.
-async fn ask(ctx: &Context, upstream: Choice) -> Probe {
+async fn ask(ctx: &Arc<Context>, upstream: Choice) -> Probe {
     let request = probe_request(ctx, &upstream.name);
     let sending = ctx.pool.send_fresh(upstream.address, request);
     let probe = match timeout(ANSWER_TIME, sending).await {
-        Ok(Ok(_)) => Probe::Answered,
+        Ok(Ok(answer)) => {
+            let (status, headers) = (answer.response.status(), answer.response.headers());
+            let reply = ctx.dialect.parse_reply(status, headers);
+            if !reply.misdirected {
+                statements::record(ctx, &upstream, &reply.statement);
+            }
+            Probe::Answered
+        }
         Ok(Err(_)) => Probe::Failed,
         Err(_) => Probe::Silent,
     };
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store_watch.rs
@@ -147,8 +147,8 @@
         self.ctx.telemetry.count("store.calls");
         let call = (Method::GET, path);
         let answer = fetch(&self.ctx.pool, keys.address.0, call, limit).await;
-        let (status, body) =
-            answer.map_err(|error| self.record_failure(None, &error.to_string()))?;
+        let (head, body) = answer.map_err(|error| self.record_failure(None, &error.to_string()))?;
+        let status = head.status;
         if status != StatusCode::OK {
             return Err(self.record_failure(Some(status), status.as_str()));
         }
