Reproduce a forgotten stream that goes on at the version of another one (red)

Cause: not touched yet. A caller that names no attempt is known by its address and content.

Change: the test restarts all gateways between the beginning of a stream and its take-up, and lets the caller begin another one with the same content meanwhile.

--- a/crates/cumindoor/tests/gateway_versions.rs
+++ b/crates/cumindoor/tests/gateway_versions.rs
@@ -418,6 +418,30 @@
     assert_eq!(streamed(), before, "an engine ran a stream");
 }
 
+/// Guards against a stream that all gateways forgot and that goes on at the version of another one, which its caller
+/// began with the same content since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_forgotten_stream_that_its_caller_does_not_name_does_not_go_on_at_that_of_another() {
+    let mut fleet = start_fleet(4).await;
+    let _engines = start_engines(&fleet, 2).await;
+    wait_until_ready(&fleet).await;
+    let mut forgotten = begin(&fleet, 0, 0..40).await;
+
+    fleet.restart_all();
+    wait_until_ready(&fleet).await;
+    begin(&fleet, 1, 0..40).await;
+    let mut counts = Counts::default();
+    for caller in &mut forgotten {
+        let before = caller.last;
+        let at = fleet.gateways[2].callers;
+        caller.attempt(at, &Resumes::Missing, TAKEN).await;
+        counts.resumed(before, caller);
+        counts.add(caller);
+    }
+
+    assert_one_version(&counts);
+}
+
 /// How the engines of a version leave.
 #[derive(Clone, Copy, Debug)]
 enum Rollout {
