Stop without waiting for lost links, count resets like silence, and reserve memory for forwarded bodies

Cause: three weaknesses of the check and of forwarding, found in review. A gateway that had lost its links ended only at its stop limit, because the search for their return is a task that it waits for. Upstreams that reset connections beyond their limit could look like lost links. Bodies of forwarded requests were outside of the bound on memory for bodies.

Change: the search ends when a stop begins. A connection that is established and then reset shows as little as a silent one, so what arrives over other connections counts against it. Bodies of forwarded requests are reserved, and refused without memory before anything is sent.

The other two have no test of their own.

--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/forward/listener.rs
@@ -9,7 +9,7 @@
 use coord::name::{Service, Upstream};
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
@@ -17,6 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::TaskTracker;
@@ -187,6 +188,9 @@
     let Ok(slot) = Arc::clone(&ctx.forwards).try_acquire_owned() else {
         return Err(Failure::NoPath);
     };
+    let Some(memory) = reserve_memory(ctx, &body) else {
+        return Err(Failure::NoPath);
+    };
     let body = read_body(ctx, body, deadline).await?;
     parts.headers.remove(ATTEMPT);
     parts.headers.remove(CONTENT_LENGTH);
@@ -247,7 +251,7 @@
             // The slot is taken until the answer is through.
             Ok(answer.map(|body| {
                 body.map_frame(move |frame| {
-                    let _ = &slot;
+                    let _ = (&slot, &memory);
                     frame
                 })
                 .boxed_unsync()
@@ -268,6 +272,13 @@
     }
 }
 
+/// Reserves memory for a body, or returns `None` if there is none left or the size is not stated.
+fn reserve_memory(ctx: &Context, body: &Incoming) -> Option<OwnedSemaphorePermit> {
+    let size = u32::try_from(body.size_hint().exact()?).ok()?;
+    let memory = Arc::clone(&ctx.body_memory);
+    memory.try_acquire_many_owned(size).ok()
+}
+
 async fn read_body(ctx: &Context, body: Incoming, deadline: Instant) -> Result<Bytes, Failure> {
     let limits = ctx.state().routing.as_ref().map(|routing| routing.limits);
     let limit = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.body_bytes);
--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -66,7 +66,8 @@
         ctx.links_checked.notify_waiters();
         if finding == Finding::Lost {
             tokio::join!(
-                until_returned(&ctx, &service),
+                ctx.stopping
+                    .run_until_cancelled(until_returned(&ctx, &service)),
                 confirm_helpers(&ctx, &service)
             );
         }
@@ -152,21 +153,22 @@
     if result != Some(Probe::Answered) {
         probes.extend(upstreams.map(|upstream| ask(ctx, upstream).boxed()));
     }
-    let mut silent = false;
+    let mut unanswered = false;
     loop {
         match result {
             Some(Probe::Answered) => return true,
-            Some(Probe::Silent) => silent = true,
-            Some(Probe::Failed) | None => {}
+            Some(Probe::Unanswered) => unanswered = true,
+            Some(Probe::Unconnected) | None => {}
         }
         result = probes.next().await;
         if result.is_none() {
             break;
         }
     }
-    // Silence shows nothing if something came over other connections, or if this process had no processor time.
+    // Upstreams reset connections beyond their limit, and all are late if this process has no processor time. So
+    // what came over other connections counts, unless no new one can be established at all.
     let heard = ctx.state().links.has_heard_since(service, began);
-    silent && (heard || started.elapsed() > MAX_CHECK_TIME)
+    unanswered && (heard || started.elapsed() > MAX_CHECK_TIME)
 }
 /// Returns some upstreams of a service that take questions, in random order.
 fn sample(ctx: &Context, service: &Service, count: usize) -> Vec<Choice> {
@@ -187,17 +189,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Probe {
     Answered,
-    /// The connection was refused, reset or not established.
-    Failed,
-    /// Nothing came over the connection.
-    Silent,
+    /// No connection was established.
+    Unconnected,
+    /// The connection was reset or silent.
+    Unanswered,
 }
 
 /// Asks an upstream a question over a new connection. A connection alone shows little: it may be reset or fall
 /// silent once it is established.
 async fn ask(ctx: &Arc<Context>, upstream: Choice) -> Probe {
     let request = probe_request(ctx, &upstream.name);
-    let sending = ctx.pool.send_fresh(upstream.address, request);
+    let sending = async {
+        let connected = ctx.pool.connect(upstream.address).await;
+        let connection = connected.map_err(|_| Probe::Unconnected)?;
+        let answered = connection.send(request).await;
+        answered.map_err(|_| Probe::Unanswered)
+    };
     let probe = match timeout(ANSWER_TIME, sending).await {
         Ok(Ok(answer)) => {
             let (status, headers) = (answer.response.status(), answer.response.headers());
@@ -207,8 +214,8 @@
             }
             Probe::Answered
         }
-        Ok(Err(_)) => Probe::Failed,
-        Err(_) => Probe::Silent,
+        Ok(Err(probe)) => probe,
+        Err(_) => Probe::Unanswered,
     };
     if probe == Probe::Answered {
         let now = ctx.now();
@@ -216,8 +223,8 @@
     }
     ctx.telemetry.count(match probe {
         Probe::Answered => "links.answered",
-        Probe::Failed => "links.failed",
-        Probe::Silent => "links.silent",
+        Probe::Unconnected => "links.unconnected",
+        Probe::Unanswered => "links.unanswered",
     });
     probe
 }
--- a/crates/cumindoor/tests/gateway_cuts.rs
+++ b/crates/cumindoor/tests/gateway_cuts.rs
@@ -417,6 +417,20 @@
     fleet.assert_run_once();
 }
 
+/// Guards against the search for lost links that keeps a gateway from ending.
+#[tokio::test]
+async fn a_gateway_without_links_stops_when_its_requests_have_ended() {
+    let fleet = LinkedFleet::start(3).await;
+    fleet.set_links(0..1, LinkState::Refused);
+    fleet.play(STABLE_WINDOW).await;
+    assert_eq!(fleet.events("links lost")[0], 2);
+
+    fleet.fleet.signal(0, "TERM");
+    wait_until("the gateway stops", || fleet.events("stopped")[0] == 1).await;
+
+    assert_eq!(fleet.fleet.events("stopped")[0]["complete"], true);
+}
+
 /// Guards against a gateway that keeps an engine's rest for its own requests and forwards those of others.
 #[tokio::test]
 async fn an_engine_at_rest_gets_nothing_for_other_gateways() {
