Show that lost links accuse no request

Cause: the test of streams in progress did not look at what requests are accused of when links are refused.

Change: a case of refused links, and no request may be suspected in any case.

--- a/crates/cumindoor/tests/gateway_cuts.rs
+++ b/crates/cumindoor/tests/gateway_cuts.rs
@@ -382,10 +382,12 @@
     fleet.assert_run_once();
 }
 
-/// Guards against streams in progress that end when the links are lost, although they may go on at another engine.
+/// Guards against streams in progress that end when the links are lost, although they may go on at another engine, and
+/// that are accused of having crashed theirs.
 #[rstest]
 #[case::reset(LinkState::Reset)]
 #[case::silent(LinkState::Silent)]
+#[case::refused(LinkState::Refused)]
 #[tokio::test]
 async fn streams_in_progress_go_on_when_links_are_lost(#[case] state: LinkState) {
     // A new fleet's retry budget has room for a few of these streams only.
@@ -414,6 +416,7 @@
     let whole = streams.join_all().await;
     let cut = fleet.fleet.events("stream not resumed");
     assert_eq!(whole, [true; 20], "{cut:?}");
+    assert_eq!(fleet.events("request suspected"), [0; 8]);
     fleet.assert_run_once();
 }
 
