--- a/crates/cumindoor/src/gateway/forward.rs
+++ b/crates/cumindoor/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 
 mod listener;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,9 +34,14 @@
 const FAILURE: HeaderName = HeaderName::from_static("forward-failure");
 /// Name of the service in the question whether its upstreams are reached.
 const SERVICE: HeaderName = HeaderName::from_static("forward-service");
+/// Data centre of the gateway that answers this question.
+const DATA_CENTRE: HeaderName = HeaderName::from_static("forward-data-centre");
 
 /// Gateways that are tried for one attempt. Nothing was sent to the upstream by those before the last.
 const MAX_HELPERS: usize = 3;
+/// Requests that a gateway of the own data centre has on their way more than another one before that one is used.
+/// Bytes between data centres are charged for.
+const REMOTE_REQUESTS: u32 = 2;
 /// Time for which a gateway that did not forward a request is not asked again.
 const AVOIDANCE: Duration = Duration::from_secs(1);
 /// Time for which the word of a gateway counts that it reaches upstreams. Those that have lost their links at the
@@ -122,16 +127,21 @@
     avoided: BTreeMap<SocketAddr, Time>,
     /// When gateways last said that they reach upstreams.
     confirmed: BTreeMap<SocketAddr, Time>,
+    /// The gateways that said that they are in another data centre.
+    remote: BTreeSet<SocketAddr>,
 }
 
 impl Helpers {
-    /// Returns the gateway with the fewest requests on their way, of those that said a short time ago that they
+    /// Returns the gateway with the fewest requests on their way, rather one of the own data centre, of those that said a short time ago that they
     /// reach upstreams if there are any: others may have lost their links at the same moment and not know it
     /// yet. `tie` from 0 to 1 decides among equals.
     #[must_use]
     pub fn choose(&self, now: Time, fit: &[SocketAddr], tie: f64) -> Option<SocketAddr> {
         let is_open = |addr: &&SocketAddr| self.avoided.get(addr).is_none_or(|until| now >= *until);
-        let open = |addr: &SocketAddr| self.open.get(addr).copied().unwrap_or_default();
+        let open = |addr: &SocketAddr| {
+            let open = self.open.get(addr).copied().unwrap_or_default();
+            open + u32::from(self.remote.contains(addr)) * REMOTE_REQUESTS
+        };
         let mut fit: Vec<&SocketAddr> = fit.iter().filter(is_open).collect();
         let is_confirmed = |addr: &SocketAddr| {
             let confirmed = self.confirmed.get(addr);
@@ -152,10 +162,15 @@
         equal.get(index).or(equal.last()).map(|addr| **addr)
     }
 
-    /// Records that a gateway said that it reaches upstreams.
-    pub fn confirm(&mut self, now: Time, addr: SocketAddr) {
+    /// Records that a gateway said that it reaches upstreams, and whether it is in another data centre.
+    pub fn confirm(&mut self, now: Time, addr: SocketAddr, remote: bool) {
         self.confirmed.retain(|_, at| now.since(*at) < CONFIRMATION);
         self.confirmed.insert(addr, now);
+        if remote {
+            self.remote.insert(addr);
+        } else {
+            self.remote.remove(&addr);
+        }
     }
 
     /// Records that a gateway did not forward a request.
@@ -164,11 +179,13 @@
         self.avoided.insert(addr, now + AVOIDANCE);
     }
 
-    fn begin(&mut self, addr: SocketAddr) {
+    /// Records that a request goes through a gateway.
+    pub fn begin(&mut self, addr: SocketAddr) {
         *self.open.entry(addr).or_default() += 1;
     }
 
-    fn end(&mut self, addr: SocketAddr) {
+    /// Records that such a request has ended.
+    pub fn end(&mut self, addr: SocketAddr) {
         if let Some(open) = self.open.get_mut(&addr) {
             *open -= 1;
             if *open == 0 {
@@ -226,16 +243,15 @@
             .send_with_max_idle(helper, request, idle)
             .await;
         let failure = match sent {
-            Ok(answer) => match note::<Failure>(answer.response.headers(), &FAILURE) {
-                None => {
-                    ctx.telemetry.count("forward.answered");
-                    return Ok((answer, ticket));
-                }
-                Some(failure) => {
-                    release(answer).await;
-                    failure
-                }
-            },
+            Ok(answer) if !answer.response.headers().contains_key(FAILURE) => {
+                ctx.telemetry.count("forward.answered");
+                return Ok((answer, ticket));
+            }
+            Ok(answer) => {
+                let failure = note(answer.response.headers(), &FAILURE);
+                release(answer).await;
+                failure.unwrap_or_else(|| Failure::Lost("unreadable failure".to_owned()))
+            }
             Err(SendError::Sent(text)) => {
                 avoid(ctx, helper, &text);
                 return Err(Failure::Lost(format!("the gateway at {helper}: {text}")));
@@ -279,15 +295,17 @@
     let asked = async {
         let answer = ctx.peer_pool.send(peer, request).await.ok()?;
         let reached = answer.response.status() == StatusCode::OK;
+        let place = note::<String>(answer.response.headers(), &DATA_CENTRE);
         release(answer).await;
-        Some(reached)
+        reached.then_some(place)
     };
-    let reached = timeout(ASK_TIME, asked).await.ok().flatten() == Some(true);
-    if reached {
-        let now = ctx.now();
-        ctx.state().helpers.confirm(now, peer);
-    }
-    reached
+    let Ok(Some(place)) = timeout(ASK_TIME, asked).await else {
+        return false;
+    };
+    let remote = place.is_some_and(|place| place != ctx.data_centre().as_str());
+    let now = ctx.now();
+    ctx.state().helpers.confirm(now, peer, remote);
+    true
 }
 
 /// Reads the rest of a short answer, so that its connection can be used again.
--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/forward/listener.rs
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::TaskTracker;
 
-use super::{ATTEMPT, Attempt, FAILURE, Failure, SERVICE, note};
+use super::{ATTEMPT, Attempt, DATA_CENTRE, FAILURE, Failure, SERVICE, note};
 use crate::gateway::content::Content;
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, AttemptGuard, Standing};
@@ -160,6 +160,13 @@
         None => links::is_reached(ctx, service).await,
     };
     let mut response = Response::new(full_body(""));
+    let place = serde_json::to_string(ctx.data_centre().as_str());
+    if let Some(place) = place
+        .ok()
+        .and_then(|text| HeaderValue::from_str(&text).ok())
+    {
+        response.headers_mut().insert(DATA_CENTRE, place);
+    }
     if !reached {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
@@ -202,12 +209,12 @@
     for _ in 0..2 {
         yield_now().await;
     }
-    let choice = check_upstream(ctx, attempt)?;
-    let settled = links::settled(ctx, &choice.service);
-    let settled = timeout(CHECK_WAIT, settled).await;
-    if settled.is_err() || ctx.state().links.is_unreachable(&choice.service) {
+    let service = check_upstream(ctx, attempt)?.service;
+    let settled = timeout(CHECK_WAIT, links::settled(ctx, &service)).await;
+    if settled.is_err() || ctx.state().links.is_unreachable(&service) {
         return Err(Failure::NoPath);
     }
+    let choice = check_upstream(ctx, attempt)?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.map(str::to_owned).unwrap_or_default();
     let content = Content::new((peer.ip(), &host), &parts, &body, shared_parts(ctx, &meta));
--- a/crates/cumindoor/src/gateway/links.rs
+++ b/crates/cumindoor/src/gateway/links.rs
@@ -117,9 +117,10 @@
         self.link(service).unanswered = true;
     }
 
-    /// Ends a check.
-    pub fn end_check(&mut self, now: Time, service: &Service, finding: Finding) {
+    /// Ends a check. Returns whether other gateways have to know what it found.
+    pub fn end_check(&mut self, now: Time, service: &Service, finding: Finding) -> bool {
         let link = self.link(service);
+        let is_news = link.unanswered || finding != Finding::Reached;
         link.checking = false;
         link.checked = Some(now);
         link.unanswered = finding != Finding::Reached;
@@ -133,6 +134,7 @@
             link.lost = Some(now);
             link.answers = 0;
         }
+        is_news
     }
 
     /// Returns whether a check is running.
--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -58,11 +58,13 @@
     tasks.spawn(async move {
         let finding = check(&ctx, &service).await;
         let now = ctx.now();
-        ctx.state().links.end_check(now, &service, finding);
+        let is_told = ctx.state().links.end_check(now, &service, finding);
         if finding == Finding::Lost {
             begin_loss(&ctx, &service);
         }
-        ctx.digest_due.notify_one();
+        if is_told {
+            ctx.digest_due.notify_one();
+        }
         ctx.links_checked.notify_waiters();
         if finding == Finding::Lost {
             tokio::join!(
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -242,6 +242,8 @@
             IpAddr::V4(_) => TcpSocket::new_v4()?,
             IpAddr::V6(_) => TcpSocket::new_v6()?,
         };
+        // Otherwise a closed connection could keep the port from a listener for a minute.
+        socket.set_reuseaddr(true)?;
         socket.bind(SocketAddr::new(source, 0))?;
         socket.connect(addr).await
     }
