Take back the refusal of unnamed streams after a restart of all gateways

Cause: refuses streams whose callers name no attempt while no gateway has run for longer than a caller may wait. The kit's callers name none, so it also refuses streams that began after the restart and broke off since, which counts against the share that goes on.

Conclusion: open. Nothing that a gateway knows tells a forgotten stream from a later one of the same caller and content.

--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -47,9 +47,6 @@
 /// Time limit for opening a connection to an upstream. A message within a region takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Largest difference that is assumed between the clocks of two VMs.
-const CLOCK_ERROR: Duration = Duration::from_secs(5);
-
 /// Maximum number of requests that are forwarded for other gateways at a time. Their read buffers take 8 MB.
 const MAX_FORWARDS: usize = 128;
 
@@ -83,8 +80,6 @@
     pub limits: SharedLimits<SocketAddr>,
     /// Where streams began that callers may take up.
     pub origins: Origins,
-    /// Whether a caller took a stream up that no gateway knew.
-    pub forgot: bool,
     /// Requests that wait until it is known where their stream began. A wake-up of all of them by each answer
     /// would cost the square of their number.
     pub origin_waiters: BTreeMap<StreamKey, Arc<Notify>>,
@@ -156,9 +151,6 @@
     pub links_checked: Notify,
     /// Bytes of request bodies that may still be read into memory.
     pub body_memory: Arc<Semaphore>,
-    /// Unix milliseconds of this process's start, sent in each digest.
-    pub start: u64,
-    first_start: bool,
     settings: Mutex<Arc<Settings>>,
     data_centre: DataCentre,
     state: Mutex<State>,
@@ -190,7 +182,6 @@
             trials: Trials::default(),
             limits: SharedLimits::new(settings.fleet.address.0),
             origins: Origins::default(),
-            forgot: false,
             origin_waiters: BTreeMap::new(),
             service_times: BTreeMap::new(),
             store_contact: Time::ZERO,
@@ -199,8 +190,6 @@
         };
         Arc::new(Self {
             data_centre: settings.gateway.data_centre.clone(),
-            start: unix_millis(),
-            first_start: settings.fleet.first_start,
             settings: Mutex::new(Arc::new(settings)),
             catalogue,
             dialect,
@@ -253,20 +242,6 @@
         self.clock.now()
     }
 
-    /// Returns whether the gateways may have forgotten what they knew within the last `memory`, because all of
-    /// them have started since.
-    #[must_use]
-    pub fn may_have_forgotten(&self, memory: Duration) -> bool {
-        let state = self.state();
-        if self.first_start && !state.forgot {
-            return false;
-        }
-        let first = state.loads.first_start().unwrap_or(self.start);
-        let earlier = Duration::from_millis(self.start.saturating_sub(first));
-        let age = self.now().since(Time::ZERO) + earlier;
-        age < memory + CLOCK_ERROR
-    }
-
     /// Returns the data centre of this gateway.
     #[must_use]
     pub fn data_centre(&self) -> &DataCentre {
@@ -404,16 +379,6 @@
     }
 }
 
-/// Returns the Unix time in milliseconds, which identifies a start of the gateway. Only the order
-/// of starts on one VM matters. After the clock was set back, digests of the new start are ignored
-/// until the previous start has timed out at the peers.
-fn unix_millis() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Load reserved on an upstream; dropping it releases the load.
 pub struct Reservation {
     ctx: Arc<Context>,
--- a/crates/cumindoor/src/gateway/exchange/origin.rs
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -41,13 +41,7 @@
         Some(Err(error)) => return Err(refuse(req, &error.to_string())),
         None => ("", unnamed(req)),
     };
-    // Another stream of this caller would be taken for one that all gateways have forgotten.
-    let memory = req.route.timeout + RETENTION_MARGIN;
-    if name.is_empty() && req.ctx.may_have_forgotten(memory) {
-        return Err(refuse(req, "the gateways may have forgotten the stream"));
-    }
     let Some(build) = origins::find(&req.ctx, (stream, content)).await else {
-        req.ctx.state().forgot = true;
         return Err(refuse(req, "no gateway knows the stream"));
     };
     let waited_ms = millis(req.started.elapsed());
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -308,12 +308,6 @@
         self.peers.keys().copied()
     }
 
-    /// Returns the Unix milliseconds of the start of the gateway that has run longest among the live peers.
-    #[must_use]
-    pub fn first_start(&self) -> Option<u64> {
-        self.peers.values().map(|peer| peer.digest.start).min()
-    }
-
     /// Returns the gateways that can be expected to reach upstreams of a service: those heard a short time
     /// ago that neither stop nor report the contrary.
     #[must_use]
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -47,6 +47,8 @@
 pub struct PeerExchange {
     ctx: Arc<Context>,
     socket: Arc<PeerSocket>,
+    /// Unix milliseconds of this process's start, sent in each digest.
+    start: u64,
     /// Sequence number of the next digest.
     number: AtomicU64,
 }
@@ -65,6 +67,7 @@
         Ok(Self {
             ctx: Arc::clone(ctx),
             socket,
+            start: unix_millis(),
             number: AtomicU64::new(1),
         })
     }
@@ -247,7 +250,7 @@
             digest.unreachable = state.links.unreachable();
             digest
         };
-        digest.start = self.ctx.start;
+        digest.start = self.start;
         digest.sequence = self.number.fetch_add(1, Ordering::Relaxed);
         if heartbeat {
             digest.peers = peer_list.listed(self.ctx.now());
@@ -294,7 +297,7 @@
                 continue;
             }
             let report = CrashReport {
-                start: self.ctx.start,
+                start: self.start,
                 sequence: self.number.fetch_add(1, Ordering::Relaxed),
                 trials: trials.clone(),
                 records,
@@ -329,7 +332,7 @@
                 continue;
             }
             let report = LimitReport {
-                start: self.ctx.start,
+                start: self.start,
                 sequence: self.number.fetch_add(1, Ordering::Relaxed),
                 gateways: gateways.and_then(|size| u32::try_from(size).ok()),
                 limits,
@@ -367,3 +370,13 @@
         !gone.is_empty()
     }
 }
+
+/// Returns the Unix time in milliseconds, which identifies a start of the gateway. Only the order
+/// of starts on one VM matters. After the clock was set back, digests of the new start are ignored
+/// until the previous start has timed out at the peers.
+fn unix_millis() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -44,9 +44,6 @@
         /// Addresses of some VMs of the fleet, which need not all be alive; only the IP address
         /// counts.
         seeds: Vec<ConnectAddr> = "seeds" Required,
-        /// Whether all gateways start for the first time. `no` after a start of the fleet in which they may
-        /// have forgotten streams; read at the start only.
-        first_start: bool = "first-start" Value("yes"),
     }
 }
 
