--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -449,7 +449,8 @@
 
 /// Chooses among the services of a route by their weights.
 fn pick_service(ctx: &Context, route: &Route) -> Result<Service, Refusal> {
-    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    let weights = route.targets.iter().map(|(_, weight)| u64::from(*weight));
+    let total: u64 = weights.sum();
     if total == 0 {
         return Err(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER));
     }
@@ -458,7 +459,8 @@
         _ => ctx.state().rng.random_range(0..total),
     };
     for (service, weight) in &route.targets {
-        if point < *weight {
+        let weight = u64::from(*weight);
+        if point < weight {
             return Ok(service.clone());
         }
         point -= weight;
