Believe no absurd number of slots, and add up stated loads without overflow

Cause: slots * REQUESTS_PER_SLOT and sums of loads that other gateways state were products and sums in 32 bits. An entry with 2^31 slots ended all requests of its service or drew them; a datagram with absurd loads ended the receiver (debug). Change: an upstream that states more than 16 times the usual slots of its service counts with the usual number, and a log line says so; totals of loads have 64 bits, other sums saturate. Conclusion: one odd entry costs a log line.

--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -47,19 +47,27 @@
     pub kv_tokens: u32,
 }
 
-impl Load {
-    fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.unprefilled_tokens += other.unprefilled_tokens;
-        self.kv_tokens += other.kv_tokens;
+/// The sum of the loads that gateways have placed on one upstream. It is wider than its parts, which other
+/// gateways state, so that it can be taken apart again whatever they are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct TotalLoad {
+    requests: u64,
+    unprefilled_tokens: u64,
+    kv_tokens: u64,
+}
+
+impl TotalLoad {
+    fn add(&mut self, load: Load) {
+        self.requests += u64::from(load.requests);
+        self.unprefilled_tokens += u64::from(load.unprefilled_tokens);
+        self.kv_tokens += u64::from(load.kv_tokens);
     }
 
-    fn remove(&mut self, other: Self) {
-        self.requests = self.requests.saturating_sub(other.requests);
-        self.unprefilled_tokens = self
-            .unprefilled_tokens
-            .saturating_sub(other.unprefilled_tokens);
-        self.kv_tokens = self.kv_tokens.saturating_sub(other.kv_tokens);
+    fn remove(&mut self, load: Load) {
+        let rest = |total: u64, part: u32| total.saturating_sub(part.into());
+        self.requests = rest(self.requests, load.requests);
+        self.unprefilled_tokens = rest(self.unprefilled_tokens, load.unprefilled_tokens);
+        self.kv_tokens = rest(self.kv_tokens, load.kv_tokens);
     }
 
     fn is_empty(&self) -> bool {
@@ -67,6 +75,17 @@
     }
 }
 
+impl From<TotalLoad> for Load {
+    fn from(total: TotalLoad) -> Self {
+        let narrow = |sum: u64| u32::try_from(sum).unwrap_or(u32::MAX);
+        Self {
+            requests: narrow(total.requests),
+            unprefilled_tokens: narrow(total.unprefilled_tokens),
+            kv_tokens: narrow(total.kv_tokens),
+        }
+    }
+}
+
 /// The requests of one service that wait for capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
@@ -164,7 +183,7 @@
 /// The load placed by this gateway and by its peers.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
-    own: BTreeMap<Key, Load>,
+    own: BTreeMap<Key, TotalLoad>,
     waiting: BTreeMap<Key, Waiting>,
     peers: BTreeMap<SocketAddr, Peer>,
     /// The gateways that were heard when this one began to stop.
@@ -174,7 +193,7 @@
     /// Highest fencing number seen from any gateway.
     fence: u64,
     /// Load of all gateways, by upstream.
-    totals: BTreeMap<Key, Load>,
+    totals: BTreeMap<Key, TotalLoad>,
 }
 
 impl LoadTable {
@@ -202,7 +221,8 @@
     /// Returns the load that all gateways have placed on an upstream.
     #[must_use]
     pub fn load(&self, key: Key) -> Load {
-        self.totals.get(&key).copied().unwrap_or_default()
+        let total = self.totals.get(&key).copied();
+        total.unwrap_or_default().into()
     }
 
     /// Returns the number and size of the requests of a service that wait at other gateways.
@@ -211,8 +231,8 @@
         let mut sum = Waiting::default();
         let digests = self.peers.values().flat_map(|peer| &peer.digest.waiting);
         for (_, waiting) in digests.filter(|(key, _)| *key == service) {
-            sum.requests += waiting.requests;
-            sum.kv_tokens += waiting.kv_tokens;
+            sum.requests = sum.requests.saturating_add(waiting.requests);
+            sum.kv_tokens = sum.kv_tokens.saturating_add(waiting.kv_tokens);
         }
         sum
     }
@@ -386,7 +406,11 @@
     #[must_use]
     pub fn digest(&self) -> Digest {
         Digest {
-            loads: self.own.iter().map(|(key, load)| (*key, *load)).collect(),
+            loads: self
+                .own
+                .iter()
+                .map(|(key, load)| (*key, (*load).into()))
+                .collect(),
             fence: self.fence,
             waiting: self.waiting.iter().map(|(key, w)| (*key, *w)).collect(),
             ..Digest::default()
@@ -403,7 +427,7 @@
     }
 }
 
-fn subtract(loads: &mut BTreeMap<Key, Load>, key: Key, load: Load) {
+fn subtract(loads: &mut BTreeMap<Key, TotalLoad>, key: Key, load: Load) {
     if let Some(sum) = loads.get_mut(&key) {
         sum.remove(load);
         if sum.is_empty() {
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -98,8 +98,8 @@
         }
         let memory = |tokens: u32| f64::from(tokens) / f64::from(model.kv_capacity.max(1));
         let key = service_key(service);
-        let waiting = state.loads.waiting_locally(key).kv_tokens
-            + state.loads.waiting_at_peers(key).kv_tokens;
+        let here = state.loads.waiting_locally(key).kv_tokens;
+        let waiting = here.saturating_add(state.loads.waiting_at_peers(key).kv_tokens);
         let load = |endpoint: &Endpoint| state.loads.load(endpoint.key);
         let held: f64 = engines(Stage::Decode)
             .map(|endpoint| memory(load(endpoint).kv_tokens))
--- a/crates/cumindoor/src/gateway/placement.rs
+++ b/crates/cumindoor/src/gateway/placement.rs
@@ -40,6 +40,9 @@
 /// Requests for each slot of a plain upstream, including those that queue at the upstream.
 const REQUESTS_PER_SLOT: u32 = 2;
 
+/// How many times the usual number of slots of its service an upstream may state and be believed.
+const MAX_SLOT_RATIO: u32 = 16;
+
 /// KV cache that a request to a model needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Demand {
@@ -73,6 +76,27 @@
     to_tokens(f64::from(model.kv_capacity) * KV_FILL_SHARE)
 }
 
+/// Returns the number of slots that most plain upstreams of a service state: the lower median.
+#[must_use]
+pub fn usual_slots(directory: &Directory, service: &Service) -> u32 {
+    let all = directory.usable(service, None, None);
+    let mut slots: Vec<u32> = all.map(|endpoint| endpoint.entry.slots).collect();
+    slots.sort_unstable();
+    let middle = slots.len().saturating_sub(1) / 2;
+    slots.get(middle).copied().unwrap_or(1)
+}
+
+/// Returns the number of slots with which an upstream counts. Other writers may leave any number in its entry, and
+/// one that is far too high would draw the requests of the whole service.
+#[must_use]
+pub fn believed_slots(stated: u32, usual: u32) -> u32 {
+    if stated > usual.saturating_mul(MAX_SLOT_RATIO) {
+        usual
+    } else {
+        stated.max(1)
+    }
+}
+
 /// Rounds to a whole number of tokens.
 #[expect(
     clippy::cast_possible_truncation,
@@ -146,9 +170,11 @@
 impl<'a, R: Rng> Placer<'a, R> {
     /// Chooses an upstream of a plain service, or returns `None` if all are full.
     pub fn choose_plain(&mut self, service: &Service, tried: &[Upstream]) -> Option<Choice> {
-        let has_room = |e: &Endpoint, load: Load| load.requests < e.entry.slots * REQUESTS_PER_SLOT;
-        let load_score =
-            |e: &Endpoint, load: Load| f64::from(load.requests) / f64::from(e.entry.slots);
+        let usual = usual_slots(self.directory, service);
+        let slots = |e: &Endpoint| believed_slots(e.entry.slots, usual);
+        let has_room =
+            |e: &Endpoint, load: Load| load.requests < slots(e).saturating_mul(REQUESTS_PER_SLOT);
+        let load_score = |e: &Endpoint, load: Load| f64::from(load.requests) / f64::from(slots(e));
         self.choose(service, None, tried, has_room, load_score)
     }
 
@@ -207,7 +233,8 @@
         tried: &[Upstream],
     ) -> Option<Choice> {
         let has_room = |e: &Endpoint, load: Load| {
-            load.kv_tokens + demand.kv_tokens <= limit && load.requests < e.entry.slots
+            load.kv_tokens.saturating_add(demand.kv_tokens) <= limit
+                && load.requests < e.entry.slots
         };
         let load_score =
             |_: &Endpoint, load: Load| f64::from(load.kv_tokens) / f64::from(model.kv_capacity);
--- a/crates/cumindoor/src/gateway/queue.rs
+++ b/crates/cumindoor/src/gateway/queue.rs
@@ -129,7 +129,7 @@
         let waited = first.map_or(Duration::ZERO, |ticket| now.since(ticket.arrived));
         Waiting {
             requests: u32::try_from(tickets().len()).unwrap_or(u32::MAX),
-            kv_tokens: tickets().map(|ticket| ticket.demand.kv_tokens).sum(),
+            kv_tokens: tickets().fold(0, |sum, ticket| sum.saturating_add(ticket.demand.kv_tokens)),
             late: first.is_some_and(|ticket| ticket.due < now),
             waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
         }
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store_watch.rs
@@ -14,6 +14,7 @@
 use super::crash_watch;
 use super::directory::UpstreamChange;
 use super::fetch::fetch;
+use super::placement::{believed_slots, usual_slots};
 
 /// Delay after the first failed call; it doubles with each further failure.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -249,6 +250,7 @@
 
     fn record_change(&self, name: &Upstream, change: &UpstreamChange) {
         log_change(name, change);
+        log_disbelief(&self.ctx, name);
         crash_watch::record_change(&self.ctx, name, change);
     }
 
@@ -299,6 +301,23 @@
     log::info!(upstream, news = change.as_str(); "upstream");
 }
 
+/// Logs that the entry of a plain upstream states more slots than it counts with.
+fn log_disbelief(ctx: &Context, name: &Upstream) {
+    let state = ctx.state();
+    let Some(endpoint) = state.directory.get(name) else {
+        return;
+    };
+    let entry = &endpoint.entry;
+    let usual = usual_slots(&state.directory, &entry.service);
+    let (stated, believed) = (entry.slots, believed_slots(entry.slots, usual));
+    let is_plain = entry.stage.is_none();
+    drop(state);
+    if is_plain && stated != believed {
+        let upstream = name.as_str();
+        log::warn!(upstream, stated, believed; "slots not believed");
+    }
+}
+
 /// Removes upstreams whose entries did not return after an outage.
 ///
 /// # Errors
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -639,3 +639,92 @@
     assert!(!loads.is_live(peer(2)));
     assert_eq!(loads.others(), [peer(2), peer(3)]);
 }
+
+fn place_plain(fixture: &mut Fixture, held: usize) -> Vec<Upstream> {
+    let preferred = DataCentre::from("z");
+    let mut placed = Vec::new();
+    for _ in 0..held {
+        let chosen = fixture
+            .placer(&preferred, ms(1))
+            .choose_plain(&"s".into(), &[]);
+        if let Some(choice) = chosen {
+            let load = Load {
+                requests: 1,
+                ..Load::default()
+            };
+            fixture.loads.reserve(choice.key, load);
+            placed.push(choice.name);
+        }
+    }
+    placed
+}
+
+/// Guards against an entry that states absurd room and takes all requests of its service, or none, or ends them
+/// without an answer.
+#[rstest]
+#[case::half(2_147_483_648)]
+#[case::above_half(3_000_000_000)]
+#[case::highest(u32::MAX)]
+#[case::thousands(5_000)]
+fn absurd_room_in_an_entry_draws_no_load(#[case] slots: u32) {
+    let mut fixture = Fixture::new(&["a", "b", "odd"], None);
+    let absurd = UpstreamEntry {
+        slots,
+        ..entry(None, "z")
+    };
+    let change = Change::Upstream("odd".into(), Ok(absurd));
+    fixture.directory.apply(Time::ZERO, change);
+
+    let placed = place_plain(&mut fixture, 90);
+
+    let odd = placed.iter().filter(|name| name.as_str() == "odd").count();
+    assert_eq!(placed.len(), 90);
+    assert!((20..=40).contains(&odd), "{odd} of 90 at the odd one");
+}
+
+/// Guards against a service whose only upstream states absurd room and gets no requests.
+#[test]
+fn absurd_room_of_a_single_upstream_is_used() {
+    let mut fixture = Fixture::new(&[], None);
+    let absurd = UpstreamEntry {
+        slots: u32::MAX,
+        ..entry(None, "z")
+    };
+    let change = Change::Upstream("odd".into(), Ok(absurd));
+    fixture.directory.apply(Time::ZERO, change);
+
+    assert_eq!(place_plain(&mut fixture, 20).len(), 20);
+}
+
+/// Guards against sums of loads that other gateways state and that end the process or wrap around.
+#[test]
+fn absurd_loads_of_other_gateways_end_nothing() {
+    let mut fixture = Fixture::new(&["a", "b"], Some(Stage::Decode));
+    let key = upstream_key(&"a".into());
+    let highest = Load {
+        requests: u32::MAX,
+        unprefilled_tokens: u32::MAX,
+        kv_tokens: u32::MAX,
+    };
+    let waiting = Waiting {
+        requests: u32::MAX,
+        kv_tokens: u32::MAX,
+        ..Waiting::default()
+    };
+    for number in 1..=3 {
+        let told = Digest {
+            waiting: vec![(service_key(&"s".into()), waiting)],
+            ..digest(1, &[(key, highest)])
+        };
+        fixture.loads.apply_digest(ms(1), peer(number), told);
+    }
+    fixture.loads.reserve(key, kv_load(5));
+
+    let loaded = fixture.loads.load(key);
+    let chosen = fixture.decode(6_000, ms(2));
+    fixture.loads.expire(ms(60_000));
+
+    assert_eq!(loaded, highest);
+    assert_eq!(chosen, Some("b".into()));
+    assert_eq!(fixture.loads.load(key), kv_load(5));
+}
