Count retries that other gateways state without overflow

Cause: counts of other gateways were added up unchecked. Change: sums saturate. Conclusion: datagrams with any figures end nothing in the retry budget.

--- a/crates/coord/src/limit/retries.rs
+++ b/crates/coord/src/limit/retries.rs
@@ -124,7 +124,7 @@
     pub fn count_request(&mut self, now: Time, limit: &RetryLimit) {
         self.own.0 += 1;
         let bucket = self.bucket(now, limit);
-        bucket.requests += 1;
+        bucket.requests = bucket.requests.saturating_add(1);
         bucket.own.0 += 1;
     }
 
@@ -134,7 +134,7 @@
         if granted {
             self.own.1 += 1;
             let bucket = self.bucket(now, limit);
-            bucket.retries += 1;
+            bucket.retries = bucket.retries.saturating_add(1);
             bucket.own.1 += 1;
             self.unreported += 1;
         }
@@ -172,7 +172,8 @@
     /// Returns the requests and retries that count at present, for log events.
     #[must_use]
     pub fn counted(&self) -> (u64, u64) {
-        let sum = |of: fn(&Bucket) -> u64| self.buckets.iter().map(of).sum();
+        let all = |of: fn(&Bucket) -> u64| self.buckets.iter().map(of);
+        let sum = |of| all(of).fold(0, u64::saturating_add);
         (sum(|bucket| bucket.requests), sum(|bucket| bucket.retries))
     }
 
@@ -188,7 +189,9 @@
         self.unreported = 0;
         let settled = now.since(Time::ZERO) >= limit.window || self.informed;
         let count = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
-        let sum = |of: fn(&Bucket) -> u64| count(self.buckets.iter().map(of).sum());
+        let sum = |of: fn(&Bucket) -> u64| {
+            count(self.buckets.iter().map(of).fold(0, u64::saturating_add))
+        };
         let recent = (sum(|bucket| bucket.own.0), sum(|bucket| bucket.own.1));
         let in_window = count(self.counted().1);
         RetryRecord {
@@ -250,12 +253,18 @@
             ),
         };
         let bucket = self.bucket(now, limit);
-        bucket.requests += record.requests.saturating_sub(counted.0);
-        bucket.retries += record.retries.saturating_sub(counted.1);
+        // Other gateways state the counts, so that any number may arrive.
+        let [requests, retries] = [
+            record.requests.saturating_sub(counted.0),
+            record.retries.saturating_sub(counted.1),
+        ];
+        bucket.requests = bucket.requests.saturating_add(requests);
+        bucket.retries = bucket.retries.saturating_add(retries);
         let starting = now.since(Time::ZERO) < limit.window;
         if let Some(told) = record.in_window.filter(|_| starting) {
             let missed = u64::from(told).saturating_sub(self.counted().1);
-            self.bucket(now, limit).retries += missed;
+            let bucket = self.bucket(now, limit);
+            bucket.retries = bucket.retries.saturating_add(missed);
             self.informed = true;
         }
         let counts = PeerCounts {
--- a/crates/cumindoor/tests/gateway_rules.rs
+++ b/crates/cumindoor/tests/gateway_rules.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use border::Stage;
-use coord::limit::{Division, RetryBudget, RetryLimit};
+use coord::limit::{Division, RetryBudget, RetryLimit, RetryRecord};
 use coord::time::Time;
 use cumindoor::gateway::balance::{StageBalancer, StageCounts, StageUsage};
 use cumindoor::gateway::events::EventBuffer;
@@ -471,3 +471,34 @@
     assert!(used < LINK / 3.0, "{used:.1} of {LINK} Mbit/s");
     assert_eq!(wide, Duration::from_micros(300) * peers);
 }
+
+/// Guards against counts of retries that other gateways state and that end the process.
+#[test]
+fn absurd_counts_of_retries_end_nothing() {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(0.0);
+    let absurd = RetryRecord {
+        service: 1,
+        requests: u64::MAX,
+        retries: u64::MAX,
+        recent: (u32::MAX, u32::MAX),
+        in_window: Some(u32::MAX),
+    };
+
+    for start in 1..=3 {
+        for sequence in 1..=2 {
+            let told = RetryRecord {
+                requests: u64::MAX / sequence,
+                ..absurd
+            };
+            budget.apply(ms(20_000), &limit, (&2, (start, sequence)), told);
+        }
+    }
+
+    budget.count_request(ms(20_000), &limit);
+    assert_eq!(budget.counted(), (u64::MAX, u64::MAX));
+}
