Ask other gateways once more before links count as lost

Cause: the word of another gateway is up to 100 ms old and was followed by a last look at the own links, which could fall into the next pause of all engines. Change: another gateway has to reach the upstreams after that look as well. Conclusion: pauses shorter than the look and both questions together, about 0.6 s, can still be taken for a loss.

--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -111,9 +111,14 @@
     }
     // The upstreams may have paused and be back since.
     if is_reached(ctx, service).await {
-        Finding::Reached
-    } else {
+        return Finding::Reached;
+    }
+    // They may also have paused again since the other gateway reached them, which therefore has to reach them
+    // after the last question here as well.
+    if is_reached_elsewhere(ctx, service).await {
         Finding::Lost
+    } else {
+        Finding::Down
     }
 }
 
