--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -85,6 +85,8 @@
     pub origin_waiters: BTreeMap<StreamKey, Arc<Notify>>,
     /// Observed service times of model services.
     pub service_times: BTreeMap<Service, ServiceTimes>,
+    /// When a request last arrived; `None` before the first one.
+    pub last_request: Option<Time>,
     /// When the store last answered.
     pub store_contact: Time,
     /// Highest store revisions at which a change was seen.
@@ -137,6 +139,8 @@
     pub digest_due: Notify,
     /// Sends datagrams to other gateways, once it is bound.
     pub peer_socket: OnceLock<Arc<PeerSocket>>,
+    /// Notified when a request arrives.
+    pub request_arrived: Notify,
     /// Notified when a probe of an upstream has ended.
     pub probe_ended: Notify,
     /// Cancelled when a planned stop begins.
@@ -184,6 +188,7 @@
             origins: Origins::default(),
             origin_waiters: BTreeMap::new(),
             service_times: BTreeMap::new(),
+            last_request: None,
             store_contact: Time::ZERO,
             seen: Seen::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -202,6 +207,7 @@
             capacity_freed: Notify::new(),
             digest_due: Notify::new(),
             peer_socket: OnceLock::new(),
+            request_arrived: Notify::new(),
             probe_ended: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
@@ -344,6 +350,12 @@
         }
     }
 
+    /// Records that a request of a caller or of another gateway arrives.
+    pub fn record_arrival(&self) {
+        self.state().last_request = Some(self.now());
+        self.request_arrived.notify_waiters();
+    }
+
     /// Counts one request of a caller, which adds to the retry budget.
     pub fn count_request(&self, service: &Service) {
         let now = self.now();
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -255,6 +255,7 @@
     let arrived = ctx.now();
     let started = Instant::now();
     ctx.telemetry.count("request.received");
+    ctx.record_arrival();
     let (parts, body) = request.into_parts();
     let meta = ctx.dialect.parse_request(&parts.headers).ok();
     let id = meta
--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/forward/listener.rs
@@ -192,6 +192,7 @@
     (mut parts, body): (Parts, Incoming),
 ) -> Result<Response<BoxedBody>, Failure> {
     let deadline = Instant::now() + Duration::from_millis(attempt.left_ms);
+    ctx.record_arrival();
     let Ok(slot) = Arc::clone(&ctx.forwards).try_acquire_owned() else {
         return Err(Failure::NoPath);
     };
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store_watch.rs
@@ -9,6 +9,8 @@
 use border::{Change, Page, Routing, Topic};
 use coord::name::Upstream;
 use hyper::{Method, StatusCode};
+use rand::RngExt;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::context::Context;
 use super::crash_watch;
@@ -26,6 +28,15 @@
 /// Shortest time between two watches of the upstreams. It is longer than for the routing because
 /// many upstreams may change one after the other.
 const UPSTREAM_WATCH_INTERVAL: Duration = Duration::from_millis(400);
+/// Shortest time between two watches of the upstreams while no requests arrive, such as before callers are let in,
+/// when all upstreams register one after the other. It is shorter than the time in which a leaving upstream may still
+/// get requests.
+const IDLE_WATCH_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time without a request after which a gateway is idle.
+const IDLE_AFTER: Duration = Duration::from_secs(1);
+/// Shortest wait of a watch, as a share of the one in the settings. Watches that would end at the same time in the
+/// whole fleet would all miss what the store did not tell them.
+const MIN_WATCH_SHARE: f64 = 0.4;
 /// Interval at which a pending watch is compared with the revisions that other gateways saw.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which another gateway may be ahead before the watch is abandoned. A slow store answers
@@ -99,9 +110,10 @@
     /// Waits for changes. Returns the revision from which to continue, or `None` if the topic has
     /// to be read again.
     async fn watch(&mut self, revision: u64) -> Option<u64> {
-        let wait = self.ctx.settings().store.watch.0;
+        let share = self.ctx.state().rng.random_range(MIN_WATCH_SHARE..=1.0);
+        let wait = self.ctx.settings().store.watch.0.mul_f64(share);
         let path = self.ctx.catalogue.watch_path(self.topic, revision, wait);
-        let started = tokio::time::Instant::now();
+        let started = Instant::now();
         let (ctx, topic) = (Arc::clone(&self.ctx), self.topic);
         let called = tokio::select! {
             called = self.call(&path, wait) => called,
@@ -123,7 +135,10 @@
                 }
                 if changed {
                     self.ctx.capacity_freed.notify_waiters();
-                    tokio::time::sleep_until(started + watch_interval(self.topic)).await;
+                    sleep_until(started + watch_interval(self.topic)).await;
+                    if self.topic == Topic::Upstreams {
+                        self.wait_while_idle(started + IDLE_WATCH_INTERVAL).await;
+                    }
                 }
                 Some(next)
             }
@@ -141,6 +156,20 @@
         }
     }
 
+    /// Waits until a time or the next request if none has arrived recently.
+    async fn wait_while_idle(&self, until: Instant) {
+        let arrived = self.ctx.request_arrived.notified();
+        let mut arrived = std::pin::pin!(arrived);
+        arrived.as_mut().enable();
+        let now = self.ctx.now();
+        let last = self.ctx.state().last_request;
+        if last.is_some_and(|last| now.since(last) < IDLE_AFTER) {
+            return;
+        }
+        // That no request has come meanwhile is no error.
+        let _ = timeout_at(until, arrived).await;
+    }
+
     /// Sends one call. The error holds the status if the store answered with one.
     async fn call(&mut self, path: &str, wait: Duration) -> Result<Page, Option<StatusCode>> {
         let keys = self.ctx.settings().store.clone();
@@ -206,7 +235,7 @@
 
     async fn back_off(&self) {
         let factor = 1 << self.failures.saturating_sub(1).min(8);
-        tokio::time::sleep((BASE_RETRY_DELAY * factor).min(MAX_RETRY_DELAY)).await;
+        sleep((BASE_RETRY_DELAY * factor).min(MAX_RETRY_DELAY)).await;
     }
 
     fn apply_snapshot(&self, changes: Vec<Change>) {
@@ -282,7 +311,7 @@
 async fn peers_ahead(ctx: &Context, topic: Topic, revision: u64) {
     let mut since = None;
     loop {
-        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+        sleep(PEER_CHECK_INTERVAL).await;
         let seen = ctx.state().loads.seen_by_peers();
         let seen = match topic {
             Topic::Routing => seen.routing,
@@ -327,7 +356,7 @@
     /// Interval between checks; short compared with the grace period.
     const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
     loop {
-        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        sleep(EXPIRY_INTERVAL).await;
         let now = ctx.now();
         let lost = ctx.state().directory.expire(now);
         for name in lost {
