Tell loads to neighbours only in large fleets, and use the engines around the own place

Change: more than 96 gateways are ordered on a ring (coord::ring). Each uses the engines in a window around its place and tells its load to the 48 gateways whose windows overlap with its own; the others learn who lives by lists. See docs/decisions/neighbours.md for what was weighed and what rides on which path. Conclusion: the cost of a gateway no longer grows with the fleet, except for what is told to all (retries, crashes).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod owner;
 pub mod poison;
 pub mod retry;
+pub mod ring;
 pub mod sched;
 pub mod time;
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -17,7 +17,7 @@
 use crate::gateway::directory::{Directory, Endpoint};
 use crate::gateway::load_table::{Load, service_key};
 use crate::gateway::pacing::DIGEST_INTERVAL_PER_PEER;
-use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens};
+use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens, used_keys};
 use crate::gateway::queue::{KvPool, Ticket};
 
 use super::plain::PLAIN_LOAD;
@@ -361,7 +361,7 @@
         let waited = now.since(self.req.arrived);
         let late = self.due < now;
         let ahead = state.loads.gateways_ahead(now, service, late, waited);
-        let gateways = u32::try_from(state.loads.gateway_count()).unwrap_or(u32::MAX);
+        let gateways = u32::try_from(state.loads.sharing_count()).unwrap_or(u32::MAX);
         let turn = YIELD_TIME + DIGEST_INTERVAL_PER_PEER * gateways;
         let since = now.since(self.capacity_since.get().unwrap_or(now));
         let turns = since.as_micros() / turn.as_micros();
@@ -455,8 +455,14 @@
         let here = here.unwrap_or_default();
         let mut pool = KvPool::default();
         let directory = &state.directory;
-        let engines = directory.usable(service, Some(Stage::Decode), search.build);
-        for endpoint in engines.filter(is_open) {
+        let decode = Some(Stage::Decode);
+        let used = used_keys(directory, &state.loads, service, decode);
+        let is_used = |endpoint: &&Endpoint| {
+            used.as_ref()
+                .is_none_or(|used| used.contains(&endpoint.key))
+        };
+        let engines = directory.usable(service, decode, search.build);
+        for endpoint in engines.filter(is_open).filter(is_used) {
             let used = state.loads.load(endpoint.key).kv_tokens;
             pool.used += u64::from(used);
             pool.free += u64::from(model.kv_capacity.saturating_sub(used));
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -7,7 +7,7 @@
 //! too.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,9 +15,11 @@
 use coord::limit::{FleetSize, LimitKey, Sighting};
 use coord::name::{Service, Upstream};
 use coord::poison::CrashRecord;
+use coord::ring::Window;
 use coord::time::Time;
 use serde::{Deserialize, Serialize};
 
+use super::peer_list::NEIGHBOURS;
 use super::trials::Trial;
 
 /// Time without a digest after which a peer is removed.
@@ -180,12 +182,23 @@
     digest: Digest,
 }
 
+/// A fleet in which a gateway hears only some of the others all the time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Neighbourhood {
+    /// The other gateways that live.
+    pub members: Vec<SocketAddr>,
+    /// The upstreams that this gateway uses.
+    pub window: Window,
+}
+
 /// The load placed by this gateway and by its peers.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     own: BTreeMap<Key, TotalLoad>,
     waiting: BTreeMap<Key, Waiting>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// The whole fleet, if it is too large for all gateways to hear each other all the time.
+    neighbourhood: Option<Neighbourhood>,
     /// The gateways that were heard when this one began to stop.
     heard_at_stop: Option<Vec<SocketAddr>>,
     /// The gateways among which a limit of the whole fleet is divided.
@@ -312,7 +325,35 @@
         true
     }
 
-    /// Removes peers that have timed out and returns their addresses.
+    /// Sets which gateways live in a fleet in which not all hear each other all the time. Returns those that
+    /// have gone silent.
+    pub fn set_neighbourhood(&mut self, neighbourhood: Option<Neighbourhood>) -> Vec<SocketAddr> {
+        let before = self.neighbourhood.take();
+        self.neighbourhood = neighbourhood;
+        let Some(before) = before else {
+            return Vec::new();
+        };
+        let live: BTreeSet<SocketAddr> = self.peers().collect();
+        let gone = before.members.into_iter();
+        gone.filter(|addr| !live.contains(addr)).collect()
+    }
+
+    /// Returns the upstreams that this gateway uses as long as one of them has room, or `None` if it uses all.
+    #[must_use]
+    pub fn window(&self) -> Option<Window> {
+        self.neighbourhood.as_ref().map(|fleet| fleet.window)
+    }
+
+    /// Returns the number of gateways, including this one, that use the same upstreams.
+    #[must_use]
+    pub fn sharing_count(&self) -> usize {
+        match self.neighbourhood {
+            Some(_) => NEIGHBOURS + 1,
+            None => self.gateway_count(),
+        }
+    }
+
+    /// Removes the load of peers that have timed out. Returns the addresses of those that have gone silent.
     pub fn expire(&mut self, now: Time) -> Vec<SocketAddr> {
         let silent = |peer: &&Peer| now.since(peer.last_heard) >= PEER_TIMEOUT;
         let gone = self.peers.iter().filter(|(_, peer)| silent(peer));
@@ -320,12 +361,20 @@
         for addr in &gone {
             self.remove_peer(*addr);
         }
-        gone
+        match &self.neighbourhood {
+            // Those that are no neighbours are heard seldom.
+            Some(_) => Vec::new(),
+            None => gone,
+        }
     }
 
     /// Returns the addresses of the live peers.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.keys().copied()
+        let distant = self.neighbourhood.as_ref();
+        let members = distant.into_iter().flat_map(|fleet| &fleet.members);
+        let is_alone = self.neighbourhood.is_none();
+        let heard = self.peers.keys().filter(move |_| is_alone);
+        members.chain(heard).copied()
     }
 
     /// Returns the gateways that can be expected to reach upstreams of a service: those heard a short time
@@ -344,27 +393,30 @@
     /// Returns whether a digest of the peer was applied and has not expired.
     #[must_use]
     pub fn is_live(&self, addr: SocketAddr) -> bool {
-        self.peers.contains_key(&addr)
+        let fleet = self.neighbourhood.as_ref();
+        self.peers.contains_key(&addr) || fleet.is_some_and(|fleet| fleet.members.contains(&addr))
     }
 
     /// Records that this gateway begins to stop. The others send it no more digests from then on.
     pub fn begin_stop(&mut self) {
-        let heard = || self.peers.keys().copied().collect();
-        self.heard_at_stop.get_or_insert_with(heard);
+        if self.heard_at_stop.is_none() {
+            self.heard_at_stop = Some(self.peers().collect());
+        }
     }
 
     /// Returns the addresses of the other gateways that live, as far as is known: while this one stops, those
     /// that it heard when it began to.
     #[must_use]
     pub fn others(&self) -> Vec<SocketAddr> {
-        let heard = || self.peers.keys().copied().collect();
+        let heard = || self.peers().collect();
         self.heard_at_stop.clone().unwrap_or_else(heard)
     }
 
     /// Returns the number of live gateways, including this one.
     #[must_use]
     pub fn gateway_count(&self) -> usize {
-        self.peers.len() + 1
+        let fleet = self.neighbourhood.as_ref();
+        fleet.map_or(self.peers.len(), |fleet| fleet.members.len()) + 1
     }
 
     /// Returns the highest fencing number known.
@@ -401,8 +453,8 @@
         &self.fleet
     }
 
-    /// Returns a digest with the load, waiting requests and fencing number of this gateway; the
-    /// caller fills in the remaining fields.
+    /// Returns a digest with the load, waiting requests and fencing number of this gateway; the caller
+    /// fills in the remaining fields.
     #[must_use]
     pub fn digest(&self) -> Digest {
         Digest {
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/orders.rs
@@ -22,7 +22,7 @@
 use super::directory::Endpoint;
 use super::leadership::{FleetView, Leadership};
 use super::load_table::service_key;
-use super::placement::Choice;
+use super::placement::{Choice, used_keys};
 use super::statements;
 use crate::serve::engine::full_body;
 
@@ -101,18 +101,30 @@
         let here = state.loads.waiting_locally(key).kv_tokens;
         let waiting = here.saturating_add(state.loads.waiting_at_peers(key).kv_tokens);
         let load = |endpoint: &Endpoint| state.loads.load(endpoint.key);
-        let held: f64 = engines(Stage::Decode)
-            .map(|endpoint| memory(load(endpoint).kv_tokens))
-            .sum();
-        let busy = engines(Stage::Prefill).filter(|endpoint| load(endpoint).unprefilled_tokens > 0);
-        let usage = StageUsage {
-            prefill: f64::from(saturating_u32(busy.count())),
-            decode: held + memory(waiting),
+        // In a large fleet, only the load of the engines that this gateway uses is known.
+        let known = |stage| {
+            let used = used_keys(&state.directory, &state.loads, service, Some(stage));
+            engines(stage).filter(move |endpoint| {
+                used.as_ref()
+                    .is_none_or(|used| used.contains(&endpoint.key))
+            })
         };
         let counts = StageCounts {
             prefill: saturating_u32(engines(Stage::Prefill).count()),
             decode: saturating_u32(engines(Stage::Decode).count()),
         };
+        let scale = |stage, count: u32| {
+            f64::from(count) / f64::from(saturating_u32(known(stage).count()).max(1))
+        };
+        let held: f64 = known(Stage::Decode)
+            .map(|endpoint| memory(load(endpoint).kv_tokens))
+            .sum();
+        let busy = known(Stage::Prefill).filter(|endpoint| load(endpoint).unprefilled_tokens > 0);
+        let usage = StageUsage {
+            prefill: f64::from(saturating_u32(busy.count()))
+                * scale(Stage::Prefill, counts.prefill),
+            decode: (held + memory(waiting)) * scale(Stage::Decode, counts.decode),
+        };
         let Some((wanted_stage, moved)) = balancer.observe(now, usage, counts) else {
             continue;
         };
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -3,13 +3,16 @@
 //! Each datagram holds the complete load of the sender, so a lost one is made up for by the next. A
 //! gateway starts with the addresses in its settings and learns the others from the digests that it
 //! receives. A gateway without peers decides on its own load alone.
+//!
+//! In a large fleet only neighbours hear each other's load, so that the cost does not grow with the fleet;
+//! see `docs/decisions/neighbours.md`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use coord::limit::LimitReport;
+use coord::limit::{LimitReport, RetryBudget};
 use coord::origin::OriginMessage;
 use eyre::WrapErr;
 use tokio::time::{Instant, sleep_until};
@@ -19,7 +22,7 @@
 use super::load_table::{CrashReport, Digest};
 use super::origins;
 use super::pacing::DIGEST_INTERVAL_PER_PEER;
-use super::peer_list::PeerList;
+use super::peer_list::{Audience, PeerList};
 use super::peer_socket::PeerSocket;
 use super::rate_limits;
 use super::wakeups::WakeupThrottle;
@@ -103,7 +106,8 @@
                             wakeups.request();
                         }
                         // Without news, a newcomer is told with the next digest what is known.
-                        pending |= effect.newcomer.is_some() && self.has_reports();
+                        let is_large = self.ctx.state().loads.window().is_some();
+                        pending |= effect.newcomer.is_some() && (is_large || self.has_reports());
                         newcomers.extend(effect.newcomer);
                         if let Some(answer) = effect.answer {
                             self.socket.send(&answer, &[from]).await;
@@ -118,28 +122,31 @@
                 () = sleep_until(due) => {
                     self.update_seeds(&mut peer_list);
                     let heartbeat = due >= next_heartbeat;
-                    let targets = peer_list.targets(self.ctx.now(), heartbeat);
+                    let now = self.ctx.now();
+                    let audience = peer_list.audience(now, heartbeat);
                     let complete = heartbeat || due >= earliest;
+                    let mut newcomers = std::mem::take(&mut newcomers);
                     if complete {
-                        self.send(&peer_list, &targets, heartbeat).await;
+                        self.send(&peer_list, &audience, heartbeat).await;
+                        self.welcome(&peer_list, &audience, &newcomers).await;
                     }
                     if heartbeat {
                         newcomers.extend(peer_list.page_targets(self.ctx.now()));
                         origins::retell(&self.ctx).await;
                     }
-                    let newcomers = std::mem::take(&mut newcomers);
-                    pending = self.send_crashes(&targets, &newcomers).await;
-                    pending |= self.send_limits(&targets, &newcomers, heartbeat).await;
+                    pending = self.send_crashes(&audience.all, &newcomers).await;
+                    let refreshed = heartbeat.then_some(&audience);
+                    pending |= self.send_limits(&audience.all, &newcomers, refreshed).await;
                     pending |= !complete;
                     let gone = self.expire();
                     if heartbeat || gone {
                         self.record_fleet(&peer_list);
                     }
                     let now = Instant::now();
-                    let peers = u32::try_from(targets.len()).unwrap_or(u32::MAX);
-                    report_earliest = now + DIGEST_INTERVAL_PER_PEER * peers;
+                    let peers = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+                    report_earliest = now + DIGEST_INTERVAL_PER_PEER * peers(audience.all.len());
                     if complete {
-                        earliest = now + self.end_round(peers);
+                        earliest = now + self.end_round(peers(audience.told().len()));
                     }
                     if heartbeat {
                         next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
@@ -180,7 +187,8 @@
             log::info!(peer = peer.as_str(); "peer heard");
         }
         let newcomer = (!known && !leaving).then_some(from);
-        if newcomer.is_some() {
+        // In a large fleet, this is done with the next heartbeat.
+        if newcomer.is_some() && self.ctx.state().loads.window().is_none() {
             self.record_fleet(peer_list);
         }
         Effect {
@@ -215,12 +223,19 @@
         Effect::default()
     }
 
-    /// Updates the number of gateways that share the limits of the whole fleet.
+    /// Updates which gateways live, and the number of those that share the limits of the whole fleet.
     fn record_fleet(&self, peer_list: &PeerList) {
         let now = self.ctx.now();
         let expected = self.ctx.expects_peers();
         let hearsay = peer_list.hearsay(now);
-        self.ctx.state().record_fleet(now, hearsay, expected);
+        let neighbourhood = peer_list.neighbourhood(now);
+        let gone = {
+            let mut state = self.ctx.state();
+            let gone = state.loads.set_neighbourhood(neighbourhood);
+            state.record_fleet(now, hearsay, expected);
+            gone
+        };
+        self.forget(&gone);
     }
 
     /// Returns whether there is something that a gateway which is heard for the first time has to know.
@@ -237,7 +252,54 @@
         state.limits.has_updates() || state.trials.has_changed()
     }
 
-    async fn send(&self, peer_list: &PeerList, targets: &[SocketAddr], heartbeat: bool) {
+    /// Sends a digest to those that have to know the load, and one without it to some of the others.
+    async fn send(&self, peer_list: &PeerList, audience: &Audience, heartbeat: bool) {
+        let mut digest = self.digest();
+        if heartbeat {
+            digest.peers = peer_list.listed(self.ctx.now());
+        }
+        if digest.stopping {
+            self.ctx.state().loads.begin_stop();
+        }
+        // All have to know which engines were ordered to change their stage, and that this gateway stops.
+        let is_for_all = !digest.switching.is_empty() || digest.stopping;
+        self.socket.send(&digest, &audience.near).await;
+        digest.loads.clear();
+        digest.waiting.clear();
+        if heartbeat && is_for_all {
+            self.socket.send(&digest, &self.distant(audience)).await;
+        } else if !audience.distant.is_empty() {
+            self.socket.send(&digest, &audience.distant).await;
+        }
+    }
+
+    /// Returns all live gateways that are not told the whole load.
+    fn distant(&self, audience: &Audience) -> Vec<SocketAddr> {
+        let others = self.ctx.state().loads.others().into_iter();
+        others
+            .filter(|addr| !audience.near.contains(addr))
+            .collect()
+    }
+
+    /// Lists many gateways to those that are heard for the first time, unless all get every digest.
+    async fn welcome(&self, peer_list: &PeerList, audience: &Audience, newcomers: &[SocketAddr]) {
+        if newcomers.is_empty() || self.ctx.state().loads.window().is_none() {
+            return;
+        }
+        let mut digest = self.digest();
+        digest.peers = peer_list.listed_to_newcomer(self.ctx.now());
+        let (near, distant): (Vec<SocketAddr>, Vec<SocketAddr>) = newcomers
+            .iter()
+            .copied()
+            .partition(|addr| audience.near.contains(addr));
+        self.socket.send(&digest, &near).await;
+        digest.loads.clear();
+        digest.waiting.clear();
+        self.socket.send(&digest, &distant).await;
+    }
+
+    /// Returns a digest of what this gateway tells.
+    fn digest(&self) -> Digest {
         let mut digest = {
             let state = self.ctx.state();
             let mut digest = state.loads.digest();
@@ -252,14 +314,8 @@
         };
         digest.start = self.start;
         digest.sequence = self.number.fetch_add(1, Ordering::Relaxed);
-        if heartbeat {
-            digest.peers = peer_list.listed(self.ctx.now());
-        }
         digest.stopping = self.ctx.stopping.is_cancelled();
-        if digest.stopping {
-            self.ctx.state().loads.begin_stop();
-        }
-        self.socket.send(&digest, targets).await;
+        digest
     }
 
     /// Sends the trials and what became known of crashes to all peers, and a page of all that is known
@@ -307,15 +363,19 @@
         more
     }
 
-    /// Sends what changed of the rate limits to all peers, in a heartbeat with some of the others, and a
-    /// page to newcomers. Returns whether there is more to send.
+    /// Sends what changed of the rate limits to all peers, in a heartbeat with some of the others to those
+    /// that get it, and a page to newcomers. Returns whether there is more to send.
     async fn send_limits(
         &self,
         all: &[SocketAddr],
         newcomers: &[SocketAddr],
-        heartbeat: bool,
+        refreshed: Option<&Audience>,
     ) -> bool {
         let now = self.ctx.now();
+        let heartbeat = refreshed.is_some();
+        let has_changed = self.has_limit_changes();
+        let some = refreshed.filter(|_| !has_changed).map(Audience::told);
+        let all = some.as_deref().unwrap_or(all);
         let changes = {
             let limits = self.ctx.state().limits.next_records(now, heartbeat);
             (limits, rate_limits::retry_records(&self.ctx, false))
@@ -343,6 +403,13 @@
         self.ctx.state().limits.has_updates()
     }
 
+    /// Returns whether something has changed of the rate limits or the retries that all have to know.
+    fn has_limit_changes(&self) -> bool {
+        let state = self.ctx.state();
+        let mut budgets = state.retry_budgets.values();
+        state.limits.has_updates() || budgets.any(RetryBudget::has_updates)
+    }
+
     /// Returns the time until the next digest after one to this many peers.
     fn end_round(&self, peers: u32) -> Duration {
         let link = self.ctx.settings().resources.link.0;
@@ -360,14 +427,19 @@
             limits.expire(now, |key| rate_limits::is_listed(directory.all(), key));
             state.loads.expire(now)
         };
-        for peer in &gone {
+        self.forget(&gone);
+        !gone.is_empty()
+    }
+
+    /// Forgets what gateways told that have gone silent.
+    fn forget(&self, gone: &[SocketAddr]) {
+        for peer in gone {
             self.ctx.state().trials.forget(*peer);
             self.ctx.state().forget(peer);
             let peer = peer.to_string();
             log::warn!(peer = peer.as_str(); "peer silent");
             self.ctx.capacity_freed.notify_waiters();
         }
-        !gone.is_empty()
     }
 }
 
--- a/crates/cumindoor/src/gateway/placement.rs
+++ b/crates/cumindoor/src/gateway/placement.rs
@@ -1,5 +1,6 @@
 //! Choice of the upstream for a request.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 /// Upper bound of the random score that is added to each upstream, so that gateways that decide at
 /// the same moment choose different upstreams of nearly the same load.
 const JITTER: f64 = 0.05;
-/// Number of live gateways per candidate in the random pick, which has at least one candidate.
+/// Number of gateways with the same upstreams per candidate in the random pick, which has at least one candidate.
 const GATEWAYS_PER_CANDIDATE: usize = 8;
 /// Highest difference from the best score at which an upstream takes part in the random pick.
 const MAX_SCORE_GAP: f64 = 0.5;
@@ -40,6 +41,8 @@
 /// Requests for each slot of a plain upstream, including those that queue at the upstream.
 const REQUESTS_PER_SLOT: u32 = 2;
 
+/// Upstreams of a service that each gateway of a large fleet uses at least.
+const LEAST_USED: usize = 6;
 /// How many times the usual number of slots of its service an upstream may state and be believed.
 const MAX_SLOT_RATIO: u32 = 16;
 
@@ -76,6 +79,35 @@
     to_tokens(f64::from(model.kv_capacity) * KV_FILL_SHARE)
 }
 
+/// Returns the keys of the upstreams that this gateway uses as long as one of them is healthy, or `None` if it
+/// uses all. In a large fleet, each gateway uses some in each data centre and knows all their load.
+#[must_use]
+pub fn used_keys(
+    directory: &Directory,
+    loads: &LoadTable,
+    service: &Service,
+    stage: Option<Stage>,
+) -> Option<BTreeSet<Key>> {
+    let window = loads.window()?;
+    let mut centres: BTreeMap<&DataCentre, Vec<Key>> = BTreeMap::new();
+    for endpoint in directory.usable(service, stage, None) {
+        let centre = centres.entry(&endpoint.entry.data_centre).or_default();
+        centre.push(endpoint.key);
+    }
+    // Each part of the ring has upstreams of all data centres, in proportion to their number.
+    let mut ring: Vec<(f64, Key)> = Vec::new();
+    for keys in centres.values() {
+        let share = 1.0 / f64::from(u32::try_from(keys.len()).unwrap_or(u32::MAX));
+        let places = (0..).map(|number| (f64::from(number) + 0.5) * share);
+        ring.extend(places.zip(keys.iter().copied()));
+    }
+    ring.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let window = window.with_least(LEAST_USED, ring.len());
+    let numbered = ring.iter().enumerate();
+    let used = numbered.filter(|(index, _)| window.contains(*index, ring.len()));
+    Some(used.map(|(_, (_, key))| *key).collect())
+}
+
 /// Returns the number of slots that most plain upstreams of a service state: the lower median.
 #[must_use]
 pub fn usual_slots(directory: &Directory, service: &Service) -> u32 {
@@ -339,7 +371,7 @@
         let lowest = candidates.first().map_or(0.0, |(score, _)| *score);
         candidates.retain(|(score, _)| *score < lowest + MAX_SCORE_GAP);
         let choices =
-            (self.loads.gateway_count() / GATEWAYS_PER_CANDIDATE).clamp(1, candidates.len().max(1));
+            (self.loads.sharing_count() / GATEWAYS_PER_CANDIDATE).clamp(1, candidates.len().max(1));
         let picked = self.rng.random_range(0..choices);
         candidates
             .get(picked)
@@ -372,7 +404,12 @@
                 !endpoint.health.is_ejected(self.now) && !endpoint.is_switching(self.now);
             available && failure_rate(endpoint) < MAX_FAILURE_RATE
         };
-        let healthy: Vec<&'a Endpoint> = eligible.iter().filter(healthy).copied().collect();
+        let mut healthy: Vec<&'a Endpoint> = eligible.iter().filter(healthy).copied().collect();
+        if let Some(used) = used_keys(self.directory, self.loads, service, stage)
+            && healthy.iter().any(|endpoint| used.contains(&endpoint.key))
+        {
+            healthy.retain(|endpoint| used.contains(&endpoint.key));
+        }
         if healthy.is_empty() {
             // None is healthy: the upstream whose ejection ends first is tried again.
             let next = eligible
