Prefill for a place only once it holds against other gateways

Cause: gateways that chose the same decode engine at the same moment learned of each other during the prefill; the engine then refused one of them (refused with 503, memory 53156 of 41486), and the prompt had been read in vain. Change: if another request of the same size would not fit, a gateway waits 5 ms and the time between two digests before it prefills. If the engine is overbooked by then, one of the gateways keeps the place, by a rank that differs from engine to engine. Conclusion: a request that finds an engine nearly full is placed some 10 ms later.

--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -64,11 +64,7 @@
     let mut refusals = 0;
     let mut first_placed = None;
     loop {
-        let placed = if prefiller.held.is_some() {
-            wait::for_prefilled(req, &model, demand, &tried).await
-        } else {
-            wait::for_decode(req, &model, demand, &tried).await
-        };
+        let placed = place(req, &model, &prefiller, &tried).await;
         let (mut decode, mut reservation) =
             placed.map_err(|refusal| req.broken_if_executed(refusal))?;
         let placed = *first_placed.get_or_insert_with(|| req.ctx.now());
@@ -157,6 +153,26 @@
     }
 }
 
+/// Takes a place at a decode engine that holds for a prompt still to be prefilled, or one for a prompt that is.
+async fn place(
+    req: &CallerRequest,
+    model: &Model,
+    prefiller: &PrefillRunner<'_>,
+    tried: &[Upstream],
+) -> Result<(Choice, Reservation), Refusal> {
+    let demand = prefiller.demand;
+    if prefiller.held.is_some() {
+        return wait::for_prefilled(req, model, demand, tried).await;
+    }
+    loop {
+        let (decode, reservation) = wait::for_decode(req, model, demand, tried).await?;
+        if wait::holds(req, model, demand, &decode).await {
+            return Ok((decode, reservation));
+        }
+        req.ctx.telemetry.count("place.yielded");
+    }
+}
+
 /// A prefill result held by an engine. Dropping it releases the result unless it was imported.
 struct HeldPrefill {
     ctx: Arc<Context>,
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -7,7 +7,7 @@
 use border::{Model, Stage};
 use coord::name::Upstream;
 use coord::time::Time;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::place::{Place, Search, refuse_limited, take_place};
 use super::{CallerRequest, millis};
@@ -33,6 +33,8 @@
 /// Longest wait for capacity, as a multiple of the target latency. Callers of streams give up after
 /// four times the target without an event, and the rest is needed for the prefill.
 const MAX_WAIT_TARGETS: f64 = 3.3;
+/// Time in which the other gateways have heard of a place, in addition to the time between two digests.
+const PLACE_NOTICE: Duration = Duration::from_millis(5);
 /// Retry time sent to callers if a service has no upstream left to try.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -165,6 +167,40 @@
     Some((choice, reservation))
 }
 
+/// Returns whether a place at a decode engine still holds once the gateways that chose the same engine at the same
+/// moment have heard of each other. Only one of them goes on if there is no room for all.
+///
+/// Waits for that only if another request of this size would not fit. A prompt that is prefilled for a place that does
+/// not hold is prefilled in vain.
+pub(super) async fn holds(
+    req: &CallerRequest,
+    model: &Model,
+    demand: Demand,
+    current: &Choice,
+) -> bool {
+    let ctx = &req.ctx;
+    if req.standing() > Standing::Clear {
+        return true;
+    }
+    let since = ctx.now();
+    let limit = usable_tokens(model);
+    let notice = {
+        let state = ctx.state();
+        let load = state.loads.load(current.key).kv_tokens;
+        let sharing = state.loads.sharing_count();
+        let is_tight = load.saturating_add(demand.kv_tokens) > limit;
+        if !is_tight || sharing == 1 {
+            return true;
+        }
+        let sharing = u32::try_from(sharing).unwrap_or(u32::MAX);
+        PLACE_NOTICE + DIGEST_INTERVAL_PER_PEER * sharing
+    };
+    sleep(notice).await;
+    let state = ctx.state();
+    let is_overbooked = state.loads.load(current.key).kv_tokens > limit;
+    !(is_overbooked && state.loads.is_outbid(current.key, since, ctx.own_address()))
+}
+
 /// Reserves KV cache at another decode engine if the load on the current one exceeds the share of
 /// its KV cache that placements may fill. Returns `None` if it does not, or if no other engine has
 /// enough free KV cache.
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coord::hash::hash64;
+use coord::hash::{hash64, rendezvous_score};
 use coord::limit::{FleetSize, LimitKey, Sighting};
 use coord::name::{Service, Upstream};
 use coord::poison::CrashRecord;
@@ -28,6 +28,9 @@
 /// Time without a digest after which no requests are forwarded to a peer: two heartbeats and a margin.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which it is known who placed KV cache on an upstream.
+const RAISE_MEMORY: Duration = Duration::from_millis(500);
+
 /// Failure rate from which a report counts as lost requests rather than failures that the upstream
 /// answered. Healthy upstreams lose no requests, and a single lost request already raises the rate
 /// to 0.4.
@@ -207,6 +210,8 @@
     fence: u64,
     /// Load of all gateways, by upstream.
     totals: BTreeMap<Key, TotalLoad>,
+    /// The gateways that placed KV cache on an upstream lately, each with the time when that was heard.
+    raises: BTreeMap<Key, Vec<(Time, SocketAddr)>>,
 }
 
 impl LoadTable {
@@ -307,6 +312,7 @@
         if known.is_some_and(|peer| version(&digest) <= version(&peer.digest)) {
             return false;
         }
+        self.record_raises(now, from, &digest);
         self.remove_peer(from);
         self.fence = self.fence.max(digest.fence);
         if digest.stopping && digest.loads.is_empty() {
@@ -355,6 +361,10 @@
 
     /// Removes the load of peers that have timed out. Returns the addresses of those that have gone silent.
     pub fn expire(&mut self, now: Time) -> Vec<SocketAddr> {
+        self.raises.retain(|_, raises| {
+            raises.retain(|(at, _)| now.since(*at) < RAISE_MEMORY);
+            !raises.is_empty()
+        });
         let silent = |peer: &&Peer| now.since(peer.last_heard) >= PEER_TIMEOUT;
         let gone = self.peers.iter().filter(|(_, peer)| silent(peer));
         let gone: Vec<SocketAddr> = gone.map(|(addr, _)| *addr).collect();
@@ -368,6 +378,30 @@
         }
     }
 
+    /// Records on which upstreams a digest places more KV cache than the one before.
+    fn record_raises(&mut self, now: Time, from: SocketAddr, digest: &Digest) {
+        let before = self.peers.get(&from);
+        let before = before.into_iter().flat_map(|peer| &peer.digest.loads);
+        let before: BTreeMap<Key, u32> = before.map(|(key, load)| (*key, load.kv_tokens)).collect();
+        for (key, load) in &digest.loads {
+            if load.kv_tokens > before.get(key).copied().unwrap_or_default() {
+                let raises = self.raises.entry(*key).or_default();
+                raises.retain(|(at, _)| now.since(*at) < RAISE_MEMORY);
+                raises.push((now, from));
+            }
+        }
+    }
+
+    /// Returns whether a gateway that takes precedence over this one at the upstream placed KV cache there, as
+    /// far as was heard since a time. Which one takes precedence differs from one upstream to the next.
+    #[must_use]
+    pub fn is_outbid(&self, key: Key, since: Time, own: SocketAddr) -> bool {
+        let rank = |addr: SocketAddr| rendezvous_score(key, &addr.to_string());
+        let raises = self.raises.get(&key);
+        let mut later = raises.into_iter().flatten().filter(|(at, _)| *at >= since);
+        later.any(|(_, addr)| rank(*addr) > rank(own))
+    }
+
     /// Returns the addresses of the live peers.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
         let distant = self.neighbourhood.as_ref();
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -728,3 +728,42 @@
     assert_eq!(chosen, Some("b".into()));
     assert_eq!(fixture.loads.load(key), kv_load(5));
 }
+
+/// Guards against gateways that choose the same engine at the same moment and all keep it, or all give it up.
+#[test]
+fn one_of_several_gateways_keeps_an_engine_that_all_chose_at_once() {
+    let key = upstream_key(&"a".into());
+    let mut tables: Vec<LoadTable> = (0..5).map(|_| LoadTable::default()).collect();
+    for table in &mut tables {
+        table.reserve(key, kv_load(30_000));
+    }
+    let since = ms(100);
+    for (to, table) in (1..).zip(&mut tables) {
+        for from in (1..=5).filter(|from| *from != to) {
+            table.apply_digest(ms(105), peer(from), digest(1, &[(key, kv_load(30_000))]));
+        }
+    }
+
+    let outbid: Vec<bool> = (1..)
+        .zip(&tables)
+        .map(|(own, table)| table.is_outbid(key, since, peer(own)))
+        .collect();
+
+    let kept = outbid.iter().filter(|outbid| !**outbid).count();
+    assert_eq!(kept, 1, "{outbid:?}");
+}
+
+/// Guards against a gateway that gives up a place because of load that it knew when it chose, or that did not grow.
+#[test]
+fn load_that_was_known_before_outbids_nobody() {
+    let key = upstream_key(&"a".into());
+    let mut table = LoadTable::default();
+    for from in 1..=5 {
+        table.apply_digest(ms(95), peer(from), digest(1, &[(key, kv_load(9_000))]));
+        table.apply_digest(ms(105), peer(from), digest(2, &[(key, kv_load(9_000))]));
+    }
+
+    let outbid = (1..=6).any(|own| table.is_outbid(key, ms(100), peer(own)));
+
+    assert!(!outbid);
+}
