Check own links when another gateway reports its own as lost

Cause: a gateway learned of lost links by a request of its own only. Change: a new report of a service that another gateway cannot reach starts the check that a failed attempt starts. It costs a question to one upstream if the links are sound. Conclusion: one unknown outcome a loss remains possible, at the gateway that notices first.

--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams known to this gateway.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use border::{Change, Stage, UpstreamEntry};
@@ -12,7 +12,7 @@
 use derive_more::Display;
 
 use super::health::Health;
-use super::load_table::{Key, upstream_key};
+use super::load_table::{Key, service_key, upstream_key};
 use super::placement::Choice;
 use super::statements::Statements;
 
@@ -272,6 +272,17 @@
         }
     }
 
+    /// Returns the services with these keys that have upstreams.
+    #[must_use]
+    pub fn services(&self, keys: &[Key]) -> BTreeSet<Service> {
+        if keys.is_empty() {
+            return BTreeSet::new();
+        }
+        let services = self.upstreams.values().map(|e| &e.entry.service);
+        let named = services.filter(|service| keys.contains(&service_key(service)));
+        named.cloned().collect()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.upstreams.values()
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/load_table.rs
@@ -424,6 +424,15 @@
         fit.map(|(addr, _)| *addr).collect()
     }
 
+    /// Returns those services that a peer reports as unreachable and did not report before.
+    #[must_use]
+    pub fn newly_unreachable(&self, from: SocketAddr, reported: &[Key]) -> Vec<Key> {
+        let before = self.peers.get(&from);
+        let before = before.map_or(&[][..], |peer| &peer.digest.unreachable);
+        let new = reported.iter().filter(|key| !before.contains(key));
+        new.copied().collect()
+    }
+
     /// Returns whether a digest of the peer was applied and has not expired.
     #[must_use]
     pub fn is_live(&self, addr: SocketAddr) -> bool {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -19,6 +19,7 @@
 
 use super::context::{Context, State};
 use super::crash_watch;
+use super::links;
 use super::load_table::{CrashReport, Digest};
 use super::origins;
 use super::pacing::DIGEST_INTERVAL_PER_PEER;
@@ -171,7 +172,8 @@
         peer_list.record_digest(now, from, &digest);
         let known = self.ctx.state().loads.is_live(from);
         let leaving = digest.stopping;
-        let changed = {
+        let unreachable = digest.unreachable.clone();
+        let (changed, newly_lost) = {
             let mut state = self.ctx.state();
             for key in digest.departing.iter().take(MAX_DEPARTING) {
                 state.directory.statements.record_reported(now, *key);
@@ -180,8 +182,15 @@
                 let until = now + Duration::from_millis((*left).into());
                 state.directory.set_switching_by_key(*key, until);
             }
-            state.loads.apply_digest(now, from, digest)
+            let newly_lost = state.loads.newly_unreachable(from, &unreachable);
+            let changed = state.loads.apply_digest(now, from, digest);
+            (changed, state.directory.services(&newly_lost))
         };
+        // What cut the other gateway off may have cut this one off as well. A check costs a question to an upstream,
+        // the first request would cost its caller the answer.
+        for service in newly_lost {
+            links::suspect(&self.ctx, &service);
+        }
         if !known && !leaving {
             let peer = from.to_string();
             log::info!(peer = peer.as_str(); "peer heard");
--- a/crates/cumindoor/tests/gateway_cuts.rs
+++ b/crates/cumindoor/tests/gateway_cuts.rs
@@ -291,6 +291,61 @@
     fleet.assert_run_once();
 }
 
+/// Guards against once-only requests that end with an unknown outcome long after links were lost, at the gateways that
+/// lost them or at others.
+#[tokio::test]
+async fn once_only_requests_do_not_end_unknown_while_links_are_lost() {
+    let fleet = LinkedFleet::start(8).await;
+    fleet.set_links(0..5, LinkState::Reset);
+
+    let began = Instant::now();
+    let mut asked = JoinSet::new();
+    let mut number = 0;
+    while began.elapsed() < STABLE_WINDOW * 3 {
+        let fleet = Arc::clone(&fleet);
+        asked.spawn(async move {
+            let (sent, gateway) = (began.elapsed(), number % 8);
+            let body = format!("Once {}", number % CONTENTS);
+            let reply = fleet.fleet.ask(gateway, 7, ("/once/x", &body)).await;
+            (sent, gateway, reply.map_or(0, |reply| reply.status))
+        });
+        number += 1;
+        sleep(PACE).await;
+    }
+    let replies = asked.join_all().await;
+
+    let is_unknown = |(sent, _, status): &&(Duration, usize, u16)| {
+        *sent >= STABLE_WINDOW && ![200, 503].contains(status)
+    };
+    let unknown: Vec<_> = replies.iter().filter(is_unknown).collect();
+    let failures = fleet.fleet.events("attempt failed");
+    assert!(unknown.is_empty(), "{unknown:?}, {failures:#?}");
+    fleet.assert_run_once();
+}
+
+/// Guards against a gateway that learns of lost links by a request of its own only, which may be a once-only one, although
+/// other gateways told it that they lost theirs.
+#[tokio::test]
+async fn gateways_without_requests_notice_lost_links_by_the_word_of_another() {
+    let fleet = LinkedFleet::start(8).await;
+    // All gateways have heard each other by then.
+    sleep(STABLE_WINDOW).await;
+    fleet.set_links(0..5, LinkState::Reset);
+
+    fleet.is_served(0, Kind::Safe, "first").await;
+
+    wait_until("all five notice", || {
+        let lost = fleet.events("links lost");
+        lost[..5].iter().all(|count| *count > 0)
+    })
+    .await;
+    for gateway in 0..8 {
+        assert!(fleet.is_served(gateway, Kind::Once, "later").await);
+    }
+    assert_eq!(fleet.events("links lost")[5..], [0; 3]);
+    fleet.assert_run_once();
+}
+
 /// Guards against links that are not used again after their return, that flap, or that are not missed when they are
 /// lost a second time.
 #[rstest]
