Let the words of other gateways about a loss lie close together

Change: they must lie within 0.8 s, or no loss is declared; the next failed attempt asks anew. Conclusion: a gateway without processor time finds a loss later.

--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/links/check.rs
@@ -29,6 +29,9 @@
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Longest duration of such a check. One that took longer had no processor time.
 const MAX_CHECK_TIME: Duration = Duration::from_millis(600);
+/// Longest time between two words of other gateways that they reach the upstreams, with a question here in between
+/// that takes [`ANSWER_TIME`]. Sound upstreams may pause for 1 s, and a word may be 100 ms old.
+const MAX_WORDS_APART: Duration = Duration::from_millis(800);
 /// Other gateways that are asked at a time whether they reach the upstreams.
 const ASKED_AT_ONCE: usize = 4;
 /// Rounds of such questions. The first one may meet gateways only that have lost their links as well; they have
@@ -109,13 +112,15 @@
     if !is_reached_elsewhere(ctx, service).await {
         return Finding::Down;
     }
+    let told = Instant::now();
     // The upstreams may have paused and be back since.
     if is_reached(ctx, service).await {
         return Finding::Reached;
     }
     // They may also have paused again since the other gateway reached them, which therefore has to reach them
-    // after the last question here as well.
-    if is_reached_elsewhere(ctx, service).await {
+    // after the last question here as well, and too soon for a pause in between.
+    let is_lost = is_reached_elsewhere(ctx, service).await;
+    if is_lost && told.elapsed() <= MAX_WORDS_APART {
         Finding::Lost
     } else {
         Finding::Down
