--- a/crates/cumindoor/tests/gateway_cuts.rs
+++ b/crates/cumindoor/tests/gateway_cuts.rs
@@ -293,12 +293,16 @@
 
 /// Guards against once-only requests that end with an unknown outcome long after links were lost, at the gateways that
 /// lost them or at others.
+#[rstest]
+#[case::busy(Duration::ZERO)]
+#[case::quiet(STABLE_WINDOW)]
 #[tokio::test]
-async fn once_only_requests_do_not_end_unknown_while_links_are_lost() {
+async fn once_only_requests_do_not_end_unknown_while_links_are_lost(#[case] quiet: Duration) {
     let fleet = LinkedFleet::start(8).await;
     fleet.set_links(0..5, LinkState::Reset);
 
     let began = Instant::now();
+    sleep(quiet).await;
     let mut asked = JoinSet::new();
     let mut number = 0;
     while began.elapsed() < STABLE_WINDOW * 3 {
