Check within a second that watches of the store miss nothing

Cause: the silence of a watch was taken for the absence of changes. A watch that the store never received, or whose answer was lost, was noticed only at its time limit of 10.6 to 25 s. A change wakes the watches of all gateways, so one outage takes all of them, and no gateway was ahead of another.

Change: while a watch is pending, a short call asks for changes after the known revision. Checks are shared by the fleet (coord::freshness): the gateway that made one reports it, and those with the same changes count as checked. The delays are drawn so that one or two gateways check early, whatever the size of the fleet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod claim;
 pub mod config;
 pub mod fence;
+pub mod freshness;
 pub mod hash;
 pub mod lease;
 pub mod limit;
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -36,6 +36,7 @@
 pub mod service_times;
 mod settings;
 pub mod statements;
+mod store_calls;
 mod store_watch;
 pub mod trials;
 pub mod wakeups;
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use border::{Catalogue, Dialect, Routing};
+use border::{Catalogue, Dialect, Routing, Topic};
+use coord::freshness::Freshness;
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{Origins, StreamKey};
@@ -91,6 +92,8 @@
     pub store_contact: Time,
     /// Highest store revisions at which a change was seen.
     pub seen: Seen,
+    /// How current the data of the store is, by topic.
+    pub freshness: BTreeMap<Topic, Freshness>,
     /// Random source for weighted choices.
     pub rng: ChaCha8Rng,
 }
@@ -191,6 +194,7 @@
             last_request: None,
             store_contact: Time::ZERO,
             seen: Seen::default(),
+            freshness: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         Arc::new(Self {
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/peers.rs
@@ -26,6 +26,7 @@
 use super::peer_list::{Audience, PeerList};
 use super::peer_socket::PeerSocket;
 use super::rate_limits;
+use super::store_calls::{self, StoreReport};
 use super::wakeups::WakeupThrottle;
 
 /// Time between two digests without a change.
@@ -226,6 +227,8 @@
                 answer: origins::receive(&self.ctx, from, message),
                 ..Effect::default()
             };
+        } else if let Ok(report) = rmp_serde::from_slice::<StoreReport>(bytes) {
+            store_calls::receive(&self.ctx, &report);
         } else {
             self.ctx.telemetry.count("peer.malformed");
         }
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store_watch.rs
@@ -2,21 +2,25 @@
 //!
 //! Each topic is read in full once and then watched. It is read again after a gap in the store's
 //! history. During an outage of the store, the last known data stays in force.
+//!
+//! A watch that the store never received stays silent like one without a change. While a watch is pending, short
+//! calls check that it misses nothing; see [`super::store_calls`].
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use border::{Change, Page, Routing, Topic};
 use coord::name::Upstream;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use rand::RngExt;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::context::Context;
 use super::crash_watch;
 use super::directory::UpstreamChange;
-use super::fetch::fetch;
 use super::placement::{believed_slots, usual_slots};
+use super::store_calls::{CallError, MAX_WATCH_LAG, StoreCalls};
 
 /// Delay after the first failed call; it doubles with each further failure.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -37,11 +41,6 @@
 /// Shortest wait of a watch, as a share of the one in the settings. Watches that would end at the same time in the
 /// whole fleet would all miss what the store did not tell them.
 const MIN_WATCH_SHARE: f64 = 0.4;
-/// Interval at which a pending watch is compared with the revisions that other gateways saw.
-const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Time for which another gateway may be ahead before the watch is abandoned. A slow store answers
-/// within that time.
-const MAX_WATCH_LAG: Duration = Duration::from_millis(600);
 /// Consecutive failed calls after which the store counts as unavailable.
 const FAILURES_TO_OUTAGE: u32 = 1;
 
@@ -52,6 +51,7 @@
 /// Never returns; failures of the store are retried.
 pub async fn watch_topic(ctx: Arc<Context>, topic: Topic) -> eyre::Result<()> {
     let mut watcher = TopicWatcher {
+        calls: StoreCalls::new(Arc::clone(&ctx), topic),
         ctx,
         topic,
         failures: 0,
@@ -68,6 +68,7 @@
 struct TopicWatcher {
     ctx: Arc<Context>,
     topic: Topic,
+    calls: StoreCalls,
     failures: u32,
     /// Whether the store became unavailable since its last valid answer.
     outage: bool,
@@ -77,24 +78,29 @@
     /// Reads the topic in full and returns the revision from which to watch.
     async fn read_topic(&mut self) -> u64 {
         loop {
-            if let Some((changes, revision, changed)) = self.read_pages().await {
-                self.record_success();
-                self.apply_snapshot(changes);
-                self.record_revision(changed);
-                return revision;
+            let started = self.ctx.now();
+            match self.read_pages().await {
+                Ok((changes, revision, latest)) => {
+                    self.record_success();
+                    self.apply_snapshot(changes);
+                    self.record_revision(latest);
+                    self.calls.record_read(started, revision);
+                    return revision;
+                }
+                Err(error) => self.record_failure(&error),
             }
             self.back_off().await;
         }
     }
 
-    async fn read_pages(&mut self) -> Option<(Vec<Change>, u64, u64)> {
+    async fn read_pages(&self) -> Result<(Vec<Change>, u64, u64), CallError> {
         let mut changes = Vec::new();
         let mut latest = 0;
         let mut first = None;
         let mut after: Option<Arc<str>> = None;
         loop {
             let path = self.ctx.catalogue.read_path(self.topic, after.as_deref());
-            let page = self.call(&path, Duration::ZERO).await.ok()?;
+            let page = self.calls.send(&path, Duration::ZERO).await?;
             // The pages are not a snapshot, so the watch starts at the revision of the first page
             // to include changes made while the later ones were read.
             let revision = *first.get_or_insert(page.revision);
@@ -102,7 +108,7 @@
             latest = page.last_change.max(latest);
             match page.next {
                 Some(next) => after = Some(next),
-                None => return Some((changes, revision, latest)),
+                None => return Ok((changes, revision, latest)),
             }
         }
     }
@@ -112,28 +118,19 @@
     async fn watch(&mut self, revision: u64) -> Option<u64> {
         let share = self.ctx.state().rng.random_range(MIN_WATCH_SHARE..=1.0);
         let wait = self.ctx.settings().store.watch.0.mul_f64(share);
-        let path = self.ctx.catalogue.watch_path(self.topic, revision, wait);
         let started = Instant::now();
-        let (ctx, topic) = (Arc::clone(&self.ctx), self.topic);
-        let called = tokio::select! {
-            called = self.call(&path, wait) => called,
-            () = peers_ahead(&ctx, topic, revision) => {
-                log::warn!(topic = topic.name(), revision; "watch is silent");
-                return None;
-            }
-        };
-        match called {
+        match self.wait_for_changes(revision, wait).await {
             Ok(page) => {
                 self.record_success();
                 let next = page.revision.max(revision);
                 let changed = !page.changes.is_empty();
-                if changed {
-                    self.record_revision(page.last_change);
-                }
                 for change in page.changes {
                     self.apply_change(change);
                 }
+                let last_change = changed.then_some(page.last_change);
+                self.calls.record_changes(next, last_change);
                 if changed {
+                    self.record_revision(page.last_change);
                     self.ctx.capacity_freed.notify_waiters();
                     sleep_until(started + watch_interval(self.topic)).await;
                     if self.topic == Topic::Upstreams {
@@ -142,20 +139,53 @@
                 }
                 Some(next)
             }
-            Err(Some(StatusCode::GONE)) => {
+            Err(error) if error.status == Some(StatusCode::GONE) => {
                 log::warn!(topic = self.topic.name(), revision; "history lost");
                 self.ctx.telemetry.count("store.history-lost");
                 None
             }
             // A store that restarts may have lost its history without reporting so to a watch that
             // began before, so the topic is read again.
-            Err(_) => {
+            Err(error) => {
+                self.record_failure(&error);
                 self.back_off().await;
                 None
             }
         }
     }
 
+    /// Waits until a watch is answered, or a check finds that it has missed something. After checks that failed,
+    /// the first one that is answered ends the wait, because the watch may have failed as well.
+    async fn wait_for_changes(&mut self, revision: u64, wait: Duration) -> Result<Page, CallError> {
+        let calls = self.calls.clone();
+        let path = self.ctx.catalogue.watch_path(self.topic, revision, wait);
+        let mut watch = pin!(calls.send(&path, wait));
+        // A change during the pause between two watches is in the answer to the watch, not missed.
+        if let Ok(called) = timeout(MAX_WATCH_LAG, watch.as_mut()).await {
+            return called;
+        }
+        let mut verified = revision;
+        loop {
+            let checked = tokio::select! {
+                called = watch.as_mut() => return called,
+                checked = calls.check(&mut verified) => checked,
+            };
+            match checked {
+                Ok(page) if !page.changes.is_empty() => {
+                    log::warn!(topic = self.topic.name(), revision; "watch is silent");
+                    return Ok(page);
+                }
+                Ok(page) if self.outage => return Ok(page),
+                Ok(_) => {}
+                Err(error) if error.status == Some(StatusCode::GONE) => return Err(error),
+                Err(error) => {
+                    self.record_failure(&error);
+                    self.back_off().await;
+                }
+            }
+        }
+    }
+
     /// Waits until a time or the next request if none has arrived recently.
     async fn wait_while_idle(&self, until: Instant) {
         let arrived = self.ctx.request_arrived.notified();
@@ -170,38 +200,14 @@
         let _ = timeout_at(until, arrived).await;
     }
 
-    /// Sends one call. The error holds the status if the store answered with one.
-    async fn call(&mut self, path: &str, wait: Duration) -> Result<Page, Option<StatusCode>> {
-        let keys = self.ctx.settings().store.clone();
-        let limit = wait + keys.answer.0;
-        self.ctx.telemetry.count("store.calls");
-        let call = (Method::GET, path);
-        let answer = fetch(&self.ctx.pool, keys.address.0, call, limit).await;
-        let (head, body) = answer.map_err(|error| self.record_failure(None, &error.to_string()))?;
-        let status = head.status;
-        if status != StatusCode::OK {
-            return Err(self.record_failure(Some(status), status.as_str()));
-        }
-        let read = if wait.is_zero() {
-            self.ctx.catalogue.parse_page(self.topic, &body)
-        } else {
-            self.ctx.catalogue.parse_events(self.topic, &body)
-        };
-        read.map_err(|error| self.record_failure(None, &error.to_string()))
-    }
-
-    fn record_failure(&mut self, status: Option<StatusCode>, error: &str) -> Option<StatusCode> {
-        if status == Some(StatusCode::GONE) {
-            return status;
-        }
+    fn record_failure(&mut self, error: &CallError) {
         self.failures += 1;
         self.ctx.telemetry.count("store.failed");
         if self.failures == FAILURES_TO_OUTAGE {
             self.outage = true;
-            let topic = self.topic.name();
-            log::warn!(topic, error; "store lost");
+            let (topic, error) = (self.topic.name(), error.to_string());
+            log::warn!(topic, error = error.as_str(); "store lost");
         }
-        status
     }
 
     fn record_success(&mut self) {
@@ -305,26 +311,6 @@
     }
 }
 
-/// Returns once another gateway has been ahead of `revision` for longer than the permitted lag. The
-/// pending watch has then missed a change: its connection may be broken without having been closed,
-/// or the store hung and does not answer calls that it received before.
-async fn peers_ahead(ctx: &Context, topic: Topic, revision: u64) {
-    let mut since = None;
-    loop {
-        sleep(PEER_CHECK_INTERVAL).await;
-        let seen = ctx.state().loads.seen_by_peers();
-        let seen = match topic {
-            Topic::Routing => seen.routing,
-            Topic::Upstreams => seen.upstreams,
-        };
-        if seen <= revision {
-            since = None;
-        } else if ctx.now().since(*since.get_or_insert(ctx.now())) >= MAX_WATCH_LAG {
-            return;
-        }
-    }
-}
-
 fn log_change(name: &Upstream, change: &UpstreamChange) {
     let (upstream, change) = (name.as_str(), change.to_string());
     log::info!(upstream, news = change.as_str(); "upstream");
