Close connections on which an engine refused a call or a forwarded request

Callers saw (report of other operators): refusals of requests that had run, or requests that ran twice, after a faulty engine wrote an earlier refusal once more on a kept connection. Here the next caller of a forwarding gateway got 502 for a request that had run.

Cause: the gateway that a caller reaches closes such connections, but one that forwards for another gateway gave them back to the pool, and so did calls that free prefill results, whose refusals have no id.

Change: both give a connection back only after an answer that is no refusal.

--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -177,7 +177,7 @@
     let announced = hyper::body::Body::size_hint(&body).lower();
     headers::strip(&mut head.headers);
     if announced > MAX_BUFFERED_BYTES as u64 {
-        let body = relay::pass_through(body, (lease, guard), req.deadline);
+        let body = relay::pass_through(body, (Some(lease), guard), req.deadline);
         return Ok(Response::from_parts(head, body));
     }
     match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -91,10 +91,11 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Returns a body that relays bytes as they arrive, until `deadline`.
+/// Returns a body that relays bytes as they arrive, until `deadline`. The connection is used again afterwards if its
+/// lease is given.
 pub(in crate::gateway) fn pass_through(
     body: Incoming,
-    (lease, guard): (Lease, AttemptGuard),
+    (lease, guard): (Option<Lease>, AttemptGuard),
     deadline: Instant,
 ) -> BoxedBody {
     let frames = stream::unfold(Some((body, lease, guard)), move |source| async move {
@@ -106,7 +107,9 @@
             }
             Ok(Some(Err(error))) => Some((Err(error.into()), None)),
             Ok(None) => {
-                lease.release();
+                if let Some(lease) = lease {
+                    lease.release();
+                }
                 guard.completed();
                 None
             }
--- a/crates/cumindoor/src/gateway/fetch.rs
+++ b/crates/cumindoor/src/gateway/fetch.rs
@@ -53,7 +53,10 @@
         let (head, body) = connected.response.into_parts();
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let whole = whole.map_err(|error| FetchError::Failed(error.to_string()))?;
-        connected.lease.release();
+        // A refusal may be written once more, and a call has no id that would tell it from that of the next request.
+        if head.status.is_success() {
+            connected.lease.release();
+        }
         Ok((head, whole.to_bytes()))
     };
     timeout(limit, exchange)
--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/forward/listener.rs
@@ -342,6 +342,9 @@
     }
     headers::strip(&mut head.headers);
     head.headers.remove(FAILURE);
-    let body = pass_through(body, (connected.lease, guard), deadline);
+    // An upstream may write a refusal once more, in the place of the answer to the next request on the connection.
+    let ran = !(reply.misdirected || reply.not_executed);
+    let lease = Some(connected.lease).filter(|_| ran);
+    let body = pass_through(body, (lease, guard), deadline);
     Response::from_parts(head, body)
 }
