Refuse requests that are complete too late in a planned stop

Callers saw (report of other operators): in a planned stop, requests were passed on late in the grace period and cut at its end, also those that may not be repeated.

Cause: a stopping gateway closes each connection after its current request, and a request of which a part had arrived counts as current, however late the rest comes.

Change: a request that is complete after callers are no longer accepted is refused with 503 `stopping` if its time limit is later than the end of the process. Another gateway serves it.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -161,6 +161,7 @@
     /// Returns true if every request ended before the stop limit.
     pub async fn stop(&self) -> bool {
         let limit = Instant::now() + self.ctx.settings().stop_limit();
+        let limit = *self.ctx.stop_limit.get_or_init(|| limit);
         self.ctx.stopping.cancel();
         self.ctx.digest_due.notify_one();
         let accepting = BALANCER_DETECTION_TIME.min(self.ctx.settings().stop_limit().mul_f64(0.45));
--- a/crates/cumindoor/src/gateway/answer.rs
+++ b/crates/cumindoor/src/gateway/answer.rs
@@ -32,6 +32,9 @@
     /// The request body did not arrive in time.
     #[display("slow-body")]
     SlowBody,
+    /// The request was complete so late in a planned stop that the process may end before the answer does.
+    #[display("stopping")]
+    Stopping,
     /// The process has no memory left for the request body.
     #[display("busy")]
     Busy,
@@ -85,6 +88,7 @@
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Unready
+            | Self::Stopping
             | Self::Busy
             | Self::NoPath
             | Self::NoUpstream
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -150,6 +150,8 @@
     pub stopping: CancellationToken,
     /// Cancelled when the listener for callers and their idle connections have to be closed.
     pub closing: CancellationToken,
+    /// When the process ends, once a planned stop has begun.
+    pub stop_limit: OnceLock<Instant>,
     /// Background calls that outlive their request.
     pub tasks: TaskTracker,
     /// Requests that may be forwarded for other gateways at a time.
@@ -215,6 +217,7 @@
             probe_ended: Notify::new(),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
+            stop_limit: OnceLock::new(),
             tasks: TaskTracker::new(),
             body_memory: Arc::new(Semaphore::new(bodies.min(Semaphore::MAX_PERMITS))),
             state: Mutex::new(state),
@@ -266,6 +269,14 @@
         informed && !self.stopping.is_cancelled()
     }
 
+    /// Returns whether a request that has just been read may be answered by this process. While callers may still be
+    /// sent here, all are served; afterwards only those whose time ends before the process does.
+    #[must_use]
+    pub fn outlives(&self, deadline: Instant) -> bool {
+        let ends_before = |limit: &Instant| deadline <= *limit;
+        !self.closing.is_cancelled() || self.stop_limit.get().is_none_or(ends_before)
+    }
+
     /// Reserves load on an upstream until the returned guard is dropped.
     #[must_use]
     pub fn reserve(self: &Arc<Self>, key: Key, load: Load) -> Reservation {
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -50,6 +50,8 @@
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry time sent to callers if no gateway forwards their request. They may reach another gateway then.
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Time after which a caller may retry that reached a stopping gateway; new connections go to others at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Largest body that is read of a request that is refused.
 const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
 /// Time limit for that. The rest of a body arrives within milliseconds of its head.
@@ -319,6 +321,10 @@
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + timeout;
     let (body, memory) = read_body(ctx, &routing, body, deadline).await?;
+    // The rest of a slow request may arrive long after callers were accepted.
+    if !ctx.outlives(deadline) {
+        return Err(Refusal::with_retry(Reason::Stopping, STOPPING_RETRY_AFTER));
+    }
     let service = pick_service(ctx, &route)?;
     let def = routing.services.get(&service).cloned();
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
