Let the body of a stand-in be polled after its end

Cause: when an engine crashes, the end of its body is held back so that it does not look complete, and the body is polled again. An unfolded stream panics then.

Change: the body polls its channel, which reports its end as often as it is asked.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,9 @@
 //! The HTTP/1.1 server that all stand-ins use. It can inject faults of the process and of its
 //! connections.
 
+#[cfg(test)]
+mod tests;
+
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
@@ -17,6 +20,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -306,11 +310,12 @@
     }
 }
 
-/// Returns a body that consists of the bytes that `receiver` yields.
-pub(crate) fn channel_body(receiver: tokio::sync::mpsc::UnboundedReceiver<Bytes>) -> Body {
-    let frames = futures::stream::unfold(receiver, |mut receiver| async move {
-        let bytes = receiver.recv().await?;
-        Some((Ok(Frame::data(bytes)), receiver))
+/// Returns a body that consists of the bytes that `receiver` yields. It may be polled after its end, unlike an unfolded
+/// stream.
+pub(crate) fn channel_body(mut receiver: UnboundedReceiver<Bytes>) -> Body {
+    let frames = futures::stream::poll_fn(move |cx| {
+        let polled = receiver.poll_recv(cx);
+        polled.map(|bytes| bytes.map(|bytes| Ok(Frame::data(bytes))))
     });
-    http_body_util::StreamBody::new(Box::pin(frames)).boxed()
+    http_body_util::StreamBody::new(frames).boxed()
 }
