Limit the bytes before the end of an answer's head

Cause: only the time in which a head arrives was limited, to 1 s. The HTTP client parses interim answers in a loop that lets no other task run, so within that second a fast engine keeps the one thread of a gateway busy, and requests at sound engines are late: 600 to 700 ms instead of 30 in the test, and more while callers come back.

Change: the bytes up to the end of a head are limited to 256 KiB, some ten thousand interim answers, for all requests, calls, prefills and forwarded requests, since all share the pool of connections. The attempt then counts as lost.

Conclusion: a forwarded request has no test of its own; there are no health checks.

--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -287,7 +287,7 @@
         if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
             request.headers_mut().entry(HOST).or_insert(host);
         }
-        sender.parts.begin();
+        sender.parts.begin_head();
         match sender.requests.try_send_request(request).await {
             Ok(response) => {
                 sender.parts.end();
--- a/crates/cumindoor/src/serve/engine/receive.rs
+++ b/crates/cumindoor/src/serve/engine/receive.rs
@@ -1,7 +1,7 @@
-//! Time limit for the parts of an answer whose bytes keep coming without end.
+//! Limits for the parts of an answer whose bytes keep coming without end.
 //!
-//! A faulty upstream may send a head, the framing of a body or an event without ever ending it. The
-//! HTTP client shows nothing of these bytes to the reader of the answer, so they are counted where
+//! A faulty upstream may send a head, interim answers, the framing of a body or an event without ever ending it.
+//! The HTTP client shows nothing of these bytes to the reader of the answer, so they are counted where
 //! they are read.
 
 use std::io;
@@ -21,6 +21,11 @@
 /// it is sound, so its silence is no reason to give it up.
 const MAX_COUNTED_GAP: Duration = Duration::from_millis(250);
 
+/// Most bytes up to the end of a head, with the interim answers before it and what the HTTP client reads ahead of the
+/// body. The HTTP client limits a single head, not the number of interim answers, and it parses them without
+/// letting other tasks run.
+const MAX_HEAD_BYTES: u64 = 256 * 1024;
+
 /// Marks the parts of an answer for the connection that it is read from, such as its head or one
 /// event; clones refer to the same connection.
 #[derive(Clone, Debug, Default)]
@@ -32,12 +37,21 @@
     number: AtomicU64,
     /// Whether the current part has a time limit.
     limited: AtomicBool,
+    /// Whether the current part is a head, whose bytes are limited as well.
+    head: AtomicBool,
 }
 
 impl PartMarker {
+    /// Begins the head of an answer, which has to end within the limits of time and bytes.
+    pub fn begin_head(&self) {
+        self.begin();
+        self.0.head.store(true, Ordering::Relaxed);
+    }
+
     /// Begins a part that has to end within the time limit.
     pub fn begin(&self) {
         self.0.number.fetch_add(1, Ordering::Relaxed);
+        self.0.head.store(false, Ordering::Relaxed);
         self.0.limited.store(true, Ordering::Relaxed);
     }
 
@@ -50,9 +64,13 @@
         let limited = self.0.limited.load(Ordering::Relaxed);
         limited.then(|| self.0.number.load(Ordering::Relaxed))
     }
+
+    fn is_head(&self) -> bool {
+        self.0.head.load(Ordering::Relaxed)
+    }
 }
 
-/// Measures for how long the bytes of the current part have been arriving.
+/// Measures for how long the bytes of the current part have been arriving, and counts them.
 #[derive(Debug, Default)]
 struct PartClock {
     part: Option<u64>,
@@ -60,17 +78,22 @@
     last_read: Option<Instant>,
     /// Time between the reads of the part, without the silences that do not count.
     spent: Duration,
+    /// Bytes of the part.
+    bytes: u64,
 }
 
 impl PartClock {
     /// Records a read and returns whether the part has exceeded its time limit.
-    fn record_read(&mut self, now: Instant, part: Option<u64>) -> bool {
+    fn record_read(&mut self, now: Instant, part: Option<u64>, bytes: usize) -> bool {
         let last_read = self.last_read.replace(now);
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
         if part.is_none() || part != self.part {
             self.part = part;
             self.spent = Duration::ZERO;
+            self.bytes = bytes;
             return false;
         }
+        self.bytes = self.bytes.saturating_add(bytes);
         let gap = last_read.map_or(Duration::ZERO, |last| now.duration_since(last));
         self.spent += gap.min(MAX_COUNTED_GAP);
         self.spent > MAX_PART_TIME
@@ -104,12 +127,19 @@
         let filled = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let part = self.marker.limited_part();
-        if buf.filled().len() > filled && self.clock.record_read(Instant::now(), part) {
-            let text = format!(
+        let read = buf.filled().len() - filled;
+        if read == 0 {
+            return Poll::Ready(Ok(()));
+        }
+        let invalid = |text| Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        if self.clock.record_read(Instant::now(), part, read) {
+            return invalid(format!(
                 "bytes kept coming for {} ms without an end of the head or event",
                 MAX_PART_TIME.as_millis()
-            );
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+            ));
+        }
+        if part.is_some() && self.marker.is_head() && self.clock.bytes > MAX_HEAD_BYTES {
+            return invalid(format!("{MAX_HEAD_BYTES} bytes without an end of the head"));
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/cumindoor/src/serve/engine/receive/tests.rs
+++ b/crates/cumindoor/src/serve/engine/receive/tests.rs
@@ -88,3 +88,24 @@
 
     assert_eq!(read, 1_000);
 }
+
+/// Guards against interim answers without end that arrive so fast that the time limit alone would let megabytes of them
+/// be parsed, and against a limit on the bytes of other parts, whose readers have limits of their own.
+#[rstest]
+#[case::head(true)]
+#[case::event(false)]
+#[tokio::test(start_paused = true)]
+async fn only_the_bytes_of_a_head_are_limited(#[case] is_head: bool) {
+    let (mut upstream, mut stream, marker) = connection();
+    if is_head {
+        marker.begin_head();
+    } else {
+        marker.begin();
+    }
+    let most = usize::try_from(2 * MAX_HEAD_BYTES).unwrap();
+
+    let read = read_bytes((&mut upstream, &mut stream), Duration::ZERO, most).await;
+
+    let expected = if is_head { most / 2 } else { most };
+    assert_eq!(read, expected);
+}
