--- a/crates/cumindoor/src/gateway/store_calls.rs
+++ b/crates/cumindoor/src/gateway/store_calls.rs
@@ -72,20 +72,21 @@
 /// Applies what another gateway reports.
 pub fn receive(ctx: &Context, report: &StoreReport) {
     let now = ctx.now();
-    let mut state = ctx.state();
     let topics = [
         (Topic::Routing, report.routing),
         (Topic::Upstreams, report.upstreams),
     ];
+    let mut is_behind = false;
     for (topic, report) in topics {
         if let Some(report) = report {
-            state
-                .freshness
-                .entry(topic)
-                .or_default()
-                .apply(now, &report);
+            let mut state = ctx.state();
+            let freshness = state.freshness.entry(topic).or_default();
+            is_behind |= freshness.apply(now, &report);
         }
     }
+    if is_behind {
+        ctx.change_reported.notify_waiters();
+    }
 }
 
 /// Sends the calls about one topic.
