--- a/crates/cumindoor/src/gateway/store_calls.rs
+++ b/crates/cumindoor/src/gateway/store_calls.rs
@@ -21,7 +21,7 @@
 use super::context::{Context, State};
 use super::fetch::fetch;
 
-/// Time for which a check waits for a change. Without a wait, the store would answer with data instead of changes.
+/// Time for which a check waits for a change. The answer to a call without a wait is read as data, not as changes.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Interval at which the known data is compared with the revisions that other gateways saw.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
