Sort the gateway's modules into rooms

Change: moves only: callers, admission, engines, fleet, store and exchange; crash_watch, context and settings stay. Paths are absolute. The circle around context.rs is as before. Figures: cargo check of all targets passes; no line of logic changed. Conclusion: the circles of context.rs and exchange/ are still to be taken apart.

--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -8,38 +8,15 @@
 //!
 //! See `docs/platform.md` for the reasons.
 
-pub mod answer;
-pub mod balance;
-pub mod content;
+pub mod admission;
+pub mod callers;
 mod context;
 pub mod crash_watch;
-pub mod directory;
-pub mod events;
-mod exchange;
-pub mod fetch;
-pub mod forward;
-pub mod health;
-pub mod leadership;
-pub mod links;
-mod listeners;
-pub mod liveness;
-pub mod load_table;
-mod orders;
-mod origins;
-pub mod pacing;
-pub mod peer_list;
-mod peer_socket;
-mod peers;
-pub mod placement;
-pub mod queue;
-mod rate_limits;
-pub mod service_times;
+pub mod engines;
+pub mod exchange;
+pub mod fleet;
 mod settings;
-pub mod statements;
-mod store_calls;
-mod store_watch;
-pub mod trials;
-pub mod wakeups;
+pub mod store;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,9 +31,11 @@
 pub use settings::{SECTIONS, Settings};
 
 use crate::serve::supervisor::{RestartPolicy, Spec, Strategy, Supervisor};
-use forward::ForwardListener;
-use listeners::{CallerListener, StatusListener};
-use peers::PeerExchange;
+use admission::orders;
+use callers::listeners::{CallerListener, StatusListener};
+use fleet::forward::ForwardListener;
+use fleet::peers::PeerExchange;
+use store::store_watch;
 
 /// Time for which the load balancer may still send new connections after readiness ended: it checks
 /// once a second and removes a gateway after two failed checks.
--- a/crates/cumindoor/src/gateway/load_table.rs
+++ b/crates/cumindoor/src/gateway/admission/load_table.rs
@@ -19,11 +19,11 @@
 use coord::time::Time;
 use serde::{Deserialize, Serialize};
 
-use super::peer_list::NEIGHBOURS;
-use super::trials::Trial;
+use crate::gateway::admission::trials::Trial;
+use crate::gateway::fleet::peer_list::NEIGHBOURS;
 
 /// Time without a digest after which a peer is removed.
-pub(super) const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+pub(in crate::gateway) const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time without a digest after which no requests are forwarded to a peer: two heartbeats and a margin.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(1_200);
--- a/crates/cumindoor/src/gateway/orders.rs
+++ b/crates/cumindoor/src/gateway/admission/orders.rs
@@ -17,13 +17,13 @@
 use coord::time::Time;
 use tokio::time::{sleep, timeout};
 
-use super::balance::{self, StageBalancer, StageCounts, StageUsage};
-use super::context::{Context, State};
-use super::directory::Endpoint;
-use super::leadership::{FleetView, Leadership};
-use super::load_table::service_key;
-use super::placement::{Choice, used_keys};
-use super::statements;
+use crate::gateway::admission::balance::{self, StageBalancer, StageCounts, StageUsage};
+use crate::gateway::admission::load_table::service_key;
+use crate::gateway::admission::placement::{Choice, used_keys};
+use crate::gateway::context::{Context, State};
+use crate::gateway::engines::directory::Endpoint;
+use crate::gateway::engines::statements;
+use crate::gateway::fleet::leadership::{FleetView, Leadership};
 use crate::serve::engine::full_body;
 
 /// Interval at which the usage of the engines is sampled.
--- a/crates/cumindoor/src/gateway/placement.rs
+++ b/crates/cumindoor/src/gateway/admission/placement.rs
@@ -11,8 +11,8 @@
 use coord::time::Time;
 use rand::{Rng, RngExt};
 
-use super::directory::{Directory, Endpoint};
-use super::load_table::{Key, Load, LoadTable};
+use crate::gateway::admission::load_table::{Key, Load, LoadTable};
+use crate::gateway::engines::directory::{Directory, Endpoint};
 
 /// Share of an engine's KV cache that placements may fill. The rest is left for partially filled
 /// blocks, cached prefixes and placements that other gateways make at the same moment.
--- a/crates/cumindoor/src/gateway/queue.rs
+++ b/crates/cumindoor/src/gateway/admission/queue.rs
@@ -12,8 +12,8 @@
 
 use coord::time::Time;
 
-use super::load_table::Waiting;
-use super::placement::Demand;
+use crate::gateway::admission::load_table::Waiting;
+use crate::gateway::admission::placement::Demand;
 
 /// Share of the time from its arrival to [`Ticket::due`] during which the request at the head of
 /// the queue lets others take capacity.
--- a/crates/cumindoor/src/gateway/rate_limits.rs
+++ b/crates/cumindoor/src/gateway/admission/rate_limits.rs
@@ -13,10 +13,10 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
-use super::context::Context;
-use super::directory::Endpoint;
-use super::pacing::DIGEST_INTERVAL_PER_PEER;
-use super::placement::Choice;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::context::Context;
+use crate::gateway::engines::directory::Endpoint;
+use crate::gateway::fleet::pacing::DIGEST_INTERVAL_PER_PEER;
 
 /// Time from the announcement of a claim until the other gateways have heard of it, in addition to the time
 /// between digests.
--- a/crates/cumindoor/src/gateway/trials.rs
+++ b/crates/cumindoor/src/gateway/admission/trials.rs
@@ -16,7 +16,7 @@
 use coord::time::Time;
 use serde::{Deserialize, Serialize};
 
-use super::load_table::Key;
+use crate::gateway::admission::load_table::Key;
 
 /// Time after which a trial that another gateway announced is over, unless it was announced again.
 const NOTICE_LIFETIME: Duration = Duration::from_secs(1);
--- a/crates/cumindoor/src/gateway/listeners.rs
+++ b/crates/cumindoor/src/gateway/callers/listeners.rs
@@ -18,8 +18,8 @@
 use tokio::sync::Semaphore;
 use tokio_util::task::TaskTracker;
 
-use super::context::Context;
-use super::exchange;
+use crate::gateway::context::Context;
+use crate::gateway::exchange;
 use crate::serve::engine::{BoxedBody, full_body};
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
@@ -110,13 +110,13 @@
 }
 
 /// Binds a TCP listener; the error has the address.
-pub(super) async fn bind_tcp(addr: SocketAddr) -> eyre::Result<TcpListener> {
+pub(in crate::gateway) async fn bind_tcp(addr: SocketAddr) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(addr).await;
     listener.wrap_err_with(|| format!("cannot listen on TCP address {addr}"))
 }
 
 /// Lets the kernel find out whether the other side of an idle connection is still there.
-pub(super) fn keep_alive(stream: &TcpStream) -> std::io::Result<()> {
+pub(in crate::gateway) fn keep_alive(stream: &TcpStream) -> std::io::Result<()> {
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE_TIME);
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
@@ -147,7 +147,7 @@
 }
 
 /// Serves a connection until its peer or the gateway closes it.
-pub(super) async fn serve_until_closing<S>(
+pub(in crate::gateway) async fn serve_until_closing<S>(
     ctx: &Context,
     connection: http1::Connection<TokioIo<TcpStream>, S>,
 ) where
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -26,10 +26,10 @@
 pub use lost_attempts::LostAttempts;
 use tokio::time::timeout;
 
-use super::content::Content;
-use super::context::Context;
-use super::directory::UpstreamChange;
-use super::links;
+use crate::gateway::callers::content::Content;
+use crate::gateway::context::Context;
+use crate::gateway::engines::directory::UpstreamChange;
+use crate::gateway::engines::links;
 use crate::serve::engine::SendError;
 
 /// Number of crashed upstreams after which a request is refused. Two innocent requests in a row may
--- a/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
+++ b/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
@@ -12,10 +12,10 @@
 
 use super::lost_attempts::LostAttempt;
 use super::{accuse, investigate, reach, start_of};
-use crate::gateway::content::Content;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::callers::content::Content;
 use crate::gateway::context::Context;
-use crate::gateway::forward::Ticket;
-use crate::gateway::placement::Choice;
+use crate::gateway::fleet::forward::Ticket;
 
 /// Time after its first output from which an attempt is no longer suspected: requests that crash
 /// upstreams do so when their run begins.
--- a/crates/cumindoor/src/gateway/crash_watch/lost_attempts.rs
+++ b/crates/cumindoor/src/gateway/crash_watch/lost_attempts.rs
@@ -10,7 +10,7 @@
 use coord::time::Time;
 use tokio_util::sync::CancellationToken;
 
-use crate::gateway::content::Content;
+use crate::gateway::callers::content::Content;
 
 /// Time after a lost attempt within which its upstream counts as crashed if it leaves the list. The
 /// store drops the entry of an upstream after three missed heartbeats, a few seconds.
--- a/crates/cumindoor/src/gateway/directory.rs
+++ b/crates/cumindoor/src/gateway/engines/directory.rs
@@ -11,17 +11,17 @@
 use coord::time::Time;
 use derive_more::Display;
 
-use super::health::Health;
-use super::load_table::{Key, service_key, upstream_key};
-use super::placement::Choice;
-use super::statements::Statements;
+use crate::gateway::admission::load_table::{Key, service_key, upstream_key};
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::engines::health::Health;
+use crate::gateway::engines::statements::Statements;
 
 /// An upstream as this gateway sees it: its published entry and the results of recent requests.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     /// Name under which the upstream registered.
     pub name: Upstream,
-    /// Key of the upstream in the [`LoadTable`](super::load_table::LoadTable).
+    /// Key of the upstream in the [`LoadTable`](crate::gateway::admission::load_table::LoadTable).
     pub key: Key,
     /// Key of this start of the upstream in the table of rate limits. One that starts anew, or an upstream at
     /// a used address, has named nothing yet.
--- a/crates/cumindoor/src/gateway/links.rs
+++ b/crates/cumindoor/src/gateway/engines/links.rs
@@ -14,7 +14,7 @@
 use coord::name::Service;
 use coord::time::Time;
 
-use super::load_table::{Key, service_key};
+use crate::gateway::admission::load_table::{Key, service_key};
 
 /// Time after a check within which no other one begins. An upstream that crashes breaks many requests off
 /// at once.
--- a/crates/cumindoor/src/gateway/links/check.rs
+++ b/crates/cumindoor/src/gateway/engines/links/check.rs
@@ -13,11 +13,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Finding;
+use crate::gateway::admission::load_table::service_key;
+use crate::gateway::admission::placement::Choice;
 use crate::gateway::context::Context;
-use crate::gateway::forward;
-use crate::gateway::load_table::service_key;
-use crate::gateway::placement::Choice;
-use crate::gateway::statements;
+use crate::gateway::engines::statements;
+use crate::gateway::fleet::forward;
 use crate::serve::engine::full_body;
 
 /// Number of upstreams that are asked before links count as lost. One that is dead, or two, are not taken for
--- a/crates/cumindoor/src/gateway/liveness.rs
+++ b/crates/cumindoor/src/gateway/engines/liveness.rs
@@ -11,9 +11,9 @@
 use coord::time::Time;
 use tokio::time::sleep;
 
-use super::context::Context;
-use super::links;
-use super::placement::Choice;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::context::Context;
+use crate::gateway::engines::links;
 use crate::serve::engine::SendError;
 
 /// Consecutive failed probes after which an upstream counts as gone. A single one may be due to a lost
--- a/crates/cumindoor/src/gateway/statements.rs
+++ b/crates/cumindoor/src/gateway/engines/statements.rs
@@ -13,10 +13,10 @@
 use coord::limit::LimitKey;
 use coord::time::Time;
 
-use super::context::Context;
-use super::crash_watch;
-use super::directory::UpstreamChange;
-use super::placement::Choice;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::context::Context;
+use crate::gateway::crash_watch;
+use crate::gateway::engines::directory::UpstreamChange;
 
 /// Longest time for which an upstream is left alone because it said so. A longer one is taken for this time,
 /// so that a faulty value does not take an upstream out of use for days.
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its head to its final response.
 
+pub mod events;
 mod model;
 mod origin;
 mod place;
@@ -32,11 +33,11 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use self::repeats::Repeats;
-use super::answer::{Reason, Refusal};
-use super::content::Content;
-use super::context::Context;
-use super::crash_watch::{self, Standing};
-use super::directory::Directory;
+use crate::gateway::callers::answer::{Reason, Refusal};
+use crate::gateway::callers::content::Content;
+use crate::gateway::context::Context;
+use crate::gateway::crash_watch::{self, Standing};
+use crate::gateway::engines::directory::Directory;
 use crate::serve::engine::BoxedBody;
 use crate::serve::headers;
 
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -18,13 +18,13 @@
 use super::send::{self, Failure};
 use super::silence::{self, Patience, Watched};
 use super::{CallerRequest, millis, wait};
-use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::admission::placement::{Choice, Demand};
+use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation};
 use crate::gateway::crash_watch;
-use crate::gateway::fetch::fetch;
-use crate::gateway::health::Outcome;
-use crate::gateway::placement::{Choice, Demand};
-use crate::gateway::statements;
+use crate::gateway::engines::health::Outcome;
+use crate::gateway::engines::statements;
+use crate::gateway::store::fetch::fetch;
 use crate::serve::engine::BoxedBody;
 
 /// Maximum number of prefill attempts for one request. Attempts that did not reach an engine are
--- a/crates/cumindoor/src/gateway/exchange/origin.rs
+++ b/crates/cumindoor/src/gateway/exchange/origin.rs
@@ -11,9 +11,9 @@
 use coord::origin::{BuildKey, StreamKey, caller_key, stream_key};
 
 use super::{CallerRequest, millis};
-use crate::gateway::answer::{Reason, Refusal};
-use crate::gateway::origins::{self, RunningStream};
-use crate::gateway::placement::Choice;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::callers::answer::{Reason, Refusal};
+use crate::gateway::fleet::origins::{self, RunningStream};
 
 /// Time for which an origin is kept after the caller's time limit, for the way of its last attempt.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
--- a/crates/cumindoor/src/gateway/exchange/place.rs
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -8,13 +8,13 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::{CallerRequest, wait};
-use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::admission::placement::{Choice, Demand};
+use crate::gateway::admission::rate_limits;
+use crate::gateway::admission::trials::Terms;
+use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch::{self, Standing};
-use crate::gateway::directory::Endpoint;
-use crate::gateway::placement::{Choice, Demand};
-use crate::gateway::rate_limits;
-use crate::gateway::trials::Terms;
+use crate::gateway::engines::directory::Endpoint;
 
 /// Longest wait for a token of an upstream that names a rate limit, as a share of the target latency. The
 /// rest is needed to be on time.
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -11,12 +11,12 @@
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Successor, Watched};
 use super::{CallerRequest, millis, origin, relay, wait};
-use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::admission::load_table::Load;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch;
-use crate::gateway::health::Outcome;
-use crate::gateway::load_table::Load;
-use crate::gateway::placement::Choice;
+use crate::gateway::engines::health::Outcome;
 use crate::serve::engine::{BoxedBody, full_body};
 use crate::serve::headers;
 
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -13,14 +13,14 @@
 use tokio::time::sleep;
 
 use super::CallerRequest;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::admission::rate_limits::{self, Permit};
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch::{AttemptGuard, Standing};
-use crate::gateway::forward;
-use crate::gateway::health::Outcome;
-use crate::gateway::links;
-use crate::gateway::placement::Choice;
-use crate::gateway::rate_limits::{self, Permit};
-use crate::gateway::statements;
+use crate::gateway::engines::health::Outcome;
+use crate::gateway::engines::links;
+use crate::gateway::engines::statements;
+use crate::gateway::fleet::forward;
 use crate::serve::engine::{BoxedBody, Lease, PooledResponse, full_body};
 
 /// Longest idle time after which a connection still carries a request that may be executed only
--- a/crates/cumindoor/src/gateway/exchange/silence.rs
+++ b/crates/cumindoor/src/gateway/exchange/silence.rs
@@ -11,11 +11,11 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::{CallerRequest, millis, wait};
-use crate::gateway::answer::Refusal;
+use crate::gateway::admission::placement::{Choice, Demand};
+use crate::gateway::callers::answer::Refusal;
 use crate::gateway::context::Reservation;
-use crate::gateway::health::Outcome;
-use crate::gateway::liveness;
-use crate::gateway::placement::{Choice, Demand};
+use crate::gateway::engines::health::Outcome;
+use crate::gateway::engines::liveness;
 
 /// An engine is probed after a silence of this many times the longest gap of the route.
 const PROBE_GAPS: u32 = 4;
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -11,14 +11,14 @@
 
 use super::place::{Place, Search, refuse_limited, take_place};
 use super::{CallerRequest, millis};
-use crate::gateway::answer::{Reason, Refusal};
+use crate::gateway::admission::load_table::{Load, service_key};
+use crate::gateway::admission::placement::{Choice, Demand, Placer, usable_tokens, used_keys};
+use crate::gateway::admission::queue::{KvPool, Ticket};
+use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation, State};
 use crate::gateway::crash_watch::Standing;
-use crate::gateway::directory::{Directory, Endpoint};
-use crate::gateway::load_table::{Load, service_key};
-use crate::gateway::pacing::DIGEST_INTERVAL_PER_PEER;
-use crate::gateway::placement::{Choice, Demand, Placer, usable_tokens, used_keys};
-use crate::gateway::queue::{KvPool, Ticket};
+use crate::gateway::engines::directory::{Directory, Endpoint};
+use crate::gateway::fleet::pacing::DIGEST_INTERVAL_PER_PEER;
 
 use super::plain::PLAIN_LOAD;
 
--- a/crates/cumindoor/src/gateway/forward.rs
+++ b/crates/cumindoor/src/gateway/fleet/forward.rs
@@ -23,9 +23,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use super::context::Context;
-use super::load_table::service_key;
-use super::placement::Choice;
+use crate::gateway::admission::load_table::service_key;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::context::Context;
 use crate::serve::engine::{BoxedBody, PooledResponse, SendError, full_body};
 
 /// What the other gateway has to know of a forwarded request.
--- a/crates/cumindoor/src/gateway/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/fleet/forward/listener.rs
@@ -23,15 +23,15 @@
 use tokio_util::task::TaskTracker;
 
 use super::{ATTEMPT, Attempt, DATA_CENTRE, FAILURE, Failure, SERVICE, note};
-use crate::gateway::content::Content;
+use crate::gateway::admission::placement::Choice;
+use crate::gateway::callers::content::Content;
+use crate::gateway::callers::listeners::{bind_tcp, keep_alive, serve_until_closing};
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, AttemptGuard, Standing};
+use crate::gateway::engines::health::Outcome;
+use crate::gateway::engines::links;
+use crate::gateway::engines::statements;
 use crate::gateway::exchange::{pass_through, shared_parts};
-use crate::gateway::health::Outcome;
-use crate::gateway::links;
-use crate::gateway::listeners::{bind_tcp, keep_alive, serve_until_closing};
-use crate::gateway::placement::Choice;
-use crate::gateway::statements;
 use crate::serve::engine::{BoxedBody, PooledResponse, SendError, full_body};
 use crate::serve::headers;
 
--- a/crates/cumindoor/src/gateway/origins.rs
+++ b/crates/cumindoor/src/gateway/fleet/origins.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use super::context::{Context, State};
+use crate::gateway::context::{Context, State};
 
 /// Longest time for which the first event of a stream waits until other gateways were told of its origin.
 /// The datagrams usually leave at once.
--- a/crates/cumindoor/src/gateway/pacing.rs
+++ b/crates/cumindoor/src/gateway/fleet/pacing.rs
@@ -29,7 +29,7 @@
     /// Mbit/s.
     ///
     /// ```
-    /// use cumindoor::gateway::pacing::Round;
+    /// use cumindoor::gateway::fleet::pacing::Round;
     ///
     /// let mut round = Round::default();
     /// for _ in 0..10 {
--- a/crates/cumindoor/src/gateway/peer_list.rs
+++ b/crates/cumindoor/src/gateway/fleet/peer_list.rs
@@ -8,7 +8,7 @@
 use coord::ring::Ring;
 use coord::time::Time;
 
-use super::load_table::{Digest, Neighbourhood, PEER_TIMEOUT};
+use crate::gateway::admission::load_table::{Digest, Neighbourhood, PEER_TIMEOUT};
 
 /// Gateways in the largest fleet in which all tell each other their whole load. Up to here, that costs less than
 /// the wrong placements of gateways that know only a part of it.
--- a/crates/cumindoor/src/gateway/peer_socket.rs
+++ b/crates/cumindoor/src/gateway/fleet/peer_socket.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::pacing::Round;
+use crate::gateway::fleet::pacing::Round;
 use crate::serve::telemetry::Telemetry;
 
 /// Sends datagrams and counts what was sent since the last digest. A datagram that cannot be sent is treated
--- a/crates/cumindoor/src/gateway/peers.rs
+++ b/crates/cumindoor/src/gateway/fleet/peers.rs
@@ -17,17 +17,17 @@
 use eyre::WrapErr;
 use tokio::time::{Instant, sleep_until};
 
-use super::context::{Context, State};
-use super::crash_watch;
-use super::links;
-use super::load_table::{CrashReport, Digest};
-use super::origins;
-use super::pacing::DIGEST_INTERVAL_PER_PEER;
-use super::peer_list::{Audience, PeerList};
-use super::peer_socket::PeerSocket;
-use super::rate_limits;
-use super::store_calls::{self, StoreReport};
-use super::wakeups::WakeupThrottle;
+use crate::gateway::admission::load_table::{CrashReport, Digest};
+use crate::gateway::admission::rate_limits;
+use crate::gateway::context::{Context, State};
+use crate::gateway::crash_watch;
+use crate::gateway::engines::links;
+use crate::gateway::fleet::origins;
+use crate::gateway::fleet::pacing::DIGEST_INTERVAL_PER_PEER;
+use crate::gateway::fleet::peer_list::{Audience, PeerList};
+use crate::gateway::fleet::peer_socket::PeerSocket;
+use crate::gateway::fleet::wakeups::WakeupThrottle;
+use crate::gateway::store::store_calls::{self, StoreReport};
 
 /// Time between two digests without a change.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/cumindoor/src/gateway/store_calls.rs
+++ b/crates/cumindoor/src/gateway/store/store_calls.rs
@@ -18,8 +18,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use super::context::{Context, State};
-use super::fetch::fetch;
+use crate::gateway::context::{Context, State};
+use crate::gateway::store::fetch::fetch;
 
 /// Time for which a check waits for a change. The answer to a call without a wait is read as data, not as changes.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
--- a/crates/cumindoor/src/gateway/store_calls/tests.rs
+++ b/crates/cumindoor/src/gateway/store/store_calls/tests.rs
@@ -3,7 +3,7 @@
 use coord::origin::{OriginMessage, OriginRecord};
 
 use super::*;
-use crate::gateway::load_table::{CrashReport, Digest};
+use crate::gateway::admission::load_table::{CrashReport, Digest};
 
 fn store_report() -> StoreReport {
     let report = FreshnessReport {
--- a/crates/cumindoor/src/gateway/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store/store_watch.rs
@@ -4,7 +4,7 @@
 //! history. During an outage of the store, the last known data stays in force.
 //!
 //! A watch that the store never received stays silent like one without a change. While a watch is pending, short
-//! calls check that it misses nothing; see [`super::store_calls`].
+//! calls check that it misses nothing; see [`crate::gateway::store::store_calls`].
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -16,11 +16,11 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use super::context::Context;
-use super::crash_watch;
-use super::directory::UpstreamChange;
-use super::placement::{believed_slots, usual_slots};
-use super::store_calls::{CallError, MAX_WATCH_LAG, StoreCalls};
+use crate::gateway::admission::placement::{believed_slots, usual_slots};
+use crate::gateway::context::Context;
+use crate::gateway::crash_watch;
+use crate::gateway::engines::directory::UpstreamChange;
+use crate::gateway::store::store_calls::{CallError, MAX_WATCH_LAG, StoreCalls};
 
 /// Delay after the first failed call; it doubles with each further failure.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/crates/cumindoor/tests/gateway_events.rs
+++ b/crates/cumindoor/tests/gateway_events.rs
@@ -1,6 +1,6 @@
 //! Tests of the splitter of event streams.
 
-use cumindoor::gateway::events::EventBuffer;
+use cumindoor::gateway::exchange::events::EventBuffer;
 use proptest::prelude::*;
 use rstest::rstest;
 
--- a/crates/cumindoor/tests/gateway_links.rs
+++ b/crates/cumindoor/tests/gateway_links.rs
@@ -5,9 +5,9 @@
 
 use coord::name::Service;
 use coord::time::Time;
-use cumindoor::gateway::forward::Helpers;
-use cumindoor::gateway::links::{Finding, Links};
-use cumindoor::gateway::load_table::service_key;
+use cumindoor::gateway::admission::load_table::service_key;
+use cumindoor::gateway::engines::links::{Finding, Links};
+use cumindoor::gateway::fleet::forward::Helpers;
 use rstest::rstest;
 
 fn at(ms: u64) -> Time {
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -9,14 +9,14 @@
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{BuildKey, build_key};
 use coord::time::Time;
-use cumindoor::gateway::balance::sparable;
-use cumindoor::gateway::directory::{Directory, UpstreamChange};
-use cumindoor::gateway::health::Outcome;
-use cumindoor::gateway::load_table::{
+use cumindoor::gateway::admission::balance::sparable;
+use cumindoor::gateway::admission::load_table::{
     Digest, Key, Load, LoadTable, Waiting, service_key, upstream_key,
 };
-use cumindoor::gateway::peer_list::PeerList;
-use cumindoor::gateway::placement::{Choice, Demand, Placer, usable_tokens};
+use cumindoor::gateway::admission::placement::{Choice, Demand, Placer, usable_tokens};
+use cumindoor::gateway::engines::directory::{Directory, UpstreamChange};
+use cumindoor::gateway::engines::health::Outcome;
+use cumindoor::gateway::fleet::peer_list::PeerList;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/cumindoor/tests/gateway_queue.rs
+++ b/crates/cumindoor/tests/gateway_queue.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use coord::time::Time;
-use cumindoor::gateway::placement::Demand;
-use cumindoor::gateway::queue::{KvPool, Queue, Ticket};
-use cumindoor::gateway::service_times::ServiceTimes;
+use cumindoor::gateway::admission::placement::Demand;
+use cumindoor::gateway::admission::queue::{KvPool, Queue, Ticket};
+use cumindoor::gateway::engines::service_times::ServiceTimes;
 
 fn ms(ms: u64) -> Time {
     Time::from_millis(ms)
--- a/crates/cumindoor/tests/gateway_statements.rs
+++ b/crates/cumindoor/tests/gateway_statements.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coord::time::Time;
-use cumindoor::gateway::statements::{MAX_PAUSE, Statements};
+use cumindoor::gateway::engines::statements::{MAX_PAUSE, Statements};
 
 /// Guards against a report that gateways pass on to each other for ever.
 #[test]
--- a/crates/cumindoor/tests/gateway_suspects.rs
+++ b/crates/cumindoor/tests/gateway_suspects.rs
@@ -5,9 +5,9 @@
 
 use coord::poison::{Suspects, UpstreamStart, part_fingerprint};
 use coord::time::Time;
+use cumindoor::gateway::admission::load_table::CrashReport;
+use cumindoor::gateway::admission::trials::{Start, Terms, Trials};
 use cumindoor::gateway::crash_watch::{new_part_suspects, new_suspects};
-use cumindoor::gateway::load_table::CrashReport;
-use cumindoor::gateway::trials::{Start, Terms, Trials};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/cumindoor/tests/part_fleet/mod.rs
+++ b/crates/cumindoor/tests/part_fleet/mod.rs
@@ -5,8 +5,8 @@
 
 use coord::poison::{CrashRecord, PartStanding, PartSuspects, UpstreamStart, part_fingerprint};
 use coord::time::Time;
+use cumindoor::gateway::admission::trials::{Start, Terms, Trials};
 use cumindoor::gateway::crash_watch::new_part_suspects;
-use cumindoor::gateway::trials::{Start, Terms, Trials};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
