Name the organisation of a request by its key

Cause: configurations have organisations with keys, priorities and allowances; the gateway knew none of them, served requests with any key and passed the key on to upstreams. Without organisations in the configuration nothing is asked.

--- a/crates/border/src/dialect.rs
+++ b/crates/border/src/dialect.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use coord::limit::Rate;
-use coord::name::{Upstream, VmName};
+use coord::name::{Organisation, Upstream, VmName};
 use derive_more::Display;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 
-use crate::{Malformed, Stage};
+use crate::{ApiKey, Malformed, Stage};
 
 /// Size of the prompt and output of a request to a model.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     /// Ids of the parts of the prompt that other requests may have as well, in order, if the request
     /// names its parts.
     pub shared_parts: Option<Result<Vec<Arc<str>>, Malformed>>,
+    /// Key of the caller's organisation, if the request has one.
+    pub key: Option<Result<ApiKey, Malformed>>,
 }
 
 /// Location of a prefill result.
@@ -73,6 +75,10 @@
     pub step: Step,
     /// Id of the last event that the caller received, if a stream is resumed.
     pub last_event_id: Option<u64>,
+    /// Organisation for which the request is sent, if it named one.
+    pub organisation: Option<Organisation>,
+    /// Priority at the upstream from 0, which goes first, to 9; `None` leaves it to the upstream.
+    pub priority: Option<u8>,
 }
 
 /// Load that an upstream reports.
@@ -84,6 +90,9 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes on its machine at this moment in percent of the usual time, if stated. It changes many
+    /// times a second.
+    pub slowdown: Option<u32>,
 }
 
 /// What an upstream states about itself in an answer.
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -14,6 +14,8 @@
 //!     time_left: Some(Duration::from_millis(900)),
 //!     step: Step::Prefill,
 //!     last_event_id: None,
+//!     organisation: None,
+//!     priority: None,
 //! };
 //! assert!(matches!(attempt.step, Step::Prefill));
 //! ```
@@ -29,7 +31,10 @@
     StageOrder, Statement, Step, Work,
 };
 pub use published::{Catalogue, Change, Page, Stage, Topic, UpstreamEntry};
-pub use routing::{CallerLimits, Model, Route, RouteKind, Routing, ServiceDef};
+pub use routing::{
+    Allowance, AllowanceUnit, ApiKey, CallerLimits, Model, OrganisationDef, Route, RouteKind,
+    Routing, ServiceDef,
+};
 
 use std::sync::Arc;
 
--- a/crates/border/src/routing.rs
+++ b/crates/border/src/routing.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coord::name::Service;
+use coord::name::{Organisation, Service};
+use derive_more::{Debug, From};
 
 /// How often a request may be executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +59,58 @@
     pub targets: Vec<(Service, u32)>,
     /// Maximum number of upstreams on which one request may be executed.
     pub max_attempts: u32,
+    /// Whether requests need no key although the configuration has organisations.
+    pub allows_anonymous: bool,
+}
+
+/// A secret by which callers show for which organisation they send. Its text never appears in logs.
+#[derive(Clone, Debug, From, PartialEq, Eq)]
+#[debug("ApiKey(..)")]
+#[from(&str, String, Arc<str>)]
+pub struct ApiKey(Arc<str>);
+
+impl ApiKey {
+    /// Borrows the secret.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
+/// What counts against an allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowanceUnit {
+    /// Each request counts as one.
+    Requests,
+    /// A request counts as its prompt tokens and its output limit.
+    Tokens {
+        /// Tokens of a request that states no sizes.
+        unsized_request: u32,
+    },
+}
+
+/// What an organisation may send over all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that may be sent at once in addition.
+    pub burst: f64,
+    /// What the units are.
+    pub unit: AllowanceUnit,
+}
+
+/// An organisation whose callers may send requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrganisationDef {
+    /// Name that upstreams are told.
+    pub name: Organisation,
+    /// Secrets of its callers.
+    pub keys: Vec<ApiKey>,
+    /// Priority that takes precedence over that of the route, if there is one; 0 goes first.
+    pub priority: Option<u8>,
+    /// Limit on its requests, if there is one.
+    pub allowance: Option<Allowance>,
 }
 
 /// Properties of the model engines of a service.
@@ -100,6 +153,8 @@
     pub services: BTreeMap<Service, ServiceDef>,
     /// Limits on requests from callers.
     pub limits: CallerLimits,
+    /// The organisations that may send requests; `None` if requests need no key.
+    pub organisations: Option<Vec<Arc<OrganisationDef>>>,
 }
 
 impl Routing {
--- a/crates/cumindoor/src/gateway.rs
+++ b/crates/cumindoor/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod engines;
 pub mod exchange;
 pub mod fleet;
+pub mod organisations;
 mod settings;
 pub mod store;
 
--- a/crates/cumindoor/src/gateway/callers/answer.rs
+++ b/crates/cumindoor/src/gateway/callers/answer.rs
@@ -23,6 +23,9 @@
     /// No route matches.
     #[display("no-route")]
     NoRoute,
+    /// The request needs the key of an organisation, and has none that the configuration knows.
+    #[display("unknown-key")]
+    UnknownKey,
     /// The request head is invalid.
     #[display("malformed")]
     Malformed,
@@ -82,6 +85,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -33,6 +33,7 @@
 use crate::gateway::fleet::forward::Helpers;
 use crate::gateway::fleet::pacing::DIGEST_INTERVAL_PER_PEER;
 use crate::gateway::fleet::peer_socket::PeerSocket;
+use crate::gateway::organisations::keys::KeyTable;
 use crate::gateway::settings::Settings;
 use crate::serve::cell::Clock;
 use crate::serve::engine::Pool;
@@ -45,6 +46,9 @@
 /// Number of such times for which a trial waits until other suspects have left the upstream.
 const MAX_TRIAL_WAITS: u32 = 20;
 
+/// Time without an answer of the store after which the configuration may have changed unnoticed.
+const MAX_ROUTING_AGE: Duration = Duration::from_secs(6);
+
 /// Time limit for opening a connection to an upstream. A message within a region takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -55,6 +59,8 @@
 pub struct State {
     /// Routes and services in force; `None` before the first version was read.
     pub routing: Option<Arc<Routing>>,
+    /// The organisations of the routing in force, by key.
+    pub keys: Arc<KeyTable>,
     /// The known upstreams.
     pub directory: Directory,
     /// Load placed on the upstreams.
@@ -180,6 +186,7 @@
         let bodies = usize::try_from(settings.resources.bodies.0).unwrap_or(usize::MAX);
         let state = State {
             routing: None,
+            keys: Arc::default(),
             directory: Directory::default(),
             loads: LoadTable::default(),
             queues: BTreeMap::new(),
@@ -272,6 +279,15 @@
         informed && !self.stopping.is_cancelled()
     }
 
+    /// Returns whether there may be a version of the configuration that this gateway has not read. What no route or
+    /// no organisation allows may then be allowed.
+    #[must_use]
+    pub fn may_lack_routing(&self) -> bool {
+        let now = self.now();
+        let silent = now.since(self.state().store_contact);
+        silent > MAX_ROUTING_AGE
+    }
+
     /// Returns whether a request that has just been read may be answered by this process. While callers may still be
     /// sent here, all are served; afterwards only those whose time ends before the process does.
     #[must_use]
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use border::{RequestMeta, Route, RouteKind, Routing, ServiceDef};
+use border::{OrganisationDef, RequestMeta, Route, RouteKind, Routing, ServiceDef};
 use bytes::Bytes;
 use coord::name::Service;
 use coord::origin::BuildKey;
@@ -38,15 +38,13 @@
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, Standing};
 use crate::gateway::engines::directory::Directory;
+use crate::gateway::organisations::keys::KeyTable;
 use crate::serve::engine::BoxedBody;
 use crate::serve::headers;
 
 /// Retry time sent to callers of a gateway that is not ready. A gateway that starts reads its
 /// routes within that time.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time without an answer of the store after which a request that matches no route is refused as
-/// unready instead of unknown, because its route may have been added in the meantime.
-const MAX_ROUTING_AGE: Duration = Duration::from_secs(6);
 /// Retry time sent to callers when memory for request bodies is exhausted.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry time sent to callers if no gateway forwards their request. They may reach another gateway then.
@@ -105,6 +103,8 @@
     route: Arc<Route>,
     service: Service,
     def: ServiceDef,
+    /// The organisation for which the request is sent, if it has a key.
+    organisation: Option<Arc<OrganisationDef>>,
     meta: RequestMeta,
     /// The head sent to upstreams, without the headers added for each attempt.
     parts: Parts,
@@ -138,6 +138,12 @@
         self.kind().is_stream() && named
     }
 
+    /// Returns the priority; 0 goes first.
+    fn priority(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|def| def.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Returns the build to which the stream is bound, or `None` if it is free to begin at any.
     fn build(&self) -> Option<BuildKey> {
         self.build.get().copied()
@@ -312,7 +318,7 @@
     (mut parts, body): (Parts, Incoming),
     (arrived, started): (Time, Instant),
 ) -> Result<CallerRequest, Refusal> {
-    let (routing, route, meta) = match read_head(ctx, &parts) {
+    let (routing, route, organisation, meta) = match read_head(ctx, &parts) {
         Ok(read) => read,
         Err(refusal) => {
             discard(body).await;
@@ -343,6 +349,7 @@
         route,
         service,
         def,
+        organisation,
         meta,
         parts,
         body,
@@ -374,12 +381,20 @@
     }
 }
 
-/// Finds the route of a request and parses its headers.
-fn read_head(
-    ctx: &Context,
-    parts: &Parts,
-) -> Result<(Arc<Routing>, Arc<Route>, RequestMeta), Refusal> {
-    let routing = ctx.state().routing.clone();
+/// What the head of a request says.
+type Head = (
+    Arc<Routing>,
+    Arc<Route>,
+    Option<Arc<OrganisationDef>>,
+    RequestMeta,
+);
+
+/// Finds the route and the organisation of a request and parses its headers.
+fn read_head(ctx: &Context, parts: &Parts) -> Result<Head, Refusal> {
+    let (routing, keys) = {
+        let state = ctx.state();
+        (state.routing.clone(), Arc::clone(&state.keys))
+    };
     let routing = routing.ok_or(Refusal::with_retry(Reason::Unready, UNREADY_RETRY_AFTER))?;
     let route = find_route(ctx, &routing, parts)?;
     let meta = ctx.dialect.parse_request(&parts.headers).map_err(|error| {
@@ -387,7 +402,30 @@
         log::info!(error = error.as_str(); "head rejected");
         Refusal::new(Reason::Malformed)
     })?;
-    Ok((routing, route, meta))
+    let organisation = find_organisation(ctx, (&routing, &route), &keys, &meta)?;
+    Ok((routing, route, organisation, meta))
+}
+
+/// Finds the organisation for which a request is sent.
+fn find_organisation(
+    ctx: &Context,
+    (routing, route): (&Routing, &Route),
+    keys: &KeyTable,
+    meta: &RequestMeta,
+) -> Result<Option<Arc<OrganisationDef>>, Refusal> {
+    if routing.organisations.is_none() {
+        return Ok(None);
+    }
+    let key = meta.key.as_ref().and_then(|key| key.as_ref().ok());
+    let holder = key.and_then(|key| keys.holder(key));
+    if holder.is_some() || route.allows_anonymous {
+        return Ok(holder.cloned());
+    }
+    // The key may have been added by a version that was not read yet.
+    if ctx.may_lack_routing() {
+        return Err(Refusal::with_retry(Reason::Unready, UNREADY_RETRY_AFTER));
+    }
+    Err(Refusal::new(Reason::UnknownKey))
 }
 
 /// Reads the body of a request that is refused. If the connection were closed before the body has
@@ -412,8 +450,7 @@
     if let Some(route) = found {
         return Ok(Arc::clone(route));
     }
-    let silent = ctx.now().since(ctx.state().store_contact);
-    if silent > MAX_ROUTING_AGE {
+    if ctx.may_lack_routing() {
         return Err(Refusal::with_retry(Reason::Unready, UNREADY_RETRY_AFTER));
     }
     Err(Refusal::new(Reason::NoRoute))
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -368,6 +368,8 @@
         time_left: Some(req.time_left()),
         step: step.clone(),
         last_event_id,
+        organisation: req.organisation.as_ref().map(|def| def.name.clone()),
+        priority: None,
     };
     let headers = request.headers_mut();
     headers.clone_from(&req.parts.headers);
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -370,7 +370,7 @@
             (req.route.target_latency, times.lead_time()),
             demand,
         );
-        let ticket = ticket.with_priority(req.route.priority);
+        let ticket = ticket.with_priority(req.priority());
         let ticket = ticket.resuming(req.build().is_some());
         let queue = state.queues.entry(req.service.clone()).or_default();
         let number = queue.enter(ticket);
--- /dev/null
+++ b/crates/cumindoor/src/gateway/organisations.rs
@@ -0,0 +1,5 @@
+//! Organisations: which one sends a request, and what it may send.
+//!
+//! See `docs/design/organisations.md`.
+
+pub mod keys;
--- a/crates/cumindoor/src/gateway/store/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store/store_watch.rs
@@ -20,6 +20,7 @@
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch;
 use crate::gateway::engines::directory::UpstreamChange;
+use crate::gateway::organisations::keys::KeyTable;
 use crate::gateway::store::store_calls::{CallError, MAX_WATCH_LAG, StoreCalls};
 
 /// Delay after the first failed call; it doubles with each further failure.
@@ -301,12 +302,14 @@
     /// Puts a version in force unless a newer one is, because a store may return outdated data.
     fn apply_routing(&self, routing: Arc<Routing>) {
         let (version, routes) = (routing.version, routing.routes.len());
+        let keys = Arc::new(KeyTable::new(&routing));
         let mut state = self.ctx.state();
         let current = state.routing.as_ref().map(|routing| routing.version);
         if current.is_some_and(|current| current >= version) {
             return;
         }
         state.routing = Some(routing);
+        state.keys = keys;
         drop(state);
         self.ctx.telemetry.gauge("routing.version", version);
         log::info!(version, routes; "routing in force");
