Do not deny what a newer version may allow

Cause: a gateway that had not read the newest version answered 401 to a key, and 404 to a route, that another gateway already served. It knew of the version from digests. Change: may_lack_routing is also true while a digest or a report of another gateway names a change of the routing that this gateway has not read, so that such requests get 503 with a time to return. Revisions up to the highest one that this gateway saw itself do not count, since they may stem from a store that lost its data since. Conclusion: a gateway that is cut off from the store, but hears others, denies nothing for as long as it is behind.

--- a/crates/coord/src/freshness.rs
+++ b/crates/coord/src/freshness.rs
@@ -125,6 +125,12 @@
         self.verified
     }
 
+    /// Returns whether the copy holds all changes up to a revision.
+    #[must_use]
+    pub fn holds(&self, revision: u64) -> bool {
+        revision <= self.revision
+    }
+
     /// Returns whether another member reports a change that this copy does not hold.
     #[must_use]
     pub fn is_behind(&self) -> bool {
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -112,6 +112,16 @@
         self.limits.set_share(now, share);
     }
 
+    /// Returns whether another gateway reports a change of the routing that this gateway has not read.
+    fn is_routing_outdated(&self) -> bool {
+        let freshness = self.freshness.get(&Topic::Routing);
+        let freshness = freshness.copied().unwrap_or_default();
+        let reported = self.loads.seen_by_peers().routing;
+        // The revisions of a store that lost its data begin anew, and those seen before say nothing.
+        let is_read = freshness.holds(reported) || reported <= self.seen.routing;
+        freshness.is_behind() || !is_read
+    }
+
     /// Forgets what a gateway reported of limits that has gone silent.
     pub fn forget(&mut self, peer: &SocketAddr) {
         self.limits.forget(peer);
@@ -284,8 +294,9 @@
     #[must_use]
     pub fn may_lack_routing(&self) -> bool {
         let now = self.now();
-        let silent = now.since(self.state().store_contact);
-        silent > MAX_ROUTING_AGE
+        let state = self.state();
+        let silent = now.since(state.store_contact);
+        silent > MAX_ROUTING_AGE || state.is_routing_outdated()
     }
 
     /// Returns whether a request that has just been read may be answered by this process. While callers may still be
