Bound what callers can make the process hold

Cause: a chunked body took 64 KB of the permits whatever its size; its frames kept the read buffers that they were cut from; read buffers grew to 400 KB; unread answers counted nowhere; stalled bodies and idle connections kept others out. Change: callers::memory is one account of bodies, unread answers and relayed frames. Bodies are copied into one buffer that grows with them. If the account cannot grow, the unfinished body that held most for longest gives way (503 busy, or 408 after the configured head time), else the newest; what is complete never does. An eighth is kept for small ones. Buffers of connections are bounded to the largest head, at most 256 refused bodies are read, and the connection that waited longest for its caller gives way to a new one. [resources] memory and descriptors derive the bounds; without them they are as before. The scan of refusals in gateway_pages read a path that no longer exists; it reads callers/answer.rs now. The deploy template does not state memory yet.

--- a/crates/cumindoor/src/gateway/callers/listeners.rs
+++ b/crates/cumindoor/src/gateway/callers/listeners.rs
@@ -15,9 +15,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
+use crate::gateway::callers::connections::Connection;
+use crate::gateway::callers::shares::Shares;
 use crate::gateway::context::Context;
 use crate::gateway::exchange;
 use crate::serve::engine::{BoxedBody, full_body};
@@ -37,6 +40,11 @@
 /// Idle time after which the kernel probes whether a caller is still connected.
 const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(5);
 
+/// Smallest buffer of a connection that the HTTP library allows.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Time after which it is looked again for a connection that can give way to a new one.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Accepts connections from callers.
 pub struct CallerListener {
     ctx: Arc<Context>,
@@ -55,7 +63,7 @@
     pub async fn bind(ctx: &Arc<Context>, connections: TaskTracker) -> eyre::Result<Self> {
         let listener = bind_tcp(ctx.settings().listen.callers.0).await?;
         let addr = listener.local_addr()?;
-        let permits = ctx.settings().resources.connections.0 as usize;
+        let permits = Shares::new(&ctx.settings().resources).connections;
         Ok(Self {
             ctx: Arc::clone(ctx),
             addr,
@@ -92,14 +100,30 @@
         self.listener.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until there is room for another connection. If there is none, the connection that has waited for its
+    /// caller for longest gives way. Further ones wait in the backlog meanwhile.
+    async fn take_permit(&self) -> eyre::Result<OwnedSemaphorePermit> {
+        if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
+            return Ok(permit);
+        }
+        loop {
+            if self.ctx.connections.lock().close_one(self.ctx.now()) {
+                self.ctx.telemetry.count("connection.evicted");
+            }
+            let permit = Arc::clone(&self.permits).acquire_owned();
+            if let Ok(permit) = timeout(EVICTION_INTERVAL, permit).await {
+                return Ok(permit?);
+            }
+        }
+    }
+
     async fn accept(&self, listener: &TcpListener) -> eyre::Result<()> {
         loop {
-            // Connections beyond the limit wait in the backlog.
-            let permit = Arc::clone(&self.permits).acquire_owned().await?;
             let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            let permit = self.take_permit().await?;
             let ctx = Arc::clone(&self.ctx);
             self.connections.spawn(async move {
                 serve(ctx, stream).await;
@@ -132,18 +156,23 @@
     let limits = ctx.state().routing.as_ref().map(|routing| routing.limits);
     let idle = limits.map_or(MIN_IDLE_TIMEOUT, head_timeout);
     let head = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.head_bytes);
-    let handler_ctx = Arc::clone(&ctx);
+    let open = Connection::open(&ctx.connections, ctx.clock, caller.ip());
+    let (handler_ctx, handler_connection) = (Arc::clone(&ctx), open.clone());
     let service = service_fn(move |request| {
-        let ctx = Arc::clone(&handler_ctx);
-        async move { Ok::<_, Infallible>(exchange::handle(ctx, caller.ip(), request).await) }
+        let (ctx, connection) = (Arc::clone(&handler_ctx), handler_connection.clone());
+        async move { Ok::<_, Infallible>(exchange::handle(ctx, connection, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_headers(MAX_HEADERS)
         .max_header_size(head)
+        .max_buf_size(head.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    serve_until_closing(&ctx, connection).await;
+    let served = serve_until_closing(&ctx, connection);
+    // The connection is dropped at once if it has to give way.
+    let _ = open.close.run_until_cancelled(served).await;
+    open.remove();
 }
 
 /// Serves a connection until its peer or the gateway closes it.
@@ -262,5 +291,6 @@
 }
 
 fn metrics(ctx: &Context) -> Response<BoxedBody> {
+    ctx.memory.report(&ctx.telemetry);
     Response::new(full_body(ctx.telemetry.snapshot().to_text()))
 }
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -24,6 +24,9 @@
 use crate::gateway::admission::queue::Queue;
 use crate::gateway::admission::rate_limits::Permit;
 use crate::gateway::admission::trials::{Start, Terms, Trials};
+use crate::gateway::callers::connections::ConnectionTable;
+use crate::gateway::callers::memory::Account;
+use crate::gateway::callers::shares::Shares;
 use crate::gateway::crash_watch::{LostAttempts, new_part_suspects, new_suspects};
 use crate::gateway::engines::directory::Directory;
 use crate::gateway::engines::health::Outcome;
@@ -55,6 +58,10 @@
 /// Maximum number of requests that are forwarded for other gateways at a time. Their read buffers take 8 MB.
 const MAX_FORWARDS: usize = 128;
 
+/// Maximum number of refused requests whose bodies are read at a time, so that their callers can read the refusal.
+/// Refusals arrive one by one in normal operation, and the bodies of most have arrived with the head.
+const MAX_DISCARDS: usize = 256;
+
 /// The mutable state of a gateway.
 pub struct State {
     /// Routes and services in force; `None` before the first version was read.
@@ -166,11 +173,15 @@
     pub forwards: Arc<Semaphore>,
     /// Notified when it is known whether the upstreams of a service are reached, or have been lost.
     pub links_checked: Notify,
-    /// Bytes of request bodies that may still be read into memory.
-    pub body_memory: Arc<Semaphore>,
     settings: Mutex<Arc<Settings>>,
     data_centre: DataCentre,
     state: Mutex<State>,
+    /// Memory that callers make the process hold.
+    pub memory: Account,
+    /// The open connections of callers.
+    pub connections: ConnectionTable,
+    /// Bodies of refused requests that may be read at a time.
+    pub discards: Arc<Semaphore>,
 }
 
 impl Context {
@@ -183,7 +194,8 @@
         seed: u64,
     ) -> Arc<Self> {
         let own = settings.fleet.address.0.ip();
-        let bodies = usize::try_from(settings.resources.bodies.0).unwrap_or(usize::MAX);
+        let shares = Shares::new(&settings.resources);
+        let (clock, telemetry) = (Clock::start(), Telemetry::in_memory());
         let state = State {
             routing: None,
             keys: Arc::default(),
@@ -217,8 +229,11 @@
             peer_pool: Pool::new(CONNECT_TIMEOUT).from_address(own),
             forwards: Arc::new(Semaphore::new(MAX_FORWARDS)),
             links_checked: Notify::new(),
-            clock: Clock::start(),
-            telemetry: Telemetry::in_memory(),
+            memory: Account::new(shares.account, clock, telemetry.clone()),
+            connections: ConnectionTable::default(),
+            discards: Arc::new(Semaphore::new(MAX_DISCARDS)),
+            clock,
+            telemetry,
             capacity_freed: Notify::new(),
             digest_due: Notify::new(),
             peer_socket: OnceLock::new(),
@@ -229,7 +244,6 @@
             closing: CancellationToken::new(),
             stop_limit: OnceLock::new(),
             tasks: TaskTracker::new(),
-            body_memory: Arc::new(Semaphore::new(bodies.min(Semaphore::MAX_PERMITS))),
             state: Mutex::new(state),
         })
     }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -13,7 +13,6 @@
 
 pub(super) use relay::pass_through;
 
-use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -23,18 +22,22 @@
 use coord::name::Service;
 use coord::origin::BuildKey;
 use coord::time::Time;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use rand::RngExt;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use self::repeats::Repeats;
 use crate::gateway::callers::answer::{Reason, Refusal};
+use crate::gateway::callers::body::{self, Keeping, ReadError};
+use crate::gateway::callers::connections::Connection;
 use crate::gateway::callers::content::Content;
+use crate::gateway::callers::memory::ledger::{Cause, Kind};
+use crate::gateway::callers::memory::{AnswerMemory, Buffer};
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, Standing};
 use crate::gateway::engines::directory::Directory;
@@ -55,9 +58,6 @@
 const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
 /// Time limit for that. The rest of a body arrives within milliseconds of its head.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// Memory reserved for a body of unknown size.
-const UNKNOWN_BODY_BYTES: u64 = 64 * 1024;
-
 /// Shortest time without a first event after which the caller of a stream is assumed to have given
 /// up. The longest of this time and the two multiples below applies.
 const STREAM_ABANDON_TIME: Duration = Duration::from_secs(2);
@@ -123,7 +123,8 @@
     maybe_executed: AtomicBool,
     /// Whether the current attempt goes through another gateway.
     forwarded: AtomicBool,
-    _memory: OwnedSemaphorePermit,
+    /// Memory of the answer.
+    memory: AnswerMemory,
 }
 
 impl CallerRequest {
@@ -258,7 +259,7 @@
 /// Handles one request of a caller.
 pub(super) async fn handle(
     ctx: Arc<Context>,
-    caller: IpAddr,
+    connection: Connection,
     request: Request<Incoming>,
 ) -> Response<BoxedBody> {
     let arrived = ctx.now();
@@ -272,18 +273,23 @@
         .map_or_else(Default::default, |meta| meta.id.clone());
     let mut caller_guard = CallerGuard::new(id, started);
     let mut content = None;
-    let answered = match read_request(&ctx, caller, (parts, body), (arrived, started)).await {
+    let mut serving = None;
+    let read = read_request(&ctx, &connection, (parts, body), (arrived, started)).await;
+    let answered = match read {
         Ok(req) => {
             content = Some(req.content.clone());
+            serving = Some(connection.serve());
             run(req).await
         }
         Err(refusal) => Err(refusal),
     };
     caller_guard.disarm();
-    let mut response = answered.unwrap_or_else(|refusal| {
-        log_refusal(&ctx, (meta.as_ref(), content), refusal, started);
-        refusal.response(&*ctx.dialect, meta.as_ref())
-    });
+    let mut response = answered
+        .unwrap_or_else(|refusal| {
+            log_refusal(&ctx, (meta.as_ref(), content), refusal, started);
+            refusal.response(&*ctx.dialect, meta.as_ref())
+        })
+        .map(|body| Keeping::boxed(body, serving));
     if ctx.stopping.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -314,20 +320,22 @@
 /// Finds the route of a request and reads its body.
 async fn read_request(
     ctx: &Arc<Context>,
-    caller: IpAddr,
+    connection: &Connection,
     (mut parts, body): (Parts, Incoming),
     (arrived, started): (Time, Instant),
 ) -> Result<CallerRequest, Refusal> {
     let (routing, route, organisation, meta) = match read_head(ctx, &parts) {
         Ok(read) => read,
         Err(refusal) => {
-            discard(body).await;
+            discard(ctx, body).await;
             return Err(refusal);
         }
     };
     let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + timeout;
-    let (body, memory) = read_body(ctx, &routing, body, deadline).await?;
+    let body = read_body(ctx, &routing, body, deadline).await?;
+    let patience = routing.limits.head_timeout;
+    let memory = AnswerMemory::new(&ctx.memory, patience, connection.close.clone());
     // The rest of a slow request may arrive long after callers were accepted.
     if !ctx.outlives(deadline) {
         return Err(Refusal::with_retry(Reason::Stopping, STOPPING_RETRY_AFTER));
@@ -338,7 +346,7 @@
     ctx.count_request(&service);
     let host = host(&parts.headers).or_else(|| parts.uri.host());
     let shared = shared_parts(ctx, &meta);
-    let caller = (caller, host.unwrap_or_default());
+    let caller = (connection.caller, host.unwrap_or_default());
     let content = Content::new(caller, &parts, &body, shared);
     headers::strip(&mut parts.headers);
     ctx.dialect.remove_reserved_headers(&mut parts.headers);
@@ -362,7 +370,7 @@
         deadline,
         maybe_executed: AtomicBool::new(false),
         forwarded: AtomicBool::new(false),
-        _memory: memory,
+        memory,
     })
 }
 
@@ -430,7 +438,10 @@
 
 /// Reads the body of a request that is refused. If the connection were closed before the body has
 /// arrived, the caller would fail to write it and might never read the refusal.
-async fn discard(mut body: Incoming) {
+async fn discard(ctx: &Context, mut body: Incoming) {
+    let Ok(_permit) = ctx.discards.try_acquire() else {
+        return;
+    };
     let discarded = async {
         let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
@@ -462,33 +473,38 @@
     value.split(':').next()
 }
 
+/// Reads the body of a request into memory of the account.
 async fn read_body(
     ctx: &Context,
     routing: &Routing,
-    body: Incoming,
+    mut body: Incoming,
     deadline: Instant,
-) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+) -> Result<Bytes, Refusal> {
     let limit = routing.limits.body_bytes;
     let hint = body.size_hint();
     if hint.lower() > limit as u64 {
         return Err(Refusal::new(Reason::TooLarge));
     }
-    let size = hint.exact().unwrap_or(UNKNOWN_BODY_BYTES);
-    let permits = u32::try_from(size).unwrap_or(u32::MAX);
-    let memory = Arc::clone(&ctx.body_memory).try_acquire_many_owned(permits);
-    let Ok(memory) = memory else {
-        discard(body).await;
-        return Err(Refusal::with_retry(Reason::Busy, BUSY_RETRY_AFTER));
-    };
-    let collected = timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    let collected = collected.map_err(|_| Refusal::new(Reason::SlowBody))?;
-    match collected {
-        Ok(collected) => Ok((collected.to_bytes(), memory)),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(Reason::TooLarge))
-        }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let eviction = CancellationToken::new();
+    let patience = routing.limits.head_timeout;
+    let hold = ctx.memory.open(Kind::Body, patience, eviction);
+    let length = hint.exact().and_then(|length| usize::try_from(length).ok());
+    let mut buffer = Buffer::new(hold, length, limit);
+    let read = timeout_at(deadline, body::read(&mut body, &mut buffer, limit)).await;
+    let read = read.map_err(|_| Refusal::new(Reason::SlowBody))?;
+    match read.and_then(|()| buffer.finish(Kind::Request).map_err(ReadError::Evicted)) {
+        Ok(bytes) => Ok(bytes),
+        Err(ReadError::TooLarge) => Err(Refusal::new(Reason::TooLarge)),
         // The caller disconnected, so nobody reads the response.
-        Err(_) => Err(Refusal::new(Reason::Malformed)),
+        Err(ReadError::Broken(_)) => Err(Refusal::new(Reason::Malformed)),
+        Err(ReadError::Evicted(Cause::Slow)) => Err(Refusal::new(Reason::SlowBody)),
+        Err(ReadError::Evicted(Cause::Busy)) => {
+            discard(ctx, body).await;
+            Err(Refusal::with_retry(Reason::Busy, BUSY_RETRY_AFTER))
+        }
     }
 }
 
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use border::Step;
-use bytes::Bytes;
 use coord::name::Upstream;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
 
 use super::send::{self, Answer, Failure};
@@ -14,6 +12,8 @@
 use crate::gateway::admission::load_table::Load;
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::callers::answer::{Reason, Refusal};
+use crate::gateway::callers::body::{self, ReadError};
+use crate::gateway::callers::memory::ledger::Kind;
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch;
 use crate::gateway::engines::health::Outcome;
@@ -169,29 +169,39 @@
 ) -> Result<Response<BoxedBody>, Failure> {
     let Answer {
         mut head,
-        body,
+        mut body,
         lease,
         guard,
         ..
     } = answer;
-    let announced = hyper::body::Body::size_hint(&body).lower();
+    let hint = hyper::body::Body::size_hint(&body);
+    let announced = hint.lower();
     headers::strip(&mut head.headers);
     if announced > MAX_BUFFERED_BYTES as u64 {
-        let body = relay::pass_through(body, (Some(lease), guard), req.deadline);
+        let body = relay::pass_through(
+            body,
+            (Some(lease), guard),
+            req.deadline,
+            Some(req.memory.clone()),
+        );
         return Ok(Response::from_parts(head, body));
     }
-    match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-        Ok(collected) => {
+    let length = hint.exact().and_then(|length| usize::try_from(length).ok());
+    let mut buffer = req.memory.buffer(length, MAX_BUFFERED_BYTES);
+    let read = body::read(&mut body, &mut buffer, MAX_BUFFERED_BYTES).await;
+    match read.and_then(|()| buffer.finish(Kind::Unread).map_err(ReadError::Evicted)) {
+        Ok(body) => {
             lease.release();
             guard.completed();
-            let body: Bytes = collected.to_bytes();
             Ok(Response::from_parts(head, full_body(body)))
         }
         Err(error) => {
-            let text = if error.is::<LengthLimitError>() {
-                "an answer without a content-length exceeds the buffer limit"
-            } else {
-                "the connection broke off within the answer"
+            let text = match error {
+                ReadError::TooLarge => {
+                    "an answer without a content-length exceeds the buffer limit"
+                }
+                ReadError::Broken(_) => "the connection broke off within the answer",
+                ReadError::Evicted(_) => "no memory is left for the answer",
             };
             Err(send::record_lost(req, choice, text))
         }
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -21,6 +21,7 @@
 use super::{CallerGuard, CallerRequest, millis, origin, plain};
 use crate::gateway::admission::placement::{Choice, Demand};
 use crate::gateway::callers::answer::{Reason, Refusal};
+use crate::gateway::callers::memory::AnswerMemory;
 use crate::gateway::context::Reservation;
 use crate::gateway::crash_watch::{self, AttemptGuard};
 use crate::gateway::engines::health::Outcome;
@@ -97,23 +98,35 @@
     body: Incoming,
     (lease, guard): (Option<Lease>, AttemptGuard),
     deadline: Instant,
+    memory: Option<AnswerMemory>,
 ) -> BoxedBody {
-    let frames = stream::unfold(Some((body, lease, guard)), move |source| async move {
-        let (mut body, lease, mut guard) = source?;
-        match timeout_at(deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                guard.record_output();
-                Some((Ok(frame), Some((body, lease, guard))))
-            }
-            Ok(Some(Err(error))) => Some((Err(error.into()), None)),
-            Ok(None) => {
-                if let Some(lease) = lease {
-                    lease.release();
+    let memory = memory.map(Arc::new);
+    let frames = stream::unfold(Some((body, lease, guard)), move |source| {
+        let memory = memory.clone();
+        async move {
+            let (mut body, lease, mut guard) = source?;
+            let read = async {
+                let frame = body.frame().await;
+                match (frame, &memory) {
+                    (Some(Ok(frame)), Some(memory)) => Some(Ok(memory.hold_frame(frame).await)),
+                    (frame, _) => frame,
+                }
+            };
+            match timeout_at(deadline, read).await {
+                Ok(Some(Ok(frame))) => {
+                    guard.record_output();
+                    Some((Ok(frame), Some((body, lease, guard))))
+                }
+                Ok(Some(Err(error))) => Some((Err(error.into()), None)),
+                Ok(None) => {
+                    if let Some(lease) = lease {
+                        lease.release();
+                    }
+                    guard.completed();
+                    None
                 }
-                guard.completed();
-                None
+                Err(_) => Some((Err("the request's deadline has passed".into()), None)),
             }
-            Err(_) => Some((Err("the request's deadline has passed".into()), None)),
         }
     });
     StreamBody::new(frames).boxed_unsync()
--- a/crates/cumindoor/src/gateway/fleet/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/fleet/forward/listener.rs
@@ -17,15 +17,17 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::{ATTEMPT, Attempt, DATA_CENTRE, FAILURE, Failure, SERVICE, note};
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::callers::content::Content;
 use crate::gateway::callers::listeners::{bind_tcp, keep_alive, serve_until_closing};
+use crate::gateway::callers::memory::Hold;
+use crate::gateway::callers::memory::ledger::Kind;
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, AttemptGuard, Standing};
 use crate::gateway::engines::health::Outcome;
@@ -281,10 +283,11 @@
 }
 
 /// Reserves memory for a body, or returns `None` if there is none left or the size is not stated.
-fn reserve_memory(ctx: &Context, body: &Incoming) -> Option<OwnedSemaphorePermit> {
-    let size = u32::try_from(body.size_hint().exact()?).ok()?;
-    let memory = Arc::clone(&ctx.body_memory);
-    memory.try_acquire_many_owned(size).ok()
+fn reserve_memory(ctx: &Context, body: &Incoming) -> Option<Hold> {
+    let size = usize::try_from(body.size_hint().exact()?).ok()?;
+    let eviction = CancellationToken::new();
+    let mut memory = ctx.memory.open(Kind::Request, Duration::MAX, eviction);
+    memory.try_grow(size).then_some(memory)
 }
 
 async fn read_body(ctx: &Context, body: Incoming, deadline: Instant) -> Result<Bytes, Failure> {
@@ -345,6 +348,6 @@
     // An upstream may write a refusal once more, in the place of the answer to the next request on the connection.
     let ran = !(reply.misdirected || reply.not_executed);
     let lease = Some(connected.lease).filter(|_| ran);
-    let body = pass_through(body, (lease, guard), deadline);
+    let body = pass_through(body, (lease, guard), deadline, None);
     Response::from_parts(head, body)
 }
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -89,10 +89,15 @@
     pub struct Resources {
         /// Maximum number of connections from callers.
         connections: Count = "connections" Value("3000") ["10" to "1000000"],
-        /// Maximum memory for request bodies.
-        bodies: Bytes = "bodies" Value("32 MB") ["1 MB" to "64 GB"],
+        /// Maximum memory for request bodies, and for answers that callers have not taken yet. If it is absent, it
+        /// follows from `memory`, and is 32 MB without that.
+        bodies: Option<Bytes> = "bodies" Absent ["1 MB" to "64 GB"],
         /// Bandwidth of the network link in Mbit/s. Digests to other gateways fill a part of it.
         link: Ratio = "link" Value("1000") ["0.1" to "1000000"],
+        /// Memory of the machine for this process. It bounds bodies, unread answers and connections of callers.
+        memory: Option<Bytes> = "memory" Absent ["32 MB" to "1024 GB"],
+        /// Descriptors of the process, 200 of them for files. They bound connections of callers.
+        descriptors: Option<Count> = "descriptors" Absent ["256" to "10000000"],
     }
 }
 
--- a/crates/cumindoor/tests/gateway_pages.rs
+++ b/crates/cumindoor/tests/gateway_pages.rs
@@ -91,7 +91,7 @@
 /// Guards against a refusal that operators cannot look up.
 #[test]
 fn every_refusal_is_listed() {
-    let text = std::fs::read_to_string(crate_dir().join("src/gateway/answer.rs")).unwrap();
+    let text = std::fs::read_to_string(crate_dir().join("src/gateway/callers/answer.rs")).unwrap();
     let displays = text.match_indices("#[display(\"");
     let reasons = displays.map(|(at, open)| {
         let rest = &text[at + open.len()..];
