Learn how long work takes at each upstream

Cause: upstreams of a service differ in speed, and their machines are shared. The gateway knew neither, and did not use the slowdown that upstreams state in their answers. Change: engines::speeds keeps a ratio and the last stated slowdown for each start of an upstream. Observations are the time of a prefill for each token if no other prompt was queued, the mean of 16 gaps between the events of a stream and the time of a plain call, each compared with the moving mean of its service and kind of work, without the stated slowdown. The setting speeds in [upstreams] enables it; it is off by default. Conclusion: each gateway learns from its own answers only, which are few in a large fleet.

--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -183,11 +183,13 @@
         seed: u64,
     ) -> Arc<Self> {
         let own = settings.fleet.address.0.ip();
+        let mut directory = Directory::default();
+        directory.speeds.activate(settings.upstreams.speeds);
         let bodies = usize::try_from(settings.resources.bodies.0).unwrap_or(usize::MAX);
         let state = State {
             routing: None,
             keys: Arc::default(),
-            directory: Directory::default(),
+            directory,
             loads: LoadTable::default(),
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -253,8 +255,10 @@
         if **current == settings {
             return;
         }
+        let learns = settings.upstreams.speeds;
         *current = Arc::new(settings);
         drop(current);
+        self.state().directory.speeds.activate(learns);
         log::info!("settings reloaded");
         self.digest_due.notify_one();
     }
--- a/crates/cumindoor/src/gateway/engines/directory.rs
+++ b/crates/cumindoor/src/gateway/engines/directory.rs
@@ -14,6 +14,7 @@
 use crate::gateway::admission::load_table::{Key, service_key, upstream_key};
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::engines::health::Health;
+use crate::gateway::engines::speeds::Speeds;
 use crate::gateway::engines::statements::Statements;
 
 /// An upstream as this gateway sees it: its published entry and the results of recent requests.
@@ -77,6 +78,8 @@
     /// draining upstreams.
     grace_until: Time,
     complete: bool,
+    /// How long work takes at each upstream.
+    pub speeds: Speeds,
 }
 
 impl Endpoint {
@@ -148,6 +151,7 @@
         let upstreams = &self.upstreams;
         let is_listed = |key| upstreams.values().any(|endpoint| endpoint.limit_key == key);
         self.statements.expire(now, is_listed);
+        self.speeds.expire(now, is_listed);
         if now < self.grace_until {
             return Vec::new();
         }
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 pub mod events;
 mod model;
 mod origin;
+mod pace;
 mod place;
 mod plain;
 mod relay;
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -17,7 +17,7 @@
 use super::relay::{self, DecodeRun};
 use super::send::{self, Failure};
 use super::silence::{self, Patience, Watched};
-use super::{CallerRequest, millis, wait};
+use super::{CallerRequest, millis, pace, wait};
 use crate::gateway::admission::placement::{Choice, Demand};
 use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation};
@@ -309,7 +309,7 @@
         let estimate = f64::from(queued_tokens) / MIN_PREFILL_TOKENS_PER_MS;
         let estimate = Duration::from_secs_f64(estimate / 1_000.0);
         let limit = estimate.mul_f64(PREFILL_TIMEOUT_FACTOR) + PREFILL_TIMEOUT_MARGIN;
-        let call = self.call(&choice, &mut reservation);
+        let call = self.call(&choice, &mut reservation, queued_tokens);
         let late = async {
             sleep(limit).await;
             // Without a retry, the request could go nowhere else.
@@ -351,6 +351,7 @@
         &self,
         choice: &Choice,
         reservation: &mut Reservation,
+        queued_tokens: u32,
     ) -> Result<HeldPrefill, Failure> {
         let ctx = &self.req.ctx;
         let started = ctx.now();
@@ -367,6 +368,8 @@
         let prefilled = prefilled.map_err(|error| lost(error.to_string()))?;
         let spent = ctx.now().since(started);
         ctx.telemetry.time("prefill.time", spent);
+        let tokens = (self.demand.prompt_tokens, queued_tokens);
+        pace::record_prefill(self.req, choice, tokens, spent);
         let (id, upstream) = (&*self.req.meta.id, choice.name.as_str());
         log::debug!(id, upstream, tokens = prefilled.tokens, ms = millis(spent); "prefilled");
         Ok(HeldPrefill {
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -10,7 +10,7 @@
 
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Successor, Watched};
-use super::{CallerRequest, millis, origin, relay, wait};
+use super::{CallerRequest, millis, origin, pace, relay, wait};
 use crate::gateway::admission::load_table::Load;
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::callers::answer::{Reason, Refusal};
@@ -133,9 +133,13 @@
     req: &CallerRequest,
     (choice, reservation): (&Choice, &mut Reservation),
 ) -> Result<AttemptResult, Failure> {
+    let asked = req.ctx.now();
     let answer = send::send(req, (choice, reservation), Step::EndToEnd, None).await?;
     let status = answer.head.status;
     let response = buffer_small(req, choice, answer).await?;
+    if status.is_success() && !req.kind().is_stream() {
+        pace::record_call(req, choice, req.ctx.now().since(asked));
+    }
     if req.kind().is_stream() && status.is_success() {
         let has_other_build = req.ctx.state().directory.has_other_build(choice);
         if has_other_build && req.build().is_some() {
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -16,6 +16,7 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::pace::Pace;
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Place, Successor, Watched};
 use super::{CallerGuard, CallerRequest, millis, origin, plain};
@@ -82,6 +83,7 @@
         last_event: req.started,
         ended: false,
         caller_guard: CallerGuard::new(req.meta.id.clone(), req.started),
+        pace: Pace::default(),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
@@ -135,6 +137,7 @@
     last_event: Instant,
     ended: bool,
     caller_guard: CallerGuard,
+    pace: Pace,
 }
 
 /// Whether the engine has another version by now, so that nobody can tell which one wrote the events.
@@ -235,6 +238,7 @@
                     let pushed = self.events.push(&data);
                     if self.events.ended() > ended {
                         lease.begin_part();
+                        self.pace.record(req, &run.choice, self.events.ended());
                     }
                     match pushed {
                         Ok(ready) => Received::Events(ready),
@@ -452,6 +456,7 @@
             demand,
         });
         self.source = Some((answer.body, answer.lease, answer.guard));
+        self.pace = Pace::default();
         Ok(())
     }
 }
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::sleep;
 
-use super::CallerRequest;
+use super::{CallerRequest, pace};
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::admission::rate_limits::{self, Permit};
 use crate::gateway::context::Reservation;
@@ -173,6 +173,7 @@
             let reply = req.ctx.dialect.parse_reply(head.status, &head.headers);
             if !is_foreign(req, &reply) {
                 statements::record(&req.ctx, choice, &reply.statement);
+                pace::record_stated(req, choice, &reply);
                 let served = head.status.is_success() && (reply.signed || prefill);
                 if served {
                     guard.record_success();
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -84,6 +84,15 @@
     }
 }
 
+ini::section! {
+    /// What is learned of upstreams.
+    pub struct UpstreamSettings {
+        /// Whether requests are placed by how long work takes at each upstream, as observed by all gateways and
+        /// stated by the upstreams, instead of by load alone.
+        speeds: bool = "speeds" Value("no"),
+    }
+}
+
 ini::section! {
     /// Resources that the process may use.
     pub struct Resources {
@@ -137,6 +146,8 @@
     pub resources: Resources,
     /// `[lines]`
     pub lines: LogSettings,
+    /// `[upstreams]`
+    pub upstreams: UpstreamSettings,
 }
 
 /// The sections of a gateway's settings and the keys of each.
@@ -149,6 +160,7 @@
     ("orders", <OrderSettings as ini::TypedSection>::KEYS),
     ("resources", <Resources as ini::TypedSection>::KEYS),
     ("lines", <LogSettings as ini::TypedSection>::KEYS),
+    ("upstreams", <UpstreamSettings as ini::TypedSection>::KEYS),
 ];
 
 impl Settings {
@@ -183,6 +195,7 @@
         let orders = find("orders").read(findings);
         let resources = find("resources").read(findings);
         let lines = find("lines").read(findings);
+        let upstreams = find("upstreams").read(findings);
         Some(Self {
             gateway: gateway?,
             listen: listen?,
@@ -192,6 +205,7 @@
             orders: orders?,
             resources: resources?,
             lines: lines?,
+            upstreams: upstreams?,
         })
     }
 
@@ -216,6 +230,7 @@
         write_section(&mut text, "orders", &self.orders);
         write_section(&mut text, "resources", &self.resources);
         write_section(&mut text, "lines", &self.lines);
+        write_section(&mut text, "upstreams", &self.upstreams);
         f.write_str(&text)
     }
 }
