Report observed speeds in digests

Cause: of 65 gateways, each uses a given upstream once every half minute, while a machine changes every 0.6 s. Gateways that receive a digest apply them as their own. Digests without loads, which go to distant gateways, have no observations. A lost digest loses its observations; others follow.

--- a/crates/cumindoor/src/gateway/admission/load_table.rs
+++ b/crates/cumindoor/src/gateway/admission/load_table.rs
@@ -20,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::admission::trials::Trial;
+use crate::gateway::engines::speeds::Observation;
 use crate::gateway::fleet::peer_list::NEIGHBOURS;
 
 /// Time without a digest after which a peer is removed.
@@ -163,6 +164,10 @@
     /// send it.
     #[serde(default)]
     pub unreachable: Vec<Key>,
+    /// What answers told the sender of the speed of upstreams since its last digest. Gateways of older builds
+    /// do not send it.
+    #[serde(default)]
+    pub observed: Vec<Observation>,
 }
 
 /// The crashes of upstreams that a gateway knows of, in a datagram of their own: most of the time
--- a/crates/cumindoor/src/gateway/fleet/peers.rs
+++ b/crates/cumindoor/src/gateway/fleet/peers.rs
@@ -166,7 +166,7 @@
 
     /// Handles a datagram.
     fn receive(&self, peer_list: &mut PeerList, from: SocketAddr, bytes: &[u8]) -> Effect {
-        let Ok(digest) = rmp_serde::from_slice::<Digest>(bytes) else {
+        let Ok(mut digest) = rmp_serde::from_slice::<Digest>(bytes) else {
             return self.receive_report(from, bytes);
         };
         let now = self.ctx.now();
@@ -174,6 +174,7 @@
         let known = self.ctx.state().loads.is_live(from);
         let leaving = digest.stopping;
         let unreachable = digest.unreachable.clone();
+        let observed = std::mem::take(&mut digest.observed);
         let (changed, newly_lost) = {
             let mut state = self.ctx.state();
             for key in digest.departing.iter().take(MAX_DEPARTING) {
@@ -185,6 +186,9 @@
             }
             let newly_lost = state.loads.newly_unreachable(from, &unreachable);
             let changed = state.loads.apply_digest(now, from, digest);
+            if changed {
+                state.directory.speeds.merge(now, &observed);
+            }
             (changed, state.directory.services(&newly_lost))
         };
         // What cut the other gateway off may have cut this one off as well. A check costs a question to an upstream,
@@ -267,6 +271,7 @@
     /// Sends a digest to those that have to know the load, and one without it to some of the others.
     async fn send(&self, peer_list: &PeerList, audience: &Audience, heartbeat: bool) {
         let mut digest = self.digest();
+        digest.observed = self.ctx.state().directory.speeds.take_untold();
         if heartbeat {
             digest.peers = peer_list.listed(self.ctx.now());
         }
@@ -278,6 +283,7 @@
         self.socket.send(&digest, &audience.near).await;
         digest.loads.clear();
         digest.waiting.clear();
+        digest.observed.clear();
         if heartbeat && is_for_all {
             self.socket.send(&digest, &self.distant(audience)).await;
         } else if !audience.distant.is_empty() {
