Place requests by expected completion

Cause: placement compared loads alone, so slow engines got as much work as fast ones, and an engine whose machine was busy as much as any other. Change: a prefill goes where the queued tokens and its own end first, a decode where the memory in use weighs least once multiplied by how long work takes, a plain call where the running calls and it end first. Figures that are all 1 give exactly the former scores. An engine whose events would come later than the route's longest gap gets a stream only if no other has room. Placer::choose_prefill takes the demand and Placer the longest gap; the tests of placement pass them, and their assertions are as before.

--- a/crates/cumindoor/src/gateway/admission/placement.rs
+++ b/crates/cumindoor/src/gateway/admission/placement.rs
@@ -11,8 +11,9 @@
 use coord::time::Time;
 use rand::{Rng, RngExt};
 
-use crate::gateway::admission::load_table::{Key, Load, LoadTable};
+use crate::gateway::admission::load_table::{Key, Load, LoadTable, service_key};
 use crate::gateway::engines::directory::{Directory, Endpoint};
+use crate::gateway::engines::speeds::Work;
 
 /// Share of an engine's KV cache that placements may fill. The rest is left for partially filled
 /// blocks, cached prefixes and placements that other gateways make at the same moment.
@@ -38,6 +39,10 @@
 /// Score added to a prefill engine of another build than the decode engine, which imports what it wrote. A
 /// queue of 2,000 prompt tokens adds as much.
 const OTHER_BUILD_WEIGHT: f64 = 0.3;
+/// Time that a stream is assumed to take. A slowdown that is stated now holds only for its first part.
+const DECODE_SPAN: Duration = Duration::from_secs(2);
+/// Longest gap of a stream as a multiple of the mean gap of its engine. Other work on the machine holds up some events.
+const LONGEST_GAP: f64 = 2.0;
 /// Requests for each slot of a plain upstream, including those that queue at the upstream.
 const REQUESTS_PER_SLOT: u32 = 2;
 
@@ -129,6 +134,13 @@
     }
 }
 
+/// Returns the work until the end of a request with `own` work behind `queued` at an upstream on which all of it takes
+/// `factor` times as long as usual, less the request's own at the usual speed, which is the same everywhere.
+/// It is exactly `queued` at the usual speed.
+fn slowed(queued: u32, own: u32, factor: f64) -> f64 {
+    (f64::from(queued) + f64::from(own)) * factor - f64::from(own)
+}
+
 /// Rounds to a whole number of tokens.
 #[expect(
     clippy::cast_possible_truncation,
@@ -197,6 +209,8 @@
     /// Number of candidates that are left to other gateways whose requests take precedence, or
     /// `None` if no requests wait at other gateways, so that the best candidate may be taken.
     pub rank: Option<usize>,
+    /// Longest gap between the events of a stream that is on time, if the route names one.
+    pub max_gap: Option<Duration>,
 }
 
 impl<'a, R: Rng> Placer<'a, R> {
@@ -206,20 +220,28 @@
         let slots = |e: &Endpoint| believed_slots(e.entry.slots, usual);
         let has_room =
             |e: &Endpoint, load: Load| load.requests < slots(e).saturating_mul(REQUESTS_PER_SLOT);
-        let load_score = |e: &Endpoint, load: Load| f64::from(load.requests) / f64::from(slots(e));
-        self.choose(service, None, tried, has_room, load_score)
+        let (directory, now) = (self.directory, self.now);
+        let load_score = |e: &Endpoint, load: Load| {
+            let factor = directory.speeds.factor(now, e.limit_key);
+            slowed(load.requests, 1, factor) / f64::from(slots(e))
+        };
+        self.choose(service, None, tried, has_room, load_score, |_| false)
     }
 
     /// Chooses an engine for the prefill of a prompt, preferably of the build of the engine that decodes.
     pub fn choose_prefill(
         &mut self,
         service: &Service,
+        demand: Demand,
         decode: BuildKey,
         tried: &[Upstream],
     ) -> Option<Choice> {
+        let (directory, now) = (self.directory, self.now);
         // 1000 prompt tokens add as much to the score as a location in another data centre.
         let load_score = |endpoint: &Endpoint, load: Load| {
-            let queued = f64::from(load.unprefilled_tokens) / 1_000.0 * REMOTE_WEIGHT;
+            let factor = directory.speeds.factor(now, endpoint.limit_key);
+            let tokens = slowed(load.unprefilled_tokens, demand.prompt_tokens, factor);
+            let queued = tokens / 1_000.0 * REMOTE_WEIGHT;
             let is_other = endpoint.build != decode;
             queued + if is_other { OTHER_BUILD_WEIGHT } else { 0.0 }
         };
@@ -229,6 +251,7 @@
             tried,
             |_, _| true,
             load_score,
+            |_| false,
         )
     }
 
@@ -268,9 +291,24 @@
             load.kv_tokens.saturating_add(demand.kv_tokens) <= limit
                 && load.requests < e.entry.slots
         };
-        let load_score =
-            |_: &Endpoint, load: Load| f64::from(load.kv_tokens) / f64::from(model.kv_capacity);
-        self.choose(service, Some(Stage::Decode), tried, has_room, load_score)
+        let (directory, now) = (self.directory, self.now);
+        let factor = |e: &Endpoint| directory.speeds.factor_over(now, e.limit_key, DECODE_SPAN);
+        let load_score = |e: &Endpoint, load: Load| {
+            slowed(load.kv_tokens, demand.kv_tokens, factor(e)) / f64::from(model.kv_capacity)
+        };
+        let gap = directory.speeds.usual(service_key(service), Work::Event);
+        let gap = gap.zip(self.max_gap);
+        let is_late = |e: &Endpoint| {
+            gap.is_some_and(|(usual, max)| usual.mul_f64(factor(e) * LONGEST_GAP) > max)
+        };
+        self.choose(
+            service,
+            Some(Stage::Decode),
+            tried,
+            has_room,
+            load_score,
+            is_late,
+        )
     }
 
     /// Returns the upstream that takes a request next, if all that could take it are limited and none of them
@@ -346,6 +384,8 @@
         first
     }
 
+    /// Chooses the upstream with room and the lowest score, or another one near it. Those that are the last choice get
+    /// the request only if no others have room.
     fn choose(
         &mut self,
         service: &Service,
@@ -353,11 +393,15 @@
         tried: &[Upstream],
         has_room: impl Fn(&Endpoint, Load) -> bool,
         load_score: impl Fn(&Endpoint, Load) -> f64,
+        is_last: impl Fn(&Endpoint) -> bool,
     ) -> Option<Choice> {
         let mut candidates = match self.candidates(service, stage, tried, has_room, load_score) {
             Ok(candidates) => candidates,
             Err(suspect) => return suspect,
         };
+        if candidates.iter().any(|(_, endpoint)| !is_last(endpoint)) {
+            candidates.retain(|(_, endpoint)| !is_last(endpoint));
+        }
         if let Some(rank) = self.rank {
             // All gateways sort by key, so that each rank means the same upstream everywhere.
             candidates.sort_by_key(|(_, endpoint)| endpoint.key);
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -69,7 +69,7 @@
         let mut placer = placer(req, &mut state, Some(search));
         // The result is moved from one engine to the other.
         placer.preferred = &decode.data_centre;
-        placer.choose_prefill(&req.service, decode.build, search.tried)
+        placer.choose_prefill(&req.service, demand, decode.build, search.tried)
     };
     let choice = choice.ok_or(Refusal::with_retry(
         Reason::NoUpstream,
@@ -343,6 +343,7 @@
         now: req.ctx.now(),
         rng: &mut state.rng,
         rank: None,
+        max_gap: req.route.max_gap,
     }
 }
 
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -108,6 +108,7 @@
             now,
             rng: &mut self.rng,
             rank: self.rank,
+            max_gap: None,
         }
     }
 
@@ -565,7 +566,9 @@
         let mut placer = fixture.placer(&preferred, ms(1));
         let chosen = match stage {
             None => placer.choose_plain(&service, &[]),
-            Some(Stage::Prefill) => placer.choose_prefill(&service, build_key("s", "v2"), &[]),
+            Some(Stage::Prefill) => {
+                placer.choose_prefill(&service, demand, build_key("s", "v2"), &[])
+            }
             Some(Stage::Decode) => placer.choose_decode(&service, &model(), demand, &[]),
         };
         assert_eq!(chosen.map(|choice| choice.name), Some("a".into()));
@@ -581,9 +584,13 @@
     fixture.directory = versions(&["v1", "v2"], Some(Stage::Prefill));
     let preferred = DataCentre::from("z");
     let service = Service::from("s");
+    let demand = Demand {
+        prompt_tokens: 100,
+        kv_tokens: 100,
+    };
     let prefill = |fixture: &mut Fixture| {
         let mut placer = fixture.placer(&preferred, ms(1));
-        let chosen = placer.choose_prefill(&service, build_key("s", "v2"), &[]);
+        let chosen = placer.choose_prefill(&service, demand, build_key("s", "v2"), &[]);
         chosen.unwrap().name
     };
 
