--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -206,10 +206,12 @@
         let own = settings.fleet.address.0.ip();
         let shares = Shares::new(&settings.resources);
         let (clock, telemetry) = (Clock::start(), Telemetry::in_memory());
+        let mut directory = Directory::default();
+        directory.speeds.activate(settings.upstreams.speeds);
         let state = State {
             routing: None,
             keys: Arc::default(),
-            directory: Directory::default(),
+            directory,
             loads: LoadTable::default(),
             queues: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -277,8 +279,10 @@
         if **current == settings {
             return;
         }
+        let learns = settings.upstreams.speeds;
         *current = Arc::new(settings);
         drop(current);
+        self.state().directory.speeds.activate(learns);
         log::info!("settings reloaded");
         self.digest_due.notify_one();
     }
