--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod fence;
 pub mod freshness;
 pub mod hash;
+pub mod hedge;
 pub mod lease;
 pub mod limit;
 pub mod member;
