Send a second copy of slow idempotent plain calls

Change: [copies] share, 0 by default, lets an idempotent plain call that takes longer than usual go to a second upstream. The first answer that is no server error wins; the other copy is cancelled by dropping it, which closes its connection, changes no health and accuses nobody. If one fails, the other one is the retry. A copy needs an attempt of the route's maximum and a retry, and leaves the last quarter of the retry budget. With share 0 nothing is recorded. Metrics copy.sent, copy.won and copy.denied, log line copy sent. Conclusion: streams are not copied, and an upstream that states a slowdown may get a copy.

--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -7,6 +7,7 @@
 
 use border::{Catalogue, Dialect, Routing, Topic};
 use coord::freshness::Freshness;
+use coord::hedge::Hedge;
 use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{Origins, StreamKey};
@@ -102,6 +103,8 @@
     pub freshness: BTreeMap<Topic, Freshness>,
     /// Random source for weighted choices.
     pub rng: ChaCha8Rng,
+    /// Copies of slow requests, by service.
+    pub copies: BTreeMap<Service, Hedge>,
 }
 
 impl State {
@@ -217,6 +220,7 @@
             seen: Seen::default(),
             freshness: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            copies: BTreeMap::new(),
         };
         Arc::new(Self {
             data_centre: settings.gateway.data_centre.clone(),
@@ -376,8 +380,19 @@
     /// Returns whether the budget has a retry. Unlike [`Self::try_retry`], it takes and logs nothing.
     #[must_use]
     pub fn has_retry(&self, service: &Service) -> bool {
+        self.has_retry_of(service, 1.0)
+    }
+
+    /// Returns whether the budget has a retry if no more than a share of it may be used.
+    #[must_use]
+    pub fn has_retry_of(&self, service: &Service, share: f64) -> bool {
         let now = self.now();
         let limit = self.retry_limit();
+        let limit = RetryLimit {
+            ratio: limit.ratio * share,
+            slack: limit.slack * share,
+            ..limit
+        };
         let division = self.division(now);
         let mut state = self.state();
         let budget = state.retry_budget(service_key(service));
--- a/crates/cumindoor/src/gateway/crash_watch.rs
+++ b/crates/cumindoor/src/gateway/crash_watch.rs
@@ -248,6 +248,11 @@
     ctx.telemetry.add("crash.reported", count);
 }
 
+/// Ends the watch over an attempt whose connection the gateway closes because a copy of the request was answered.
+pub fn withdraw(ctx: &Context, id: &str, upstream: &Upstream) {
+    ctx.state().lost_attempts.withdraw(id, upstream);
+}
+
 /// Takes note of a change to the list of upstreams.
 pub fn record_change(ctx: &Arc<Context>, name: &Upstream, change: &UpstreamChange) {
     let now = ctx.now();
--- a/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
+++ b/crates/cumindoor/src/gateway/crash_watch/attempt_guard.rs
@@ -62,6 +62,7 @@
             at: Time::ZERO,
             on_trial,
             crashed: CancellationToken::new(),
+            withdrawn: CancellationToken::new(),
         };
         let number = ctx.state().lost_attempts.begin(lost.clone());
         if on_trial {
@@ -166,6 +167,9 @@
         let Some(mut lost) = self.lost.take() else {
             return;
         };
+        if lost.withdrawn.is_cancelled() {
+            return;
+        }
         lost.at = self.ctx.now();
         let proven = |first| lost.at.since(first) >= PROBATION;
         if !self.first_output.is_some_and(proven) {
--- a/crates/cumindoor/src/gateway/crash_watch/lost_attempts.rs
+++ b/crates/cumindoor/src/gateway/crash_watch/lost_attempts.rs
@@ -33,6 +33,8 @@
     pub(super) on_trial: bool,
     /// Cancelled when the upstream turns out to have crashed.
     pub(super) crashed: CancellationToken,
+    /// Cancelled when the gateway itself ends the attempt, because a copy of it was answered.
+    pub(super) withdrawn: CancellationToken,
 }
 
 impl LostAttempt {
@@ -73,6 +75,16 @@
         self.silent.remove(&number);
     }
 
+    /// Marks an attempt without output as one that the gateway itself ends.
+    pub(super) fn withdraw(&self, id: &str, upstream: &Upstream) {
+        let attempts = self.silent.values();
+        let is_same =
+            |attempt: &&LostAttempt| *attempt.id == *id && attempt.upstream.upstream == *upstream;
+        for attempt in attempts.filter(is_same) {
+            attempt.withdrawn.cancel();
+        }
+    }
+
     /// Returns whether an attempt goes on without output.
     pub(super) fn is_silent(&self, number: u64) -> bool {
         self.silent.contains_key(&number)
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its head to its final response.
 
+mod copies;
 pub mod events;
 mod model;
 mod origin;
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -8,8 +8,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Response;
 
+use super::copies::{self, Course};
 use super::send::{self, Answer, Failure};
-use super::silence::{self, Patience, Successor, Watched};
+use super::silence::{self, Successor, Watched};
 use super::{CallerRequest, millis, origin, relay, wait};
 use crate::gateway::admission::load_table::Load;
 use crate::gateway::admission::placement::Choice;
@@ -30,13 +31,16 @@
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Result of an attempt that was answered.
-enum AttemptResult {
+pub(super) enum AttemptResult {
     /// An answer for the caller.
     Answered(Response<BoxedBody>),
     /// A server error, which is sent to the caller if no later attempt is answered.
     Failed(Response<BoxedBody>),
 }
 
+/// Result of an attempt.
+pub(super) type Attempted = Result<AttemptResult, Failure>;
+
 /// Sends a request to one upstream after the other.
 pub(super) async fn run(req: &CallerRequest) -> Result<Response<BoxedBody>, Refusal> {
     let mut tried: Vec<Upstream> = Vec::new();
@@ -46,6 +50,7 @@
     let mut next = None;
     // Whether an upstream that may have answered was given up. What others lack is then waited for.
     let mut moved = false;
+    copies::count(req);
     loop {
         let waited = match next.take() {
             Some(place) => Ok(place),
@@ -61,11 +66,15 @@
         };
         tried.push(choice.name.clone());
         attempts += 1;
+        let course = Course {
+            tried: &mut tried,
+            attempts: &mut attempts,
+        };
+        let ended = copies::attempt(req, (&choice, &mut reservation), course).await;
+        let choice = ended.copy.unwrap_or(choice);
+        fallback = ended.failed.or(fallback);
         let may_retry = req.kind().is_retryable() && attempts < req.route.max_attempts;
-        let successor = may_retry.then_some(Successor::Plain(&tried));
-        let patience = Patience::plain(req, successor).repeatable(may_retry);
-        let attempt = attempt(req, (&choice, &mut reservation));
-        let outcome = match silence::watch(req, &choice, patience, attempt).await {
+        let outcome = match ended.outcome {
             Watched::Answered(outcome) => outcome,
             Watched::Gone => Err(send::record_lost(req, &choice, silence::GONE)),
             Watched::Replaced(place) => {
@@ -129,10 +138,11 @@
     }
 }
 
-async fn attempt(
+/// Sends a request to one upstream and reads its answer.
+pub(super) async fn attempt(
     req: &CallerRequest,
     (choice, reservation): (&Choice, &mut Reservation),
-) -> Result<AttemptResult, Failure> {
+) -> Attempted {
     let answer = send::send(req, (choice, reservation), Step::EndToEnd, None).await?;
     let status = answer.head.status;
     let response = buffer_small(req, choice, answer).await?;
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -96,6 +96,14 @@
     }
 }
 
+ini::section! {
+    /// Second copies of requests that take longer than usual. Only requests that may run more than once are copied.
+    pub struct CopySettings {
+        /// Copies allowed for each request of a service; 0 turns them off.
+        share: Ratio = "share" Value("0") ["0" to "0.5"],
+    }
+}
+
 ini::section! {
     /// Log output.
     pub struct LogSettings {
@@ -137,6 +145,8 @@
     pub resources: Resources,
     /// `[lines]`
     pub lines: LogSettings,
+    /// `[copies]`
+    pub copies: CopySettings,
 }
 
 /// The sections of a gateway's settings and the keys of each.
@@ -149,6 +159,7 @@
     ("orders", <OrderSettings as ini::TypedSection>::KEYS),
     ("resources", <Resources as ini::TypedSection>::KEYS),
     ("lines", <LogSettings as ini::TypedSection>::KEYS),
+    ("copies", <CopySettings as ini::TypedSection>::KEYS),
 ];
 
 impl Settings {
@@ -183,6 +194,7 @@
         let orders = find("orders").read(findings);
         let resources = find("resources").read(findings);
         let lines = find("lines").read(findings);
+        let copies = find("copies").read(findings);
         Some(Self {
             gateway: gateway?,
             listen: listen?,
@@ -192,6 +204,7 @@
             orders: orders?,
             resources: resources?,
             lines: lines?,
+            copies: copies?,
         })
     }
 
@@ -216,6 +229,7 @@
         write_section(&mut text, "orders", &self.orders);
         write_section(&mut text, "resources", &self.resources);
         write_section(&mut text, "lines", &self.lines);
+        write_section(&mut text, "copies", &self.copies);
         f.write_str(&text)
     }
 }
