--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -110,6 +110,14 @@
     }
 }
 
+ini::section! {
+    /// Second copies of requests that take longer than usual. Only requests that may run more than once are copied.
+    pub struct CopySettings {
+        /// Copies allowed for each request of a service; 0 turns them off.
+        share: Ratio = "share" Value("0") ["0" to "0.5"],
+    }
+}
+
 ini::section! {
     /// Log output.
     pub struct LogSettings {
@@ -153,6 +161,8 @@
     pub lines: LogSettings,
     /// `[upstreams]`
     pub upstreams: UpstreamSettings,
+    /// `[copies]`
+    pub copies: CopySettings,
 }
 
 /// The sections of a gateway's settings and the keys of each.
@@ -166,6 +176,7 @@
     ("resources", <Resources as ini::TypedSection>::KEYS),
     ("lines", <LogSettings as ini::TypedSection>::KEYS),
     ("upstreams", <UpstreamSettings as ini::TypedSection>::KEYS),
+    ("copies", <CopySettings as ini::TypedSection>::KEYS),
 ];
 
 impl Settings {
@@ -201,6 +212,7 @@
         let resources = find("resources").read(findings);
         let lines = find("lines").read(findings);
         let upstreams = find("upstreams").read(findings);
+        let copies = find("copies").read(findings);
         Some(Self {
             gateway: gateway?,
             listen: listen?,
@@ -211,6 +223,7 @@
             resources: resources?,
             lines: lines?,
             upstreams: upstreams?,
+            copies: copies?,
         })
     }
 
@@ -236,6 +249,7 @@
         write_section(&mut text, "resources", &self.resources);
         write_section(&mut text, "lines", &self.lines);
         write_section(&mut text, "upstreams", &self.upstreams);
+        write_section(&mut text, "copies", &self.copies);
         f.write_str(&text)
     }
 }
