--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -46,4 +46,5 @@
 pub mod retry;
 pub mod ring;
 pub mod sched;
+pub mod share;
 pub mod time;
