Place requests by the urgency of their classes

Cause: with 61 gateways, each queue holds one request or none, so the order between gateways decides, and it ignored priorities: the most urgent requests waited for the shortest time and were served worst. Change: requests of a service form classes by urgency: the priority of the organisation, else of the route, then that of the route. A class takes decode memory only while it and the less urgent ones hold less than their part. Digests tell, as their last field, what classes ask for and hold and the urgency of the first waiting request; free places go by urgency first. A request passes the first of its queue only if it is as urgent. The wait is estimated from the part of the class, so a request without hope is refused at once. Requests whose prompt was read are not limited. A service whose requests have one urgency has no classes: neither its digests nor its decisions change. The urgency of the first request is in the classes of the digest, not in Waiting, so that these digests and the existing tests stay as they are. Watched::Replaced is boxed, because a reservation has grown. Conclusion: the shares of organisations within a class are not begun.

--- a/crates/cumindoor/src/gateway/admission.rs
+++ b/crates/cumindoor/src/gateway/admission.rs
@@ -4,6 +4,7 @@
 //! Most of these modules have neither network nor clock. See `docs/design/hard-load.md`.
 
 pub mod balance;
+pub mod classes;
 pub mod load_table;
 pub(super) mod orders;
 pub mod placement;
--- a/crates/cumindoor/src/gateway/admission/load_table.rs
+++ b/crates/cumindoor/src/gateway/admission/load_table.rs
@@ -6,6 +6,8 @@
 //! no more digests is dropped, because it is assumed to have lost its connections to the upstreams
 //! too.
 
+mod classes;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -22,6 +24,8 @@
 use crate::gateway::admission::trials::Trial;
 use crate::gateway::fleet::peer_list::NEIGHBOURS;
 
+pub use classes::{ClassReport, Rank};
+
 /// Time without a digest after which a peer is removed.
 pub(in crate::gateway) const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -163,6 +167,9 @@
     /// send it.
     #[serde(default)]
     pub unreachable: Vec<Key>,
+    /// Classes of the services whose requests have several urgencies. Gateways of older builds do not send it.
+    #[serde(default)]
+    pub classes: Vec<(Key, ClassReport)>,
 }
 
 /// The crashes of upstreams that a gateway knows of, in a datagram of their own: most of the time
--- a/crates/cumindoor/src/gateway/admission/queue.rs
+++ b/crates/cumindoor/src/gateway/admission/queue.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use coord::share::Urgency;
 use coord::time::Time;
 
 use crate::gateway::admission::load_table::Waiting;
@@ -34,6 +35,8 @@
     /// Whether the request resumes a stream, which only upstreams of its build may continue. It takes a
     /// place there whenever there is one, and keeps nobody from others.
     pub resumes: bool,
+    /// Priority of the route, which counts among requests of equal priority.
+    pub route_priority: u8,
 }
 
 impl Ticket {
@@ -47,6 +50,7 @@
             priority: 0,
             demand,
             resumes: false,
+            route_priority: 0,
         }
     }
 
@@ -61,6 +65,22 @@
     pub fn with_priority(self, priority: u8) -> Self {
         Self { priority, ..self }
     }
+
+    /// Returns the ticket of a request with this urgency.
+    #[must_use]
+    pub fn with_urgency(self, urgency: Urgency) -> Self {
+        Self {
+            priority: urgency.priority(),
+            route_priority: urgency.route(),
+            ..self
+        }
+    }
+
+    /// Returns the urgency of the request.
+    #[must_use]
+    pub fn urgency(&self) -> Urgency {
+        Urgency::new(Some(self.priority), self.route_priority)
+    }
 }
 
 /// The waiting requests of one service.
@@ -88,37 +108,73 @@
     /// line.
     #[must_use]
     pub fn head(&self, now: Time) -> Option<u64> {
+        self.head_among(now, |_| true)
+    }
+
+    /// Returns the number of the request at the head of those whose urgency is eligible.
+    fn head_among(&self, now: Time, is_eligible: impl Fn(Urgency) -> bool) -> Option<u64> {
         let rank = |(number, ticket): &(&u64, &Ticket)| {
             let late = ticket.due < now;
-            (ticket.priority, late, ticket.arrived, **number)
+            (ticket.urgency(), late, ticket.arrived, **number)
         };
-        let in_line = self.waiting.iter().filter(|(_, ticket)| !ticket.resumes);
+        let in_line = self
+            .waiting
+            .iter()
+            .filter(|(_, ticket)| !ticket.resumes && is_eligible(ticket.urgency()));
         let first = in_line.min_by_key(rank);
         first.map(|(number, _)| *number)
     }
 
     /// Returns whether a request may take capacity that it finds.
     ///
-    /// The request at the head may always do so. As long as the head has not waited long, the
-    /// others may as well: otherwise a large prompt that fits nowhere yet would keep smaller ones
+    /// The request at the head may always do so. As long as the head has not waited long, others of
+    /// its urgency may as well: otherwise a large prompt that fits nowhere yet would keep smaller ones
     /// from capacity that it cannot use itself.
     #[must_use]
     pub fn may_proceed(&self, now: Time, number: u64) -> bool {
-        if self
-            .waiting
-            .get(&number)
-            .is_some_and(|ticket| ticket.resumes)
-        {
-            return true;
-        }
-        let Some(head) = self.head(now) else {
+        self.may_proceed_among(now, number, |_| true)
+    }
+
+    /// Returns whether a request may take capacity that it finds, where requests of an urgency that is not
+    /// eligible take none and therefore keep no others from it.
+    #[must_use]
+    pub fn may_proceed_among(
+        &self,
+        now: Time,
+        number: u64,
+        is_eligible: impl Fn(Urgency) -> bool,
+    ) -> bool {
+        let Some(ticket) = self.waiting.get(&number) else {
             return false;
         };
-        let Some(first) = self.waiting.get(&head) else {
+        if ticket.resumes {
+            return true;
+        }
+        let head = self.head_among(now, is_eligible);
+        let Some((head, first)) = head.and_then(|head| Some((head, self.waiting.get(&head)?)))
+        else {
             return false;
         };
         let target = first.due.since(first.arrived);
-        head == number || now.since(first.arrived) < target.mul_f64(BYPASS_SHARE)
+        let is_early = now.since(first.arrived) < target.mul_f64(BYPASS_SHARE);
+        head == number || (is_early && ticket.urgency() == first.urgency())
+    }
+
+    /// Returns the urgency of the request at the head of the queue.
+    #[must_use]
+    pub fn first_urgency(&self, now: Time) -> Option<Urgency> {
+        let head = self.head(now)?;
+        self.waiting.get(&head).map(Ticket::urgency)
+    }
+
+    /// Returns the tokens that waiting requests of each urgency need.
+    #[must_use]
+    pub fn waiting_tokens(&self) -> BTreeMap<Urgency, u64> {
+        let mut sums: BTreeMap<Urgency, u64> = BTreeMap::new();
+        for ticket in self.waiting.values() {
+            *sums.entry(ticket.urgency()).or_default() += u64::from(ticket.demand.kv_tokens);
+        }
+        sums
     }
 
     /// Returns a summary of the queue for other gateways.
@@ -158,7 +214,7 @@
         reason = "sums of tokens are far below 2^52"
     )]
     pub fn estimate_wait(&self, demand: Demand, residence: Duration) -> Duration {
-        let needed = self.ahead + u64::from(demand.kv_tokens);
+        let needed = self.ahead.saturating_add(demand.kv_tokens.into());
         let lacking = needed.saturating_sub(self.free);
         if lacking == 0 {
             return Duration::ZERO;
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -11,6 +11,7 @@
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{Origins, StreamKey};
 use coord::poison::{PartSuspects, Suspects};
+use coord::share::{ClassShares, Urgency};
 use coord::time::Time;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::gateway::admission::classes::{ClassHold, Urgencies};
 use crate::gateway::admission::load_table::{Key, Load, LoadTable, Seen, service_key};
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::admission::queue::Queue;
@@ -102,6 +104,10 @@
     pub freshness: BTreeMap<Topic, Freshness>,
     /// Random source for weighted choices.
     pub rng: ChaCha8Rng,
+    /// The urgencies of requests in the routing in force.
+    pub urgencies: Arc<Urgencies>,
+    /// What requests of this gateway ask for and hold by urgency, for services whose requests have several.
+    pub shares: BTreeMap<Service, ClassShares>,
 }
 
 impl State {
@@ -126,6 +132,12 @@
         let budget = self.retry_budgets.entry(service);
         budget.or_insert_with(|| RetryBudget::new(rng.random_range(0.0..1.0)))
     }
+
+    /// Returns what the requests of a service ask for and hold by urgency, or `None` if they all have one.
+    pub fn class_shares(&mut self, service: &Service) -> Option<&mut ClassShares> {
+        let several = self.urgencies.has_several(service);
+        several.then(|| self.shares.entry(service.clone()).or_default())
+    }
 }
 
 /// Everything that the tasks and requests of a gateway share.
@@ -207,6 +219,8 @@
             seen: Seen::default(),
             freshness: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            urgencies: Arc::default(),
+            shares: BTreeMap::new(),
         };
         Arc::new(Self {
             data_centre: settings.gateway.data_centre.clone(),
@@ -259,6 +273,13 @@
         self.digest_due.notify_one();
     }
 
+    /// Returns the priority of a request at the upstreams, or `None` if all requests of its service have one
+    /// urgency.
+    #[must_use]
+    pub fn urgency_level(&self, service: &Service, urgency: Urgency) -> Option<u8> {
+        self.state().urgencies.level(service, urgency)
+    }
+
     /// Returns the current time.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -307,6 +328,7 @@
             load,
             trial: None,
             permit: None,
+            class: None,
         }
     }
 
@@ -434,9 +456,18 @@
     trial: Option<u64>,
     /// The token of the upstream, if it names a rate limit.
     permit: Option<Permit>,
+    /// The tokens that count as held by the class of the request.
+    class: Option<ClassHold>,
 }
 
 impl Reservation {
+    /// Counts the load as held by the class of a request, for as long as it is reserved.
+    #[must_use]
+    pub fn with_class(mut self, service: &Service, urgency: Urgency) -> Self {
+        self.class = ClassHold::new(&self.ctx, service, urgency, self.load.kv_tokens);
+        self
+    }
+
     /// Begins the trial of a suspect on the upstream. Returns false, and begins none, if another one
     /// must end first.
     pub async fn begin_trial(&mut self, fingerprints: &[u128], terms: Terms) -> bool {
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from its head to its final response.
 
+mod classes;
 pub mod events;
 mod model;
 mod origin;
@@ -22,6 +23,7 @@
 use bytes::Bytes;
 use coord::name::Service;
 use coord::origin::BuildKey;
+use coord::share::Urgency;
 use coord::time::Time;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -138,10 +140,10 @@
         self.kind().is_stream() && named
     }
 
-    /// Returns the priority; 0 goes first.
-    fn priority(&self) -> u8 {
+    /// Returns the urgency, which orders requests for a service.
+    fn urgency(&self) -> Urgency {
         let own = self.organisation.as_ref().and_then(|def| def.priority);
-        own.unwrap_or(self.route.priority)
+        Urgency::new(own, self.route.priority)
     }
 
     /// Returns the build to which the stream is bound, or `None` if it is free to begin at any.
--- a/crates/cumindoor/src/gateway/exchange/model.rs
+++ b/crates/cumindoor/src/gateway/exchange/model.rs
@@ -59,6 +59,7 @@
         return Err(Refusal::new(Reason::Malformed));
     };
     let demand = Demand::new(&prompt, &model);
+    record_arrival(req, demand);
     let mut prefiller = PrefillRunner::new(req, demand);
     let mut tried: Vec<Upstream> = Vec::new();
     let mut refusals = 0;
@@ -153,6 +154,15 @@
     }
 }
 
+/// Counts what the class of the request asks for.
+fn record_arrival(req: &CallerRequest, demand: Demand) {
+    let now = req.ctx.now();
+    let mut state = req.ctx.state();
+    if let Some(shares) = state.class_shares(&req.service) {
+        shares.record_arrival(now, req.urgency(), demand.kv_tokens);
+    }
+}
+
 /// Takes a place at a decode engine that holds for a prompt still to be prefilled, or one for a prompt that is.
 async fn place(
     req: &CallerRequest,
--- a/crates/cumindoor/src/gateway/exchange/place.rs
+++ b/crates/cumindoor/src/gateway/exchange/place.rs
@@ -118,6 +118,7 @@
                 if prefilled && let Some(taken) = wait::take_prefilled(req, model, demand, search) {
                     return Ok(taken);
                 }
+                let demand = (demand, prefilled);
                 wait::wait_for_decode_until(req, model, demand, search, until).await
             }
         }
--- a/crates/cumindoor/src/gateway/exchange/plain.rs
+++ b/crates/cumindoor/src/gateway/exchange/plain.rs
@@ -69,7 +69,7 @@
             Watched::Answered(outcome) => outcome,
             Watched::Gone => Err(send::record_lost(req, &choice, silence::GONE)),
             Watched::Replaced(place) => {
-                next = Some(place);
+                next = Some(*place);
                 moved = true;
                 Err(send::record_lost(req, &choice, silence::REPLACED))
             }
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -214,7 +214,7 @@
         let frame = match timeout_at(req.deadline, watched).await {
             Ok(Watched::Answered(frame)) => frame,
             Ok(Watched::Gone) => return Received::Broken(silence::GONE.to_owned()),
-            Ok(Watched::Replaced(place)) => return Received::Replaced(place),
+            Ok(Watched::Replaced(place)) => return Received::Replaced(*place),
             Err(_) => return Received::TimedOut,
         };
         match frame {
--- a/crates/cumindoor/src/gateway/exchange/silence.rs
+++ b/crates/cumindoor/src/gateway/exchange/silence.rs
@@ -113,7 +113,7 @@
     /// The upstream accepts no connections any longer, and the retry for another one is paid.
     Gone,
     /// The upstream was silent for long, and another one has a place. The retry is paid.
-    Replaced(Place),
+    Replaced(Box<Place>),
 }
 
 /// Text of the failure of an upstream that is gone.
@@ -138,7 +138,7 @@
         // An answer that is there counts, even if another upstream was found at the same moment.
         biased;
         answered = answer => Watched::Answered(answered),
-        place = silent => place.map_or(Watched::Gone, Watched::Replaced),
+        place = silent => place.map_or(Watched::Gone, |place| Watched::Replaced(Box::new(place))),
     }
 }
 
--- a/crates/cumindoor/src/gateway/exchange/wait.rs
+++ b/crates/cumindoor/src/gateway/exchange/wait.rs
@@ -1,6 +1,7 @@
 //! Waiting for capacity at the upstreams.
 
 use std::cell::Cell;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,11 +10,12 @@
 use coord::time::Time;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::classes::Classes;
 use super::place::{Place, Search, refuse_limited, take_place};
 use super::{CallerRequest, millis};
-use crate::gateway::admission::load_table::{Load, service_key};
+use crate::gateway::admission::load_table::{Load, Rank, service_key};
 use crate::gateway::admission::placement::{Choice, Demand, Placer, usable_tokens, used_keys};
-use crate::gateway::admission::queue::{KvPool, Ticket};
+use crate::gateway::admission::queue::{KvPool, Queue, Ticket};
 use crate::gateway::callers::answer::{Reason, Refusal};
 use crate::gateway::context::{Context, Reservation, State};
 use crate::gateway::crash_watch::Standing;
@@ -163,7 +165,7 @@
         let mut placer = placer(req, &mut state, Some(search));
         placer.choose_decode_prefilled(&req.service, model, demand, search.tried)?
     };
-    let reservation = reserve(ctx, &choice, demand);
+    let reservation = reserve(req, &choice, demand);
     Some((choice, reservation))
 }
 
@@ -229,17 +231,18 @@
         placer.choose_decode(&req.service, model, demand, &tried)?
     };
     ctx.telemetry.count("place.changed");
-    let reservation = reserve(ctx, &choice, demand);
+    let reservation = reserve(req, &choice, demand);
     Some((choice, reservation))
 }
 
-fn reserve(ctx: &Arc<Context>, choice: &Choice, demand: Demand) -> Reservation {
+fn reserve(req: &CallerRequest, choice: &Choice, demand: Demand) -> Reservation {
     let load = Load {
         requests: 1,
         unprefilled_tokens: 0,
         kv_tokens: demand.kv_tokens,
     };
-    ctx.reserve(choice.key, load)
+    let reservation = req.ctx.reserve(choice.key, load);
+    reservation.with_class(&req.service, req.urgency())
 }
 
 /// Waits for KV cache at a decode engine to resume a stream, for at most the target latency.
@@ -262,11 +265,13 @@
 pub(super) async fn wait_for_decode_until(
     req: &CallerRequest,
     model: &Model,
-    demand: Demand,
+    (demand, prefilled): (Demand, bool),
     search: Search<'_>,
     until: Instant,
 ) -> Result<(Choice, Reservation), Refusal> {
-    let entry = QueueEntry::enter(req, demand);
+    let mut entry = QueueEntry::enter(req, demand);
+    // A prompt that is read, or was once, would be read in vain.
+    entry.is_limited = !prefilled && search.build.is_none();
     // An estimate iterates over all engines and peers, so it is not repeated at each wake-up.
     let mut last_estimate: Option<(Instant, Duration)> = None;
     loop {
@@ -355,6 +360,8 @@
     demand: Demand,
     /// Time since which an engine has had capacity that this request leaves to other gateways.
     capacity_since: Cell<Option<Time>>,
+    /// Whether the request waits until its class has room.
+    is_limited: bool,
 }
 
 impl<'a> QueueEntry<'a> {
@@ -370,7 +377,7 @@
             (req.route.target_latency, times.lead_time()),
             demand,
         );
-        let ticket = ticket.with_priority(req.priority());
+        let ticket = ticket.with_urgency(req.urgency());
         let ticket = ticket.resuming(req.build().is_some());
         let queue = state.queues.entry(req.service.clone()).or_default();
         let number = queue.enter(ticket);
@@ -381,6 +388,7 @@
             due: ticket.due,
             demand,
             capacity_since: Cell::new(None),
+            is_limited: true,
         }
     }
 
@@ -389,14 +397,27 @@
     ///
     /// A gateway that does not use its turn, for example because its prompt does not fit, loses it
     /// after a while.
-    fn rank(&self, state: &State, now: Time) -> Option<usize> {
+    fn rank(&self, state: &State, now: Time, classes: Option<&Classes>) -> Option<usize> {
         let service = service_key(&self.req.service);
         if state.loads.waiting_at_peers(service).requests == 0 {
             return None;
         }
         let waited = now.since(self.req.arrived);
         let late = self.due < now;
-        let ahead = state.loads.gateways_ahead(now, service, late, waited);
+        let ahead = match classes {
+            None => state.loads.gateways_ahead(now, service, late, waited),
+            Some(classes) => {
+                let rank = Rank {
+                    urgency: self.req.urgency(),
+                    late,
+                    waited: Reverse(waited),
+                };
+                let is_limited = |urgency| !classes.has_room(urgency);
+                state
+                    .loads
+                    .gateways_ahead_of(now, service, rank, is_limited)
+            }
+        };
         let gateways = u32::try_from(state.loads.sharing_count()).unwrap_or(u32::MAX);
         let turn = YIELD_TIME + DIGEST_INTERVAL_PER_PEER * gateways;
         let since = now.since(self.capacity_since.get().unwrap_or(now));
@@ -405,6 +426,19 @@
         usize::try_from(ahead.min(MAX_YIELDED_GATEWAYS).saturating_sub(turns)).ok()
     }
 
+    /// Returns whether the class of the request has room and no other request here goes first.
+    fn may_proceed(&self, state: &State, now: Time, classes: Option<&Classes>) -> bool {
+        let Some(queue) = state.queues.get(&self.req.service) else {
+            return false;
+        };
+        let Some(classes) = classes else {
+            return queue.may_proceed(now, self.number);
+        };
+        let own = self.req.urgency();
+        let has_room = |urgency| classes.has_room(urgency) || (urgency == own && !self.is_limited);
+        has_room(own) && queue.may_proceed_among(now, self.number, has_room)
+    }
+
     /// Reserves KV cache at an engine if it is this request's turn and an engine has capacity.
     fn try_reserve(
         &self,
@@ -417,14 +451,17 @@
         let now = ctx.now();
         let mut state = ctx.state();
         refuse_if_all_tried(self.req, &state.directory, Some(Stage::Decode), tried)?;
-        let queue = state.queues.get(service);
-        if !queue.is_some_and(|queue| queue.may_proceed(now, self.number)) {
+        let classes = Classes::new(&state, now, service, model);
+        if !self.may_proceed(&state, now, classes.as_ref()) {
+            if classes.is_some() {
+                self.publish(&mut state, now);
+            }
             return Ok(None);
         }
         // Places at one build are not shared out among the first requests of all gateways.
         let rank = match search.build {
             Some(_) => None,
-            None => self.rank(&state, now),
+            None => self.rank(&state, now, classes.as_ref()),
         };
         let mut placer = placer(self.req, &mut state, Some(search));
         placer.rank = rank;
@@ -440,7 +477,7 @@
         self.publish(&mut state, now);
         drop(state);
         Ok(chosen.map(|choice| {
-            let reservation = reserve(ctx, &choice, self.demand);
+            let reservation = reserve(self.req, &choice, self.demand);
             (choice, reservation)
         }))
     }
@@ -460,6 +497,10 @@
         let waiting = state.queues.get(service).map(|queue| queue.waiting(now));
         let key = service_key(service);
         state.loads.set_waiting(key, waiting.unwrap_or_default());
+        let tokens = state.queues.get(service).map(Queue::waiting_tokens);
+        if let Some(shares) = state.class_shares(service) {
+            shares.set_waiting(&tokens.unwrap_or_default());
+        }
     }
 
     /// Logs the expected wait and the number of waiting requests here and at other gateways.
@@ -505,17 +546,21 @@
         }
         let waiting = u64::from(elsewhere.kv_tokens) + u64::from(here.kv_tokens);
         // On average, half of the waiting requests are served first. One that resumes a stream waits for none.
-        pool.ahead = if search.build.is_some() {
-            0
-        } else {
-            waiting / 2
+        let classes = Classes::new(&state, now, service, model);
+        pool.ahead = match &classes {
+            _ if search.build.is_some() => 0,
+            None => waiting / 2,
+            Some(classes) => classes.waiting_ahead(self.req.urgency()),
         };
         let times = state
             .service_times
             .get(service)
             .copied()
             .unwrap_or_default();
-        pool.estimate_wait(self.demand, times.residence())
+        let wait = pool.estimate_wait(self.demand, times.residence());
+        let limits = classes.filter(|_| self.is_limited);
+        let limited = limits.map(|limits| limits.estimate_wait(self.req.urgency(), self.demand));
+        wait.max(limited.unwrap_or_default())
     }
 }
 
--- a/crates/cumindoor/src/gateway/fleet/peers.rs
+++ b/crates/cumindoor/src/gateway/fleet/peers.rs
@@ -17,6 +17,7 @@
 use eyre::WrapErr;
 use tokio::time::{Instant, sleep_until};
 
+use crate::gateway::admission::classes;
 use crate::gateway::admission::load_table::{CrashReport, Digest};
 use crate::gateway::admission::rate_limits;
 use crate::gateway::context::{Context, State};
@@ -278,6 +279,7 @@
         self.socket.send(&digest, &audience.near).await;
         digest.loads.clear();
         digest.waiting.clear();
+        digest.classes.clear();
         if heartbeat && is_for_all {
             self.socket.send(&digest, &self.distant(audience)).await;
         } else if !audience.distant.is_empty() {
@@ -307,6 +309,7 @@
         self.socket.send(&digest, &near).await;
         digest.loads.clear();
         digest.waiting.clear();
+        digest.classes.clear();
         self.socket.send(&digest, &distant).await;
     }
 
@@ -322,6 +325,7 @@
             digest.departing.truncate(MAX_DEPARTING);
             digest.seen = state.seen;
             digest.unreachable = state.links.unreachable();
+            digest.classes = classes::reports(&state, now);
             digest
         };
         digest.start = self.start;
--- a/crates/cumindoor/src/gateway/store/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store/store_watch.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
+use crate::gateway::admission::classes::Urgencies;
 use crate::gateway::admission::placement::{believed_slots, usual_slots};
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch;
@@ -303,6 +304,7 @@
     fn apply_routing(&self, routing: Arc<Routing>) {
         let (version, routes) = (routing.version, routing.routes.len());
         let keys = Arc::new(KeyTable::new(&routing));
+        let urgencies = Arc::new(Urgencies::new(&routing));
         let mut state = self.ctx.state();
         let current = state.routing.as_ref().map(|routing| routing.version);
         if current.is_some_and(|current| current >= version) {
@@ -310,6 +312,7 @@
         }
         state.routing = Some(routing);
         state.keys = keys;
+        state.urgencies = urgencies;
         drop(state);
         self.ctx.telemetry.gauge("routing.version", version);
         log::info!(version, routes; "routing in force");
