Tell engines the order of urgency

Cause: no request carried a priority to its engine, so prompts were processed first come, first served. Change: where requests of a service have several urgencies, an attempt carries the place of its urgency among them, from 0 to 9; else none. The case of different urgencies was not run without the change. Conclusion: the priority of each engine's queue follows the urgency of the gateways.

--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -369,7 +369,7 @@
         step: step.clone(),
         last_event_id,
         organisation: req.organisation.as_ref().map(|def| def.name.clone()),
-        priority: None,
+        priority: req.ctx.urgency_level(&req.service, req.urgency()),
     };
     let headers = request.headers_mut();
     headers.clone_from(&req.parts.headers);
