Keep allowances of organisations without an owner

Cause: nothing limited an organisation over all gateways; one that asked for 5 times its allowance was served in full. Change: coord::limit::AllowanceTable keeps a replica of a token bucket for each organisation, drained by own and reported units, and admits the share of requests that the allowance grants. Conclusion: the tables are not connected to gateways yet.

--- a/crates/coord/src/limit.rs
+++ b/crates/coord/src/limit.rs
@@ -3,6 +3,7 @@
 //! - [`SharedLimits`] keeps the rates that upstreams name, without an owner: each VM keeps a replica of each
 //!   bucket, and VMs report to each other what they use. [`FleetSize`] is the number of VMs that share.
 //! - [`RetryBudget`] keeps the number of retries to a service, from what all VMs report.
+//! - [`AllowanceTable`] keeps what organisations may use over all VMs, from what all VMs report.
 //! - [`TokenBucket`] and [`CreditClient`] keep the rate limits of organisations, which have an owner VM.
 //!
 //! # Example
@@ -24,6 +25,7 @@
 //! assert_eq!(limits.try_take(later + Duration::from_millis(20), claim), Grant::Granted);
 //! ```
 
+mod allowance;
 mod bucket;
 mod credit;
 mod fleet;
@@ -32,6 +34,7 @@
 mod retries;
 mod shared;
 
+pub use allowance::{AllowanceRecord, AllowanceTable, AllowanceTerms, OrganisationKey, Verdict};
 pub use bucket::MIN_RATE;
 pub use credit::{CreditClient, CreditGrant, CreditRequest, TokenBucket};
 pub use fleet::{FleetSize, Sighting};
--- a/crates/coord/src/limit/fleet.rs
+++ b/crates/coord/src/limit/fleet.rs
@@ -122,6 +122,16 @@
         f64::from(heard) / f64::from(all)
     }
 
+    /// Returns the part of the VMs that are heard here, of all that may live. Unlike [`Self::share`], it leaves those that
+    /// are silent their part even if they are few, so that no partition raises what all VMs use together.
+    #[must_use]
+    pub fn heard_part(&self, now: Time, expected: bool) -> f64 {
+        let heard = self.heard.max(1);
+        let all = self.size(now, expected).max(heard + self.hearsay);
+        let [heard, all] = [heard, all].map(|n| u32::try_from(n).unwrap_or(u32::MAX));
+        f64::from(heard) / f64::from(all)
+    }
+
     fn known(&self, now: Time) -> usize {
         match minute(now).saturating_sub(self.minute) {
             0 => self.highest.max(self.earlier),
