Refuse what organisations ask for beyond their allowance

Cause: gateways read the allowances of the configuration and limited nothing. Change: a request is charged to its organisation once its body is read, and refused with over-allowance (429) and a time beyond the allowance. Units are given back if it is never sent to an upstream; a caller's resumed stream is not charged. Heartbeats report units in LimitReport, in datagrams of their own, and newcomers get all that is known. Conclusion: organisations without an allowance are not affected.

--- a/crates/coord/src/limit/report.rs
+++ b/crates/coord/src/limit/report.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Rate, RetryRecord};
+use super::{AllowanceRecord, Rate, RetryRecord};
 
 /// A hash that stands for one start of an upstream.
 pub type LimitKey = u64;
@@ -73,7 +73,7 @@
     pub booked: u16,
 }
 
-/// A report of limits and retries. Records that it lacks are unchanged.
+/// A report of limits, retries and allowances. Records that it lacks are unchanged.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport<P> {
     /// Start of the sender.
@@ -86,4 +86,7 @@
     pub limits: Vec<LimitRecord<P>>,
     /// Retries to services.
     pub retries: Vec<RetryRecord>,
+    /// Units that organisations asked for. Gateways of older builds do not send them.
+    #[serde(default)]
+    pub allowances: Vec<AllowanceRecord>,
 }
--- a/crates/coord/tests/shared_limit/main.rs
+++ b/crates/coord/tests/shared_limit/main.rs
@@ -241,6 +241,7 @@
             gateways: Some(u32::MAX),
             limits: limits.next_records(now, true),
             retries: Vec::new(),
+            allowances: Vec::new(),
         };
         let bytes = rmp_serde::to_vec(&report).unwrap().len();
         claims += report.limits.iter().map(|l| l.claims.len()).sum::<usize>();
--- a/crates/coord/tests/shared_limit/world.rs
+++ b/crates/coord/tests/shared_limit/world.rs
@@ -352,6 +352,7 @@
                 .map(|size| u32::try_from(size).unwrap()),
             limits: gateway.limits.next_records(now, heartbeat),
             retries: Vec::new(),
+            allowances: Vec::new(),
         };
         let digest = Digest {
             report,
--- a/crates/cumindoor/src/gateway/admission/rate_limits.rs
+++ b/crates/cumindoor/src/gateway/admission/rate_limits.rs
@@ -112,6 +112,8 @@
                 budget.apply(now, &retry_limit, (&from, version), record);
             }
         }
+        let allowances = &mut state.allowances;
+        allowances.apply(now, (&from, version), report.allowances);
         let limits = &mut state.limits;
         let changed = limits.apply(now, (&from, version), report.limits);
         let standings: Vec<_> = changed.iter().map(|key| limits.known(now, *key)).collect();
--- a/crates/cumindoor/src/gateway/callers/answer.rs
+++ b/crates/cumindoor/src/gateway/callers/answer.rs
@@ -53,6 +53,9 @@
     /// The rate limits of the upstreams leave no room.
     #[display("limited")]
     Limited,
+    /// The organisation has used its allowance.
+    #[display("over-allowance")]
+    OverAllowance,
     /// The upstreams have stated that they take no requests for a while.
     #[display("paused")]
     Paused,
@@ -80,7 +83,7 @@
 }
 
 impl Reason {
-    /// Returns the status. 408 and 503 state that the request was not executed and will not be.
+    /// Returns the status. 408, 429 and 503 state that the request was not executed and will not be.
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
@@ -89,6 +92,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::OverAllowance => StatusCode::TOO_MANY_REQUESTS,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Unready
--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -7,7 +7,7 @@
 
 use border::{Catalogue, Dialect, Routing, Topic};
 use coord::freshness::Freshness;
-use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
+use coord::limit::{AllowanceTable, Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{Origins, StreamKey};
 use coord::poison::{PartSuspects, Suspects};
@@ -102,6 +102,8 @@
     pub freshness: BTreeMap<Topic, Freshness>,
     /// Random source for weighted choices.
     pub rng: ChaCha8Rng,
+    /// What organisations may use.
+    pub allowances: AllowanceTable<SocketAddr>,
 }
 
 impl State {
@@ -110,11 +112,23 @@
         self.loads.record_fleet(now, hearsay);
         let share = self.loads.fleet().share(now, expected);
         self.limits.set_share(now, share);
+        self.divide_allowances(now, expected);
+    }
+
+    /// Updates the gateways among which allowances are divided.
+    pub fn divide_allowances(&mut self, now: Time, expected: bool) {
+        let fleet = self.loads.fleet();
+        let division = Division {
+            gateways: fleet.size(now, expected),
+            share: fleet.heard_part(now, expected),
+        };
+        self.allowances.set_division(now, division);
     }
 
     /// Forgets what a gateway reported of limits that has gone silent.
     pub fn forget(&mut self, peer: &SocketAddr) {
         self.limits.forget(peer);
+        self.allowances.forget(peer);
         for budget in self.retry_budgets.values_mut() {
             budget.forget(peer);
         }
@@ -207,6 +221,7 @@
             seen: Seen::default(),
             freshness: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            allowances: AllowanceTable::default(),
         };
         Arc::new(Self {
             data_centre: settings.gateway.data_centre.clone(),
--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -38,6 +38,7 @@
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch::{self, Standing};
 use crate::gateway::engines::directory::Directory;
+use crate::gateway::organisations::allowances::{self, Charge};
 use crate::gateway::organisations::keys::KeyTable;
 use crate::serve::engine::BoxedBody;
 use crate::serve::headers;
@@ -124,6 +125,8 @@
     /// Whether the current attempt goes through another gateway.
     forwarded: AtomicBool,
     _memory: OwnedSemaphorePermit,
+    /// The units that it takes from its organisation's allowance, if there is one.
+    charge: Option<Charge>,
 }
 
 impl CallerRequest {
@@ -134,8 +137,7 @@
 
     /// Returns whether the caller takes up a stream that an earlier attempt of it began.
     fn resumes(&self) -> bool {
-        let named = self.meta.last_event_id.is_some() || self.meta.resumes.is_some();
-        self.kind().is_stream() && named
+        resumes(&self.route, &self.meta)
     }
 
     /// Returns the priority; 0 goes first.
@@ -255,6 +257,12 @@
     }
 }
 
+/// Returns whether a request takes up a stream that an earlier attempt of its caller began.
+fn resumes(route: &Route, meta: &RequestMeta) -> bool {
+    let named = meta.last_event_id.is_some() || meta.resumes.is_some();
+    route.kind.is_stream() && named
+}
+
 /// Handles one request of a caller.
 pub(super) async fn handle(
     ctx: Arc<Context>,
@@ -335,6 +343,10 @@
     let service = pick_service(ctx, &route)?;
     let def = routing.services.get(&service).cloned();
     let def = def.ok_or(Refusal::with_retry(Reason::NoUpstream, UNREADY_RETRY_AFTER))?;
+    // The attempt that began the stream has been charged.
+    let charged = organisation.as_ref().filter(|_| !resumes(&route, &meta));
+    let charge = charged.map(|def| allowances::charge(ctx, def, meta.prompt));
+    let charge = charge.transpose()?.flatten();
     ctx.count_request(&service);
     let host = host(&parts.headers).or_else(|| parts.uri.host());
     let shared = shared_parts(ctx, &meta);
@@ -363,6 +375,7 @@
         maybe_executed: AtomicBool::new(false),
         forwarded: AtomicBool::new(false),
         _memory: memory,
+        charge,
     })
 }
 
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -131,6 +131,9 @@
         content.run
     };
     req.repeats.add_arrival();
+    if let Some(charge) = &req.charge {
+        charge.keep();
+    }
     let attempt = 1 + req.attempts.fetch_add(1, Ordering::Relaxed);
     rate_limits::log_use(&req.ctx, &req.meta.id, choice, attempt);
     let asked = req.ctx.now();
--- a/crates/cumindoor/src/gateway/fleet/peers.rs
+++ b/crates/cumindoor/src/gateway/fleet/peers.rs
@@ -7,6 +7,8 @@
 //! In a large fleet only neighbours hear each other's load, so that the cost does not grow with the fleet;
 //! see `docs/decisions/neighbours.md`.
 
+mod reports;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,6 +29,7 @@
 use crate::gateway::fleet::peer_list::{Audience, PeerList};
 use crate::gateway::fleet::peer_socket::PeerSocket;
 use crate::gateway::fleet::wakeups::WakeupThrottle;
+use crate::gateway::organisations::allowances;
 use crate::gateway::store::store_calls::{self, StoreReport};
 
 /// Time between two digests without a change.
@@ -139,6 +142,7 @@
                     pending = self.send_crashes(&audience.all, &newcomers).await;
                     let refreshed = heartbeat.then_some(&audience);
                     pending |= self.send_limits(&audience.all, &newcomers, refreshed).await;
+                    self.send_allowances(&audience.all, &newcomers, heartbeat).await;
                     pending |= !complete;
                     let gone = self.expire();
                     if heartbeat || gone {
@@ -254,7 +258,7 @@
     fn has_reports(&self) -> bool {
         let state = self.ctx.state();
         let crashes = !state.suspects.is_empty() || !state.part_suspects.is_empty();
-        crashes || !state.limits.is_empty()
+        crashes || !state.limits.is_empty() || state.allowances.is_used()
     }
 
     /// Returns whether something has to be announced that others must hear in time: claims for tokens and
@@ -398,17 +402,14 @@
             let limits = self.ctx.state().limits.next_records(now, true);
             (limits, rate_limits::retry_records(&self.ctx, true))
         };
-        let gateways = self.ctx.state().loads.fleet().reported(now);
         for ((limits, retries), targets) in [(changes, all), (page, newcomers)] {
             if (limits.is_empty() && retries.is_empty()) || targets.is_empty() {
                 continue;
             }
             let report = LimitReport {
-                start: self.start,
-                sequence: self.number.fetch_add(1, Ordering::Relaxed),
-                gateways: gateways.and_then(|size| u32::try_from(size).ok()),
                 limits,
                 retries,
+                ..self.limit_report()
             };
             self.socket.send(&report, targets).await;
         }
@@ -440,6 +441,7 @@
             state.loads.expire(now)
         };
         self.forget(&gone);
+        allowances::record_limited(&self.ctx);
         !gone.is_empty()
     }
 
--- a/crates/cumindoor/src/gateway/organisations.rs
+++ b/crates/cumindoor/src/gateway/organisations.rs
@@ -2,4 +2,5 @@
 //!
 //! See `docs/design/organisations.md`.
 
+pub mod allowances;
 pub mod keys;
--- a/crates/cumindoor/src/gateway/store/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store/store_watch.rs
@@ -20,6 +20,7 @@
 use crate::gateway::context::Context;
 use crate::gateway::crash_watch;
 use crate::gateway::engines::directory::UpstreamChange;
+use crate::gateway::organisations::allowances;
 use crate::gateway::organisations::keys::KeyTable;
 use crate::gateway::store::store_calls::{CallError, MAX_WATCH_LAG, StoreCalls};
 
@@ -308,6 +309,9 @@
         if current.is_some_and(|current| current >= version) {
             return;
         }
+        allowances::set(&mut state, self.ctx.now(), &routing);
+        let expected = self.ctx.expects_peers();
+        state.divide_allowances(self.ctx.now(), expected);
         state.routing = Some(routing);
         state.keys = keys;
         drop(state);
