--- a/crates/cumindoor/src/gateway/context.rs
+++ b/crates/cumindoor/src/gateway/context.rs
@@ -8,7 +8,7 @@
 use border::{Catalogue, Dialect, Routing, Topic};
 use coord::freshness::Freshness;
 use coord::hedge::Hedge;
-use coord::limit::{Division, RetryBudget, RetryLimit, SharedLimits};
+use coord::limit::{AllowanceTable, Division, RetryBudget, RetryLimit, SharedLimits};
 use coord::name::{DataCentre, Service, Upstream};
 use coord::origin::{Origins, StreamKey};
 use coord::poison::{PartSuspects, Suspects};
@@ -118,6 +118,8 @@
     pub urgencies: Arc<Urgencies>,
     /// What requests of this gateway ask for and hold by urgency, for services whose requests have several.
     pub shares: BTreeMap<Service, ClassShares>,
+    /// What organisations may use.
+    pub allowances: AllowanceTable<SocketAddr>,
 }
 
 impl State {
@@ -126,6 +128,17 @@
         self.loads.record_fleet(now, hearsay);
         let share = self.loads.fleet().share(now, expected);
         self.limits.set_share(now, share);
+        self.divide_allowances(now, expected);
+    }
+
+    /// Updates the gateways among which allowances are divided.
+    pub fn divide_allowances(&mut self, now: Time, expected: bool) {
+        let fleet = self.loads.fleet();
+        let division = Division {
+            gateways: fleet.size(now, expected),
+            share: fleet.heard_part(now, expected),
+        };
+        self.allowances.set_division(now, division);
     }
 
     /// Returns whether another gateway reports a change of the routing that this gateway has not read.
@@ -141,6 +154,7 @@
     /// Forgets what a gateway reported of limits that has gone silent.
     pub fn forget(&mut self, peer: &SocketAddr) {
         self.limits.forget(peer);
+        self.allowances.forget(peer);
         for budget in self.retry_budgets.values_mut() {
             budget.forget(peer);
         }
@@ -249,6 +263,7 @@
             copies: BTreeMap::new(),
             urgencies: Arc::default(),
             shares: BTreeMap::new(),
+            allowances: AllowanceTable::default(),
         };
         Arc::new(Self {
             data_centre: settings.gateway.data_centre.clone(),
