--- a/crates/cumindoor/src/cli/gateway.rs
+++ b/crates/cumindoor/src/cli/gateway.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::write_stdout;
+use crate::gateway::callers::shares::limit_to_machine;
 use crate::gateway::{Context, Gateway, Settings};
 use crate::serve::telemetry::log_to_stdout;
 
@@ -42,10 +43,20 @@
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path);
     let text = text.wrap_err_with(|| format!("cannot read {file}"))?;
-    Settings::parse(&file, &text).map_err(|findings| {
+    let mut settings = Settings::parse(&file, &text).map_err(|findings| {
         let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
         eyre!("the settings are not valid:\n{}", lines.join("\n"))
-    })
+    })?;
+    limit_to_machine(&mut settings.resources, machine_memory());
+    Ok(settings)
+}
+
+/// Returns the memory of the machine in bytes.
+fn machine_memory() -> u64 {
+    let info = rustix::system::sysinfo();
+    // The types differ between platforms.
+    let (units, unit) = (u128::from(info.totalram), u128::from(info.mem_unit));
+    u64::try_from(units * unit).unwrap_or(u64::MAX)
 }
 
 /// Reloads the settings on SIGHUP and every [`RELOAD_INTERVAL`].
--- a/crates/cumindoor/src/gateway/callers/shares.rs
+++ b/crates/cumindoor/src/gateway/callers/shares.rs
@@ -1,6 +1,7 @@
 //! How the memory and the descriptors of the machine are divided.
 
 use crate::gateway::settings::Resources;
+use crate::ini::Bytes;
 
 const KB: u64 = 1_000;
 const MB: u64 = 1_000 * KB;
@@ -27,6 +28,16 @@
 /// Descriptors of one caller: its connection, and one to an upstream.
 const CALLER_DESCRIPTORS: u64 = 2;
 
+/// Memory of a machine from which on the defaults leave enough for everything else.
+const LARGE_MACHINE: u64 = 1_000 * MB;
+
+/// Lets the memory of a small machine count as that of the process, unless the settings state one.
+pub fn limit_to_machine(resources: &mut Resources, machine: u64) {
+    if resources.memory.is_none() && machine < LARGE_MACHINE {
+        resources.memory = Some(Bytes(machine));
+    }
+}
+
 /// What callers may take in one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
--- a/crates/cumindoor/src/gateway/settings.rs
+++ b/crates/cumindoor/src/gateway/settings.rs
@@ -103,7 +103,8 @@
         bodies: Option<Bytes> = "bodies" Absent ["1 MB" to "64 GB"],
         /// Bandwidth of the network link in Mbit/s. Digests to other gateways fill a part of it.
         link: Ratio = "link" Value("1000") ["0.1" to "1000000"],
-        /// Memory of the machine for this process. It bounds bodies, unread answers and connections of callers.
+        /// Memory of the machine for this process. It bounds bodies, unread answers and connections of callers. If it
+        /// is absent, that of the machine counts if it is below 1 GB.
         memory: Option<Bytes> = "memory" Absent ["32 MB" to "1024 GB"],
         /// Descriptors of the process, 200 of them for files. They bound connections of callers.
         descriptors: Option<Count> = "descriptors" Absent ["256" to "10000000"],
--- a/crates/cumindoor/tests/gateway_memory.rs
+++ b/crates/cumindoor/tests/gateway_memory.rs
@@ -8,7 +8,7 @@
 use cumindoor::gateway::callers::memory::ledger::{
     Cause, Growth, HolderId, Kind, Ledger, MAX_WAIT, SMALL_BYTES, STALL_TIME,
 };
-use cumindoor::gateway::callers::shares::Shares;
+use cumindoor::gateway::callers::shares::{Shares, limit_to_machine};
 use rstest::rstest;
 use tokio_util::sync::CancellationToken;
 
@@ -172,12 +172,16 @@
 }
 
 fn shares(resources: &str) -> Shares {
+    Shares::new(&settings(resources).resources)
+}
+
+fn settings(resources: &str) -> Settings {
     let text = format!(
         "[gateway]\nname = vm-1\ndata-centre = suape\n[listen]\ncallers = 127.0.0.1:0\n\
          ready = 127.0.0.1:0\n[fleet]\naddress = 127.0.0.1:1\nseeds = 127.0.0.1:1\n\
          [store]\naddress = 127.0.0.1:1\n[resources]\n{resources}"
     );
-    Shares::new(&Settings::parse("test", &text).unwrap().resources)
+    Settings::parse("test", &text).unwrap()
 }
 
 /// Guards against settings without the memory of the machine that change what callers may take, and against a
@@ -199,6 +203,24 @@
     assert_eq!(shares(resources), expected);
 }
 
+/// Guards against a small machine whose settings state no memory and whose callers may take more than it has, and against
+/// bounds on a large one or against the settings.
+#[rstest]
+#[case::small("", 88 * MB, "memory = 88 MB\n")]
+#[case::large("", 4_000 * MB, "")]
+#[case::stated("memory = 512 MB\n", 88 * MB, "memory = 512 MB\n")]
+fn the_memory_of_a_small_machine_counts(
+    #[case] stated: &str,
+    #[case] machine: usize,
+    #[case] like: &str,
+) {
+    let mut resources = settings(stated).resources;
+
+    limit_to_machine(&mut resources, machine.try_into().unwrap());
+
+    assert_eq!(Shares::new(&resources), shares(like));
+}
+
 /// Guards against an account in which the largest body (4 MB) does not fit while it moves to a larger buffer, and
 /// against shares that leave a small VM too little for the process itself.
 #[test]
