--- a/crates/coord/src/limit/allowance.rs
+++ b/crates/coord/src/limit/allowance.rs
@@ -73,8 +73,11 @@
 /// let mut table = AllowanceTable::<&str>::default();
 /// table.set(Time::ZERO, [(7, terms)]);
 ///
-/// let admitted = |second| table.ask(Time::from_millis(1_000 * second), 7, 500, 0.5) == Verdict::Admit;
-/// assert_eq!((1..9).map(admitted).filter(|admitted| *admitted).count(), 8);
+/// let mut admitted = |second: u64| {
+///     let now = Time::from_millis(1_000 * second);
+///     table.ask(now, 7, 500, 0.5) == Verdict::Admit
+/// };
+/// assert_eq!((1..9).map(&mut admitted).filter(|admitted| *admitted).count(), 8);
 /// ```
 #[derive(Clone, Debug)]
 pub struct AllowanceTable<P> {
