Tell watches that the store cuts from its outages

Cause: one failed call of any kind counted as an outage of the store, also a watch that was cut while it waited. The read that followed 50 ms later began the time in which entries that disappear may return, so removed engines were kept as missing. Each cut moved the end of that time on, so it never came. Evidence: `store lost` and `store regained` 50 ms apart once a second in the logs of both gateways, `missing` for the six engines, and no `gone`.

Change: a call that the store took and did not complete makes the gateway read the topic again; only if that fails too, or a call is refused or cannot be sent, the store counts as unavailable. Each missing entry has its own end, which a later outage moves by its own length alone. A cut has a log line (`watch cut`) and a counter (`store.cut`), so that it can be told from an outage.

Open: a change is learned up to 0.5 s later while watches are cut again and again.

--- a/crates/cumindoor/src/gateway/engines/directory.rs
+++ b/crates/cumindoor/src/gateway/engines/directory.rs
@@ -38,8 +38,8 @@
     /// Whether this gateway ordered the switch. Only the gateway that gave the order reports the
     /// switch to its peers.
     ordered_here: bool,
-    /// When the entry disappeared during the grace period after a store outage.
-    missing_since: Option<Time>,
+    /// Until when an entry may return that disappeared during the grace period after a store outage.
+    missing_until: Option<Time>,
 }
 
 /// The effect of a store change on an upstream, for log events.
@@ -77,6 +77,8 @@
     /// End of the grace period during which entries that disappear are kept, except those of
     /// draining upstreams.
     grace_until: Time,
+    /// When the outage of the store began that still lasts.
+    outage_since: Option<Time>,
     complete: bool,
     /// How long work takes at each upstream.
     pub speeds: Speeds,
@@ -97,10 +99,24 @@
         self.complete
     }
 
-    /// Starts a grace period after a store outage, during which entries may have expired without
-    /// their upstreams being gone.
-    pub fn begin_grace(&mut self, now: Time, grace: Duration) {
+    /// Records that the store became unavailable. Entries that are missing cannot return meanwhile.
+    pub fn begin_outage(&mut self, now: Time) {
+        self.outage_since.get_or_insert(now);
+    }
+
+    /// Records that the store is available again, and starts a grace period, since entries may have expired without
+    /// their upstreams being gone. Entries that were missing before get no more than the rest of theirs, so that none
+    /// is kept for ever by a store that is lost again and again.
+    pub fn end_outage(&mut self, now: Time, grace: Duration) {
         self.grace_until = now + grace;
+        let Some(since) = self.outage_since.take() else {
+            return;
+        };
+        let lost = now.since(since);
+        let missing = self.upstreams.values_mut();
+        for until in missing.filter_map(|endpoint| endpoint.missing_until.as_mut()) {
+            *until = *until + lost;
+        }
     }
 
     /// Applies one change from the store.
@@ -152,13 +168,12 @@
         let is_listed = |key| upstreams.values().any(|endpoint| endpoint.limit_key == key);
         self.statements.expire(now, is_listed);
         self.speeds.expire(now, is_listed);
-        if now < self.grace_until {
+        if self.outage_since.is_some() {
             return Vec::new();
         }
-        let expired = self
-            .upstreams
-            .values()
-            .filter(|endpoint| endpoint.missing_since.is_some());
+        let is_over =
+            |endpoint: &&Endpoint| endpoint.missing_until.is_some_and(|until| now >= until);
+        let expired = self.upstreams.values().filter(is_over);
         let expired: Vec<Upstream> = expired.map(|endpoint| endpoint.name.clone()).collect();
         for name in &expired {
             self.upstreams.remove(name);
@@ -287,6 +302,12 @@
         named.cloned().collect()
     }
 
+    /// Returns the upstreams whose entries disappeared and may return.
+    pub fn missing(&self) -> impl Iterator<Item = &Endpoint> {
+        let all = self.upstreams.values();
+        all.filter(|endpoint| endpoint.missing_until.is_some())
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
         self.upstreams.values()
@@ -303,12 +324,12 @@
                 health: Health::default(),
                 switching_until: Time::ZERO,
                 ordered_here: false,
-                missing_since: None,
+                missing_until: None,
             };
             self.upstreams.insert(name.clone(), endpoint);
             return Some(UpstreamChange::New);
         };
-        endpoint.missing_since = None;
+        endpoint.missing_until = None;
         // An entry that lacks the time of the start, such as that of another writer, tells of no new one.
         entry.start_ms = entry.start_ms.or(endpoint.entry.start_ms);
         if endpoint.entry == entry {
@@ -337,7 +358,7 @@
         let leaving = self.is_leaving(self.upstreams.get(name)?);
         let endpoint = self.upstreams.get_mut(name)?;
         if now < self.grace_until && !leaving {
-            endpoint.missing_since.get_or_insert(now);
+            endpoint.missing_until.get_or_insert(self.grace_until);
             return Some(UpstreamChange::Missing);
         }
         self.upstreams.remove(name);
--- a/crates/cumindoor/src/gateway/store/fetch.rs
+++ b/crates/cumindoor/src/gateway/store/fetch.rs
@@ -21,14 +21,21 @@
     /// No complete answer arrived in time.
     #[display("no complete answer within the time limit")]
     Timeout,
-    /// The call could not be sent, or its answer broke off.
+    /// The call could not be sent.
     #[display("{_0}")]
     Failed(String),
+    /// The connection broke off after the call was sent and before the answer was complete.
+    #[display("{_0}")]
+    Cut(String),
 }
 
 impl From<SendError> for FetchError {
     fn from(error: SendError) -> Self {
-        Self::Failed(error.to_string())
+        let text = error.to_string();
+        match error {
+            SendError::Sent(_) => Self::Cut(text),
+            _ => Self::Failed(text),
+        }
     }
 }
 
@@ -52,7 +59,7 @@
         let connected = pool.send(addr, request).await?;
         let (head, body) = connected.response.into_parts();
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let whole = whole.map_err(|error| FetchError::Failed(error.to_string()))?;
+        let whole = whole.map_err(|error| FetchError::Cut(error.to_string()))?;
         // A refusal may be written once more, and a call has no id that would tell it from that of the next request.
         if head.status.is_success() {
             connected.lease.release();
--- a/crates/cumindoor/src/gateway/store/store_calls.rs
+++ b/crates/cumindoor/src/gateway/store/store_calls.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::context::{Context, State};
-use crate::gateway::store::fetch::fetch;
+use crate::gateway::store::fetch::{FetchError, fetch};
 
 /// Time for which a check waits for a change. The answer to a call without a wait is read as data, not as changes.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
@@ -35,6 +35,9 @@
 pub struct CallError {
     /// The status, if the store answered with one.
     pub status: Option<StatusCode>,
+    /// Whether the store took the call and did not complete it, which may concern this call alone. A store that is
+    /// available cuts waiting watches at times.
+    pub cut: bool,
     text: String,
 }
 
@@ -42,9 +45,24 @@
     fn new(status: Option<StatusCode>, text: &impl ToString) -> Self {
         Self {
             status,
+            cut: false,
             text: text.to_string(),
         }
     }
+
+    /// Translates the failure of a call that the store was to answer after `wait` at the latest.
+    fn unanswered(error: &FetchError, wait: Duration) -> Self {
+        // A call without a wait is answered at once, so that its silence is that of the store.
+        let cut = match error {
+            FetchError::Cut(_) => true,
+            FetchError::Timeout => wait > CHECK_WAIT,
+            FetchError::Failed(_) => false,
+        };
+        Self {
+            cut,
+            ..Self::new(None, error)
+        }
+    }
 }
 
 /// How current the sender's data is, by topic; a topic is absent before it was read. Gateways of older builds neither
@@ -113,7 +131,7 @@
         self.ctx.telemetry.count("store.calls");
         let call = (Method::GET, path);
         let answer = fetch(&self.ctx.pool, keys.address.0, call, limit).await;
-        let (head, body) = answer.map_err(|error| CallError::new(None, &error))?;
+        let (head, body) = answer.map_err(|error| CallError::unanswered(&error, wait))?;
         let status = head.status;
         if status != StatusCode::OK {
             return Err(CallError::new(Some(status), &status));
--- a/crates/cumindoor/src/gateway/store/store_watch.rs
+++ b/crates/cumindoor/src/gateway/store/store_watch.rs
@@ -3,6 +3,9 @@
 //! Each topic is read in full once and then watched. It is read again after a gap in the store's
 //! history. During an outage of the store, the last known data stays in force.
 //!
+//! The store may cut a watch that is waiting, at any time and as often as it likes. That is no outage: the topic is
+//! read again, and only if that fails as well, the store counts as unavailable. See `docs/decisions/store-checks.md`.
+//!
 //! A watch that the store never received stays silent like one without a change. While a watch is pending, short
 //! calls check that it misses nothing; see [`crate::gateway::store::store_calls`].
 
@@ -58,6 +61,7 @@
         ctx,
         topic,
         failures: 0,
+        cuts: 0,
         outage: false,
     };
     loop {
@@ -73,6 +77,8 @@
     topic: Topic,
     calls: StoreCalls,
     failures: u32,
+    /// Watches in a row that were cut.
+    cuts: u32,
     /// Whether the store became unavailable since its last valid answer.
     outage: bool,
 }
@@ -124,6 +130,7 @@
         let started = Instant::now();
         match self.wait_for_changes(revision, wait).await {
             Ok((page, missed)) => {
+                self.cuts = 0;
                 self.record_success();
                 let next = page.revision.max(revision);
                 let changed = !page.changes.is_empty();
@@ -154,7 +161,11 @@
             // A store that restarts may have lost its history without reporting so to a watch that
             // began before, so the topic is read again.
             Err(error) => {
-                self.record_failure(&error);
+                if error.cut {
+                    self.record_cut(&error);
+                } else {
+                    self.record_failure(&error);
+                }
                 self.back_off().await;
                 None
             }
@@ -189,7 +200,9 @@
                 }
                 Ok(page) if self.outage => return Ok((page, false)),
                 Ok(_) => {}
-                Err(error) if error.status == Some(StatusCode::GONE) => return Err(error),
+                Err(error) if error.cut || error.status == Some(StatusCode::GONE) => {
+                    return Err(error);
+                }
                 Err(error) => {
                     self.record_failure(&error);
                     self.back_off().await;
@@ -217,11 +230,22 @@
         self.ctx.telemetry.count("store.failed");
         if self.failures == FAILURES_TO_OUTAGE {
             self.outage = true;
+            if self.topic == Topic::Upstreams {
+                self.ctx.state().directory.begin_outage(self.ctx.now());
+            }
             let (topic, error) = (self.topic.name(), error.to_string());
             log::warn!(topic, error = error.as_str(); "store lost");
         }
     }
 
+    /// Records that a watch was cut, which says nothing about the store.
+    fn record_cut(&mut self, error: &CallError) {
+        self.cuts += 1;
+        self.ctx.telemetry.count("store.cut");
+        let (topic, error) = (self.topic.name(), error.to_string());
+        log::info!(topic, error = error.as_str(), cuts = self.cuts; "watch cut");
+    }
+
     fn record_success(&mut self) {
         self.failures = 0;
         let now = self.ctx.now();
@@ -233,7 +257,7 @@
         if self.topic == Topic::Upstreams {
             state
                 .directory
-                .begin_grace(now, self.ctx.settings().store.regain.0);
+                .end_outage(now, self.ctx.settings().store.regain.0);
         }
         drop(state);
         log::info!(topic = self.topic.name(); "store regained");
@@ -252,7 +276,7 @@
     }
 
     async fn back_off(&self) {
-        let factor = 1 << self.failures.saturating_sub(1).min(8);
+        let factor = 1 << self.failures.max(self.cuts).saturating_sub(1).min(8);
         sleep((BASE_RETRY_DELAY * factor).min(MAX_RETRY_DELAY)).await;
     }
 
--- a/crates/cumindoor/tests/gateway_place.rs
+++ b/crates/cumindoor/tests/gateway_place.rs
@@ -403,7 +403,8 @@
 #[test]
 fn entries_that_were_lost_in_an_outage_have_time_to_return() {
     let mut directory = directory(&["a", "b"], None);
-    directory.begin_grace(ms(1_000), Duration::from_secs(2));
+    directory.begin_outage(ms(200));
+    directory.end_outage(ms(1_000), Duration::from_secs(2));
 
     let changes = directory.replace(ms(1_000), Vec::new());
     let back = Change::Upstream("b".into(), Ok(entry(None, "z")));
@@ -418,6 +419,46 @@
     assert!(directory.get(&"b".into()).is_some());
 }
 
+/// Guards against an entry that is kept for ever because the store is lost again and again.
+#[test]
+fn a_missing_entry_gets_no_more_time_from_later_outages() {
+    let mut directory = directory(&["a"], None);
+    let grace = Duration::from_secs(2);
+    directory.begin_outage(ms(0));
+    directory.end_outage(ms(1_000), grace);
+    directory.replace(ms(1_000), Vec::new());
+
+    // The store is available for 500 ms in each second.
+    for second in 1..4 {
+        directory.begin_outage(ms(1_000 * second + 500));
+        directory.end_outage(ms(1_000 * second + 1_000), grace);
+    }
+    let early = directory.expire(ms(4_400));
+    let gone = directory.expire(ms(4_500));
+
+    assert_eq!(early, []);
+    assert_eq!(gone, [Upstream::from("a")]);
+}
+
+/// Guards against an entry that is dropped while it cannot return, because the store is unavailable.
+#[test]
+fn a_missing_entry_is_not_dropped_during_an_outage() {
+    let mut directory = directory(&["a"], None);
+    directory.begin_outage(ms(0));
+    directory.end_outage(ms(1_000), Duration::from_secs(2));
+    directory.replace(ms(1_000), Vec::new());
+
+    directory.begin_outage(ms(2_000));
+    let during = directory.expire(ms(9_000));
+    directory.end_outage(ms(9_000), Duration::from_secs(2));
+    let after = directory.expire(ms(9_900));
+    let gone = directory.expire(ms(10_000));
+
+    assert_eq!(during, []);
+    assert_eq!(after, []);
+    assert_eq!(gone, [Upstream::from("a")]);
+}
+
 /// Guards against a deletion that is delayed although there was no outage of the store.
 #[test]
 fn entries_that_are_deleted_are_removed_at_once() {
