Pass on no answer whose head no sound upstream sends

Callers saw: answers of engines in trouble with status 101, 600 or 999 and the engine's signature, and bodies in a transfer coding without the field that names it. An unasked 101 tells a client that the connection speaks another protocol from then on (MIXED).

Cause: the gateway passed on what its HTTP client calls a response. The client delivers 101 as if it were final, takes any three digits above 099 for a status, and undoes no transfer coding but chunks.

Change: exchange/head.rs checks the head of each answer, also at a gateway that forwards. An attempt with a defect is lost, so that the next upstream is asked or the caller gets 502.

Early answers to uploads that break off, status 000 and 099, and heads that stop held on the code before.

--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 mod classes;
 mod copies;
 pub mod events;
+pub(super) mod head;
 mod model;
 mod origin;
 mod pace;
