Let a stream go on only with an answer like its first one

Cause: any success counted as the rest of the stream, also one that has no body or is of another type. Evidence: of 38 things that the next engine wrote, the empty successes alone were taken for the end of the stream; failures, refusals, other bodies and bytes that are no answer led to a cut.

Change: what goes on has to have the status and the media type of the first answer. Otherwise the attempt is lost, with a log line (`stream answered otherwise`), and the caller sees its events and a cut.

Streams that go on at an engine that answers alike still do, directly and forwarded.

--- a/crates/cumindoor/src/gateway/exchange/head.rs
+++ b/crates/cumindoor/src/gateway/exchange/head.rs
@@ -1,7 +1,8 @@
-//! Heads of answers that no sound upstream sends.
+//! Heads of answers that no sound upstream sends, and the likeness of two answers to one request.
 
 use derive_more::Display;
-use hyper::header::TRANSFER_ENCODING;
+use hyper::StatusCode;
+use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 
 /// Why the head of an answer is none.
@@ -36,3 +37,23 @@
     }
     Ok(())
 }
+
+/// What the answer that goes on with a stream has in common with the one that began it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Likeness {
+    status: StatusCode,
+    /// The type of the body without its parameters.
+    media_type: Option<String>,
+}
+
+impl Likeness {
+    /// Returns the likeness of an answer.
+    pub(super) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        let media_type = headers.get(CONTENT_TYPE).map(|value| {
+            let text = String::from_utf8_lossy(value.as_bytes());
+            let essence = text.split(';').next().unwrap_or_default();
+            essence.trim().to_ascii_lowercase()
+        });
+        Self { status, media_type }
+    }
+}
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -16,6 +16,7 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::head::Likeness;
 use super::pace::Pace;
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Place, Successor, Watched};
@@ -67,6 +68,7 @@
         guard,
         ..
     } = answer;
+    let likeness = Likeness::of(head.status, &head.headers);
     headers::strip(&mut head.headers);
     // Events that the caller already has are left out, so the length may differ.
     head.headers.remove(CONTENT_LENGTH);
@@ -76,6 +78,7 @@
         engine_started: req.ctx.now(),
         run: Some(run),
         source: Some((body, lease, guard)),
+        likeness,
         events: EventBuffer::after(req.meta.last_event_id),
         dispute: Dispute::Absent,
         origin: None,
@@ -140,6 +143,8 @@
     engine_started: Time,
     run: Option<DecodeRun>,
     source: Option<(Incoming, Lease, AttemptGuard)>,
+    /// What an answer that goes on with the stream has to look like.
+    likeness: Likeness,
     events: EventBuffer,
     dispute: Dispute,
     /// The stream as other gateways know it, from its first event on.
@@ -424,6 +429,12 @@
         Err("the route allows no further attempt")
     }
 
+    /// Returns whether an answer goes on with the stream. One that only succeeds may be of another kind, such as one without
+    /// a body, which would end the stream as if it were complete.
+    fn goes_on_with(&self, answer: &Answer) -> bool {
+        Likeness::of(answer.head.status, &answer.head.headers) == self.likeness
+    }
+
     /// Sends the rest of the stream's request to an engine and waits for the head of its answer.
     async fn send(
         &mut self,
@@ -442,11 +453,13 @@
             }
         };
         let answer = match answer {
-            Ok(answer) if answer.head.status.is_success() => answer,
+            Ok(answer) if self.goes_on_with(&answer) => answer,
             Ok(answer) => {
                 let status = answer.head.status;
                 drop(answer);
                 req.ctx.record_outcome(&choice.name, Outcome::Failed);
+                let (upstream, status) = (choice.name.as_str(), status.as_u16());
+                log::info!(id = &*req.meta.id, upstream, status; "stream answered otherwise");
                 return Err(Failure::Lost(format!("answered with {status}")));
             }
             Err(failure) => {
