Write the head of an answer before its body breaks off

Callers saw: 503 (no-path) for a second at a gateway that has lost its links, after an engine broke one answer off. Found by the matrix of broken answers.

Cause: a gateway that forwards hands the head of an answer to its server and then fails the body. If the engine breaks off at once, the server closes the connection before it has written the head, which looks like a gateway that ends, so the other gateway does not ask it for 1 s. Evidence: the counters of both gateways after each request; the forwarding gateway got none of the four that were refused.

Change: a body that breaks off fails one turn later, after the head.

--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::head::Likeness;
@@ -122,7 +123,12 @@
                     guard.record_output();
                     Some((Ok(frame), Some((body, lease, guard))))
                 }
-                Ok(Some(Err(error))) => Some((Err(error.into()), None)),
+                Ok(Some(Err(error))) => {
+                    // The head is written first. Without it, the receiver could not tell an answer that breaks off from a
+                    // gateway that ends.
+                    yield_now().await;
+                    Some((Err(error.into()), None))
+                }
                 Ok(None) => {
                     if let Some(lease) = lease {
                         lease.release();
