Check the heads of responses where all requests pass

Cause: `serve` sends its plain calls through the same pool of connections as `gateway`, and passed heads on that are none. Only the gateway checked them, in two places.

Change: the pool takes such a head for none, and both places in the gateway are gone.

--- a/crates/cumindoor/src/gateway/exchange.rs
+++ b/crates/cumindoor/src/gateway/exchange.rs
@@ -3,7 +3,7 @@
 mod classes;
 mod copies;
 pub mod events;
-pub(super) mod head;
+mod likeness;
 mod model;
 mod origin;
 mod pace;
--- a/crates/cumindoor/src/gateway/exchange/relay.rs
+++ b/crates/cumindoor/src/gateway/exchange/relay.rs
@@ -17,7 +17,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::head::Likeness;
+use super::likeness::Likeness;
 use super::pace::Pace;
 use super::send::{self, Answer, Failure};
 use super::silence::{self, Patience, Place, Successor, Watched};
--- a/crates/cumindoor/src/gateway/exchange/send.rs
+++ b/crates/cumindoor/src/gateway/exchange/send.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::sleep;
 
-use super::{CallerRequest, head, pace};
+use super::{CallerRequest, pace};
 use crate::gateway::admission::placement::Choice;
 use crate::gateway::admission::rate_limits::{self, Permit};
 use crate::gateway::context::Reservation;
@@ -393,7 +393,6 @@
 /// Accepts an answer that belongs to the request and has the required headers.
 fn validate(req: &CallerRequest, answer: Answer, prefill: bool) -> Result<Answer, Failure> {
     let (status, reply) = (answer.head.status, &answer.reply);
-    head::check(&answer.head).map_err(|defect| Failure::Lost(defect.to_string()))?;
     if answers_another(req, reply) {
         return Err(Failure::Lost(
             "the answer belongs to another request".to_owned(),
--- a/crates/cumindoor/src/gateway/fleet/forward/listener.rs
+++ b/crates/cumindoor/src/gateway/fleet/forward/listener.rs
@@ -33,7 +33,7 @@
 use crate::gateway::engines::health::Outcome;
 use crate::gateway::engines::links;
 use crate::gateway::engines::statements;
-use crate::gateway::exchange::{head, pass_through, shared_parts};
+use crate::gateway::exchange::{pass_through, shared_parts};
 use crate::serve::engine::{BoxedBody, PooledResponse, SendError, full_body};
 use crate::serve::headers;
 
@@ -257,7 +257,7 @@
     };
     match sent {
         Ok(connected) => {
-            let answer = pass_back(ctx, &choice, attempt, (connected, guard), deadline)?;
+            let answer = pass_back(ctx, &choice, attempt, (connected, guard), deadline);
             // The slot is taken until the answer is through.
             Ok(answer.map(|body| {
                 body.map_frame(move |frame| {
@@ -330,14 +330,10 @@
     attempt: &Attempt,
     (connected, mut guard): (PooledResponse, AttemptGuard),
     deadline: Instant,
-) -> Result<Response<BoxedBody>, Failure> {
+) -> Response<BoxedBody> {
     let now = ctx.now();
     ctx.state().links.record_heard(now, &choice.service);
     let (mut head, body) = connected.response.into_parts();
-    if let Err(defect) = head::check(&head) {
-        ctx.record_outcome(&choice.name, Outcome::Lost);
-        return Err(Failure::Lost(defect.to_string()));
-    }
     let reply: Reply = ctx.dialect.parse_reply(head.status, &head.headers);
     if !reply.misdirected {
         statements::record(ctx, choice, &reply.statement);
@@ -353,5 +349,5 @@
     let ran = !(reply.misdirected || reply.not_executed);
     let lease = Some(connected.lease).filter(|_| ran);
     let body = pass_through(body, (lease, guard), deadline, None);
-    Ok(Response::from_parts(head, body))
+    Response::from_parts(head, body)
 }
--- a/crates/cumindoor/src/serve/engine.rs
+++ b/crates/cumindoor/src/serve/engine.rs
@@ -4,6 +4,7 @@
 //! new connection, because an established connection may stop delivering while new ones work.
 
 pub mod cancel;
+mod head;
 pub mod poll;
 pub mod pool;
 mod receive;
--- a/crates/cumindoor/src/serve/engine/pool.rs
+++ b/crates/cumindoor/src/serve/engine/pool.rs
@@ -19,6 +19,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+use super::head;
 use super::receive::{LimitedStream, PartMarker};
 
 /// Idle connections kept for one upstream; a decode engine runs about 20 requests at a time.
@@ -291,6 +292,9 @@
         match sender.requests.try_send_request(request).await {
             Ok(response) => {
                 sender.parts.end();
+                if let Err(defect) = head::check(&response) {
+                    return Err((None, defect.to_string()));
+                }
                 let lease = Lease {
                     pool: self.clone(),
                     addr,
