--- a/crates/cumindoor/tests/gateway_crashes.rs
+++ b/crates/cumindoor/tests/gateway_crashes.rs
@@ -83,6 +83,23 @@
     }
 }
 
+/// Returns these kinds of engines, of which poison requests crash those at one stage, and how.
+fn with_target(
+    kinds: &[(EngineOptions, usize)],
+    target: &str,
+    crash: Crash,
+) -> Vec<(EngineOptions, usize)> {
+    let adapt = |options: &EngineOptions| EngineOptions {
+        crash,
+        vulnerable: options.stage == target,
+        ..*options
+    };
+    let adapted = kinds
+        .iter()
+        .map(|(options, count)| (adapt(options), *count));
+    adapted.collect()
+}
+
 /// Returns when requests with this body crashed engines, in order.
 fn crashes(engines: &[CrashingEngine], body: &str) -> Vec<Instant> {
     let all = engines.iter().flat_map(CrashingEngine::crashes);
@@ -247,20 +264,7 @@
         "/resume/x" => "prefill",
         _ => "decode",
     };
-    let kinds: Vec<(EngineOptions, usize)> = kinds
-        .iter()
-        .map(|(options, count)| {
-            let vulnerable = options.stage == target;
-            (
-                EngineOptions {
-                    crash,
-                    vulnerable,
-                    ..*options
-                },
-                *count,
-            )
-        })
-        .collect();
+    let kinds = with_target(kinds, target, crash);
     let fleet = Arc::new(start_fleet(GATEWAYS).await);
     let engines = fleet.start_engines(&kinds).await;
     wait_until_ready(&fleet).await;
@@ -373,20 +377,7 @@
     // The kind of which there are most crashes.
     let target = kinds.iter().max_by_key(|(_, count)| count);
     let target = target.unwrap().0.stage;
-    let kinds: Vec<(EngineOptions, usize)> = kinds
-        .iter()
-        .map(|(options, count)| {
-            let vulnerable = options.stage == target;
-            (
-                EngineOptions {
-                    crash,
-                    vulnerable,
-                    ..*options
-                },
-                *count,
-            )
-        })
-        .collect();
+    let kinds = with_target(kinds, target, crash);
     let mut fleet = start_fleet(GATEWAYS).await;
     let engines = fleet.start_engines(&kinds).await;
     wait_until_ready(&fleet).await;
